--- /dev/null
+++ b/modules/kvhttp/kvhttp.go
@@ -0,0 +1,181 @@
+// Package kvhttp is the HTTP adapter of the key-value service, registered as platform.kv.http.
+package kvhttp
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/quetzallug/quetzallug/kernel"
+	"github.com/quetzallug/quetzallug/platform"
+	"github.com/quetzallug/quetzallug/platform/kvwire"
+)
+
+// ID is the module's ID.
+const ID = "platform.kv.http"
+
+const (
+	maxResponseBytes = 64 << 20
+	// watchTimeout is above the service's own wait limit of 20 s.
+	watchTimeout    = 30 * time.Second
+	callTimeout     = 3 * time.Second
+	maxIdleConns    = 16
+	idleConnTimeout = 60 * time.Second
+)
+
+func init() { kernel.Register(&Client{}) }
+
+// Client calls the key-value service.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+var _ platform.KV = (*Client)(nil)
+
+// Module implements kernel.Module.
+func (*Client) Module() kernel.ModuleInfo {
+	return kernel.ModuleInfo{ID: ID, New: func() kernel.Module { return &Client{} }}
+}
+
+// Provision reads the setting "address", an http URL.
+func (c *Client) Provision(_ context.Context, s kernel.Settings) error {
+	c.base = s["address"]
+	c.http = &http.Client{Transport: &http.Transport{
+		MaxIdleConnsPerHost: maxIdleConns,
+		IdleConnTimeout:     idleConnTimeout,
+	}}
+	return nil
+}
+
+// Validate implements kernel.Validator.
+func (c *Client) Validate() error {
+	u, err := url.Parse(c.base)
+	if err != nil || u.Scheme != "http" && u.Scheme != "https" || u.Host == "" {
+		return fmt.Errorf("key-value service address %q is not an http or https URL", c.base)
+	}
+	return nil
+}
+
+// Cleanup implements kernel.Cleaner.
+func (c *Client) Cleanup() error {
+	if c.http != nil {
+		c.http.CloseIdleConnections()
+	}
+	return nil
+}
+
+// Get implements platform.KV.
+func (c *Client) Get(ctx context.Context, key string) (platform.Entry, error) {
+	resp, err := c.call(ctx, kvwire.PathGet, kvwire.Request{Key: key}, callTimeout)
+	if err != nil {
+		return platform.Entry{}, readError(err)
+	}
+	if len(resp.Entries) == 0 {
+		return platform.Entry{}, platform.ErrUnavailable
+	}
+	return resp.Entries[0], nil
+}
+
+// List implements platform.KV.
+func (c *Client) List(ctx context.Context, prefix string) ([]platform.Entry, uint64, error) {
+	resp, err := c.call(ctx, kvwire.PathList, kvwire.Request{Key: prefix}, callTimeout)
+	return resp.Entries, resp.Revision, readError(err)
+}
+
+// CompareAndSwap implements platform.KV.
+func (c *Client) CompareAndSwap(ctx context.Context, key string, expected uint64, value []byte, lease platform.LeaseID) (uint64, error) {
+	r := kvwire.Request{Key: key, Expected: expected, Value: value, Lease: lease}
+	resp, err := c.call(ctx, kvwire.PathSwap, r, callTimeout)
+	return resp.Version, err
+}
+
+// Delete implements platform.KV.
+func (c *Client) Delete(ctx context.Context, key string, expected uint64) error {
+	_, err := c.call(ctx, kvwire.PathDelete, kvwire.Request{Key: key, Expected: expected}, callTimeout)
+	return err
+}
+
+// Watch implements platform.KV.
+func (c *Client) Watch(ctx context.Context, prefix string, after uint64) ([]platform.Event, uint64, error) {
+	resp, err := c.call(ctx, kvwire.PathWatch, kvwire.Request{Key: prefix, After: after}, watchTimeout)
+	if err != nil {
+		return nil, after, readError(err)
+	}
+	return resp.Events, resp.Revision, nil
+}
+
+// GrantLease implements platform.KV.
+func (c *Client) GrantLease(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
+	resp, err := c.call(ctx, kvwire.PathGrant, kvwire.Request{TTLMS: ttl.Milliseconds()}, callTimeout)
+	return resp.Lease, err
+}
+
+// KeepAlive implements platform.KV.
+func (c *Client) KeepAlive(ctx context.Context, id platform.LeaseID) error {
+	_, err := c.call(ctx, kvwire.PathKeepAlive, kvwire.Request{Lease: id}, callTimeout)
+	return err
+}
+
+// RevokeLease implements platform.KV.
+func (c *Client) RevokeLease(ctx context.Context, id platform.LeaseID) error {
+	_, err := c.call(ctx, kvwire.PathRevoke, kvwire.Request{Lease: id}, callTimeout)
+	return err
+}
+
+// readError converts an unknown outcome of a read, which has no effect, to unavailable.
+func readError(err error) error {
+	if errors.Is(err, platform.ErrOutcomeUnknown) {
+		return platform.ErrUnavailable
+	}
+	return err
+}
+
+func (c *Client) call(ctx context.Context, path string, r kvwire.Request, timeout time.Duration) (kvwire.Response, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	body, err := json.Marshal(r)
+	if err != nil {
+		return kvwire.Response{}, fmt.Errorf("%w: encode request: %w", platform.ErrUnavailable, err)
+	}
+	// io.MultiReader hides the body's type, so the HTTP client cannot resend a write.
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.base+path, io.MultiReader(bytes.NewReader(body)))
+	if err != nil {
+		return kvwire.Response{}, fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+	}
+	req.ContentLength = int64(len(body))
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return kvwire.Response{}, transportError(err)
+	}
+	defer resp.Body.Close()
+	return decode(resp)
+}
+
+func decode(resp *http.Response) (kvwire.Response, error) {
+	var out kvwire.Response
+	if resp.StatusCode != http.StatusOK {
+		return out, fmt.Errorf("%w: status %d", platform.ErrUnavailable, resp.StatusCode)
+	}
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxResponseBytes)).Decode(&out); err != nil {
+		return out, fmt.Errorf("%w: %w", platform.ErrOutcomeUnknown, err)
+	}
+	return out, kvwire.Error(out.Error)
+}
+
+// transportError reports that a call had no effect only if no connection was made.
+func transportError(err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+	}
+	return fmt.Errorf("%w: %w", platform.ErrOutcomeUnknown, err)
+}
--- /dev/null
+++ b/standin/kv/server.go
@@ -0,0 +1,84 @@
+package kv
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/quetzallug/quetzallug/platform"
+	"github.com/quetzallug/quetzallug/platform/kvwire"
+)
+
+const maxRequestBytes = 2 * MaxValueBytes
+
+// Handler serves the store over HTTP with JSON bodies.
+func (s *Store) Handler() http.Handler {
+	mux := http.NewServeMux()
+	handle(mux, kvwire.PathGet, func(ctx context.Context, r kvwire.Request) (kvwire.Response, error) {
+		e, err := s.Get(ctx, r.Key)
+		return kvwire.Response{Entries: []platform.Entry{e}}, err
+	})
+	handle(mux, kvwire.PathList, func(ctx context.Context, r kvwire.Request) (kvwire.Response, error) {
+		entries, rev, err := s.List(ctx, r.Key)
+		return kvwire.Response{Entries: entries, Revision: rev}, err
+	})
+	handle(mux, kvwire.PathSwap, func(ctx context.Context, r kvwire.Request) (kvwire.Response, error) {
+		v, err := s.CompareAndSwap(ctx, r.Key, r.Expected, r.Value, r.Lease)
+		return kvwire.Response{Version: v}, err
+	})
+	handle(mux, kvwire.PathDelete, func(ctx context.Context, r kvwire.Request) (kvwire.Response, error) {
+		return kvwire.Response{}, s.Delete(ctx, r.Key, r.Expected)
+	})
+	handle(mux, kvwire.PathWatch, func(ctx context.Context, r kvwire.Request) (kvwire.Response, error) {
+		events, rev, err := s.Watch(ctx, r.Key, r.After)
+		return kvwire.Response{Events: events, Revision: rev}, err
+	})
+	handle(mux, kvwire.PathGrant, func(ctx context.Context, r kvwire.Request) (kvwire.Response, error) {
+		id, err := s.GrantLease(ctx, time.Duration(r.TTLMS)*time.Millisecond)
+		return kvwire.Response{Lease: id}, err
+	})
+	handle(mux, kvwire.PathKeepAlive, func(ctx context.Context, r kvwire.Request) (kvwire.Response, error) {
+		return kvwire.Response{}, s.KeepAlive(ctx, r.Lease)
+	})
+	handle(mux, kvwire.PathRevoke, func(ctx context.Context, r kvwire.Request) (kvwire.Response, error) {
+		return kvwire.Response{}, s.RevokeLease(ctx, r.Lease)
+	})
+	mux.HandleFunc("GET /calls", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.Calls()) })
+	mux.HandleFunc("POST /faults", s.serveFaults)
+	return mux
+}
+
+func (s *Store) serveFaults(w http.ResponseWriter, r *http.Request) {
+	var state FaultState
+	if err := json.NewDecoder(r.Body).Decode(&state); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.faults.Set(state)
+	writeJSON(w, state)
+}
+
+func handle(mux *http.ServeMux, path string, do func(context.Context, kvwire.Request) (kvwire.Response, error)) {
+	mux.HandleFunc("POST "+path, func(w http.ResponseWriter, r *http.Request) {
+		var req kvwire.Request
+		body := http.MaxBytesReader(w, r.Body, maxRequestBytes)
+		if err := json.NewDecoder(body).Decode(&req); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		resp, err := do(r.Context(), req)
+		if errors.Is(err, platform.ErrOutcomeUnknown) {
+			// The write took effect and its response is lost: drop the connection.
+			panic(http.ErrAbortHandler)
+		}
+		resp.Error = kvwire.Code(err)
+		writeJSON(w, resp)
+	})
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/standin/kv/store.go
@@ -0,0 +1,380 @@
+// Package kv is a stand-in for the platform's key-value service: compare-and-swap, leases,
+// watches, call accounting, a rate limit and switchable faults. It is test equipment.
+package kv
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/quetzallug/quetzallug/platform"
+)
+
+const (
+	// MaxValueBytes is the largest value that the service accepts.
+	MaxValueBytes = 1 << 20
+	// DefaultWatchWait bounds one watch call.
+	DefaultWatchWait = 20 * time.Second
+	// eventLogLength is the number of past events that a watch can continue from.
+	eventLogLength = 4096
+)
+
+// Limits are the rates of the service in calls per second. Zero means no limit.
+type Limits struct {
+	Writes float64
+	Reads  float64
+}
+
+// Calls counts the calls that the service has taken.
+type Calls struct {
+	Reads    uint64 `json:"reads"`
+	Writes   uint64 `json:"writes"`
+	Watches  uint64 `json:"watches"`
+	Waiting  uint64 `json:"waiting"`
+	Rejected uint64 `json:"rejected"`
+}
+
+type item struct {
+	version  uint64
+	revision uint64
+	value    []byte
+	lease    platform.LeaseID
+}
+
+type leaseState struct {
+	ttl     time.Duration
+	expires time.Time
+}
+
+// Store is the service's state. All methods are safe for concurrent use.
+type Store struct {
+	faults *Faults
+
+	mu       sync.Mutex
+	revision uint64
+	items    map[string]*item
+	leases   map[platform.LeaseID]*leaseState
+	next     platform.LeaseID
+	log      []platform.Event
+	changed  chan struct{}
+	calls    Calls
+	writes   *rate.Limiter
+	reads    *rate.Limiter
+	wait     time.Duration
+}
+
+var _ platform.KV = (*Store)(nil)
+
+// NewStore returns an empty store.
+func NewStore(l Limits) *Store {
+	return &Store{
+		faults:  &Faults{},
+		items:   map[string]*item{},
+		leases:  map[platform.LeaseID]*leaseState{},
+		changed: make(chan struct{}),
+		writes:  limiter(l.Writes),
+		reads:   limiter(l.Reads),
+		wait:    DefaultWatchWait,
+	}
+}
+
+func limiter(perSecond float64) *rate.Limiter {
+	if perSecond <= 0 {
+		return rate.NewLimiter(rate.Inf, 0)
+	}
+	return rate.NewLimiter(rate.Limit(perSecond), max(1, int(perSecond)))
+}
+
+// Faults returns the store's switchable faults.
+func (s *Store) Faults() *Faults { return s.faults }
+
+// Calls returns the accounting so far.
+func (s *Store) Calls() Calls {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// admitRead counts a read and applies the fault and rate limits.
+func (s *Store) admitRead(ctx context.Context) error {
+	if err := s.faults.before(ctx); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.reads.Allow() {
+		s.calls.Rejected++
+		return platform.ErrUnavailable
+	}
+	s.calls.Reads++
+	return nil
+}
+
+func (s *Store) admitWrite(ctx context.Context) error {
+	if err := s.faults.before(ctx); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.writes.Allow() {
+		s.calls.Rejected++
+		return platform.ErrUnavailable
+	}
+	s.calls.Writes++
+	return nil
+}
+
+// Get implements platform.KV.
+func (s *Store) Get(ctx context.Context, key string) (platform.Entry, error) {
+	if err := s.admitRead(ctx); err != nil {
+		return platform.Entry{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expireLeases()
+	it, ok := s.items[key]
+	if !ok {
+		return platform.Entry{}, platform.ErrNotFound
+	}
+	return it.entry(key), nil
+}
+
+// List implements platform.KV.
+func (s *Store) List(ctx context.Context, prefix string) ([]platform.Entry, uint64, error) {
+	if err := s.admitRead(ctx); err != nil {
+		return nil, 0, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expireLeases()
+	return s.listLocked(prefix), s.revision, nil
+}
+
+func (s *Store) listLocked(prefix string) []platform.Entry {
+	var entries []platform.Entry
+	for k, it := range s.items {
+		if strings.HasPrefix(k, prefix) {
+			entries = append(entries, it.entry(k))
+		}
+	}
+	slices.SortFunc(entries, func(a, b platform.Entry) int { return strings.Compare(a.Key, b.Key) })
+	return entries
+}
+
+// CompareAndSwap implements platform.KV.
+func (s *Store) CompareAndSwap(ctx context.Context, key string, expected uint64, value []byte, lease platform.LeaseID) (uint64, error) {
+	if len(value) > MaxValueBytes {
+		return 0, platform.ErrConflict
+	}
+	if err := s.admitWrite(ctx); err != nil {
+		return 0, err
+	}
+	version, err := s.swap(key, expected, value, lease)
+	if err != nil {
+		return 0, err
+	}
+	return version, s.faults.after(ctx)
+}
+
+func (s *Store) swap(key string, expected uint64, value []byte, lease platform.LeaseID) (uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expireLeases()
+	if lease != 0 && s.leases[lease] == nil {
+		return 0, platform.ErrLeaseExpired
+	}
+	it := s.items[key]
+	if it == nil {
+		it = &item{}
+	}
+	if it.version != expected {
+		return 0, platform.ErrConflict
+	}
+	s.revision++
+	n := &item{version: it.version + 1, revision: s.revision, value: slices.Clone(value), lease: lease}
+	s.items[key] = n
+	s.appendEvent(platform.Event{Entry: n.entry(key)})
+	return n.version, nil
+}
+
+// Delete implements platform.KV.
+func (s *Store) Delete(ctx context.Context, key string, expected uint64) error {
+	if err := s.admitWrite(ctx); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	s.expireLeases()
+	it, ok := s.items[key]
+	if !ok || it.version != expected {
+		s.mu.Unlock()
+		return platform.ErrConflict
+	}
+	s.remove(key)
+	s.mu.Unlock()
+	return s.faults.after(ctx)
+}
+
+// Watch implements platform.KV.
+func (s *Store) Watch(ctx context.Context, prefix string, after uint64) ([]platform.Event, uint64, error) {
+	if err := s.faults.before(ctx); err != nil {
+		return nil, after, err
+	}
+	s.mu.Lock()
+	s.calls.Watches++
+	s.calls.Waiting++
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		s.calls.Waiting--
+		s.mu.Unlock()
+	}()
+	deadline := time.NewTimer(s.wait)
+	defer deadline.Stop()
+	for {
+		if s.faults.isDown() {
+			return nil, after, platform.ErrUnavailable
+		}
+		s.mu.Lock()
+		s.expireLeases()
+		events, next := s.eventsAfter(prefix, after)
+		changed := s.changed
+		expiry := s.nextExpiry()
+		s.mu.Unlock()
+		if len(events) > 0 {
+			return events, next, nil
+		}
+		if !waitChange(ctx, changed, deadline.C, expiry) {
+			return nil, next, ctx.Err()
+		}
+	}
+}
+
+// waitChange waits for a change or a lease expiry. It returns false when the call must end.
+func waitChange(ctx context.Context, changed <-chan struct{}, deadline <-chan time.Time, expiry time.Duration) bool {
+	timer := time.NewTimer(expiry)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-deadline:
+		return false
+	case <-changed:
+	case <-timer.C:
+	}
+	return true
+}
+
+// eventsAfter returns the events under prefix after a revision. If the log no longer reaches
+// back to it, the present entries are returned as events.
+func (s *Store) eventsAfter(prefix string, after uint64) ([]platform.Event, uint64) {
+	if after < s.revision && (len(s.log) == 0 || s.log[0].Revision > after+1) {
+		var events []platform.Event
+		for _, e := range s.listLocked(prefix) {
+			events = append(events, platform.Event{Entry: e})
+		}
+		return events, s.revision
+	}
+	var events []platform.Event
+	for _, e := range s.log {
+		if e.Revision > after && strings.HasPrefix(e.Key, prefix) {
+			events = append(events, e)
+		}
+	}
+	return events, s.revision
+}
+
+// GrantLease implements platform.KV.
+func (s *Store) GrantLease(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
+	if err := s.admitWrite(ctx); err != nil {
+		return 0, err
+	}
+	s.mu.Lock()
+	s.next++
+	id := s.next
+	s.leases[id] = &leaseState{ttl: ttl, expires: time.Now().Add(ttl)}
+	s.mu.Unlock()
+	return id, s.faults.after(ctx)
+}
+
+// KeepAlive implements platform.KV.
+func (s *Store) KeepAlive(ctx context.Context, id platform.LeaseID) error {
+	if err := s.admitWrite(ctx); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	s.expireLeases()
+	l, ok := s.leases[id]
+	if ok {
+		l.expires = time.Now().Add(l.ttl)
+	}
+	s.mu.Unlock()
+	if !ok {
+		return platform.ErrLeaseExpired
+	}
+	return s.faults.after(ctx)
+}
+
+// RevokeLease implements platform.KV.
+func (s *Store) RevokeLease(ctx context.Context, id platform.LeaseID) error {
+	if err := s.admitWrite(ctx); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	s.dropLease(id)
+	s.mu.Unlock()
+	return s.faults.after(ctx)
+}
+
+func (s *Store) expireLeases() {
+	now := time.Now()
+	for id, l := range s.leases {
+		if !now.Before(l.expires) {
+			s.dropLease(id)
+		}
+	}
+}
+
+func (s *Store) nextExpiry() time.Duration {
+	next := DefaultWatchWait
+	for _, l := range s.leases {
+		next = min(next, time.Until(l.expires))
+	}
+	return max(next, time.Millisecond)
+}
+
+func (s *Store) dropLease(id platform.LeaseID) {
+	delete(s.leases, id)
+	var keys []string
+	for k, it := range s.items {
+		if it.lease == id {
+			keys = append(keys, k)
+		}
+	}
+	slices.Sort(keys)
+	for _, k := range keys {
+		s.remove(k)
+	}
+}
+
+func (s *Store) remove(key string) {
+	s.revision++
+	delete(s.items, key)
+	s.appendEvent(platform.Event{Entry: platform.Entry{Key: key, Revision: s.revision}, Deleted: true})
+}
+
+func (s *Store) appendEvent(e platform.Event) {
+	s.log = append(s.log, e)
+	if len(s.log) > eventLogLength {
+		s.log = slices.Clone(s.log[len(s.log)-eventLogLength/2:])
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (it *item) entry(key string) platform.Entry {
+	return platform.Entry{Key: key, Version: it.version, Revision: it.revision, Value: slices.Clone(it.value)}
+}
--- /dev/null
+++ b/standin/kv/store_test.go
@@ -0,0 +1,41 @@
+package kv_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/quetzallug/quetzallug/platform"
+	"github.com/quetzallug/quetzallug/standin/kv"
+)
+
+// Guards against a lost response that did not take effect, which would hide faults in callers.
+func TestLostAnswerTakesEffect(t *testing.T) {
+	s := kv.NewStore(kv.Limits{})
+	s.Faults().Set(kv.FaultState{LoseAnswers: 1})
+	_, err := s.CompareAndSwap(t.Context(), "a", 0, []byte("x"), 0)
+	require.ErrorIs(t, err, platform.ErrOutcomeUnknown)
+	e, err := s.Get(t.Context(), "a")
+	require.NoError(t, err)
+	require.Equal(t, "x", string(e.Value))
+	_, err = s.CompareAndSwap(t.Context(), "a", 0, []byte("y"), 0)
+	require.ErrorIs(t, err, platform.ErrConflict)
+}
+
+// Guards against keys that outlive their lease.
+func TestLeaseExpiryRemovesKeyAndWakesWatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := kv.NewStore(kv.Limits{})
+		id, err := s.GrantLease(t.Context(), time.Second)
+		require.NoError(t, err)
+		_, err = s.CompareAndSwap(t.Context(), "pool/a/holder", 0, []byte("e1"), id)
+		require.NoError(t, err)
+		events, _, err := s.Watch(t.Context(), "pool/", 1)
+		require.NoError(t, err)
+		require.Len(t, events, 1)
+		require.True(t, events[0].Deleted)
+		require.ErrorIs(t, s.KeepAlive(t.Context(), id), platform.ErrLeaseExpired)
+	})
+}
