--- /dev/null
+++ b/entry/call.go
@@ -0,0 +1,43 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/quetzallug/quetzallug/document"
+	v1 "github.com/quetzallug/quetzallug/gen/quetzallug/v1"
+)
+
+// call is one request of a caller.
+type call struct {
+	id       string
+	caller   string
+	service  *document.Service
+	revision uint64
+	kind     *document.Kind
+	deadline time.Time
+	// key is the caller's idempotency key, empty if none.
+	key   string
+	model *v1.ModelRequest
+	plain *v1.PlainRequest
+	// prefix holds the hashes of the prompt's leading blocks.
+	prefix   []uint64
+	priority int
+	started  time.Time
+}
+
+// request returns one attempt's message.
+func (c *call) request(cluster, incarnation string, attempt uint32, offset uint64, now time.Time) *v1.ExecuteRequest {
+	remaining := c.deadline.Sub(now).Milliseconds()
+	r := &v1.ExecuteRequest{
+		Cluster: cluster, RequestId: c.id, Attempt: attempt, Offset: offset,
+		Service: c.service.Service, Kind: c.kind.Name, ConfigRevision: c.revision,
+		Incarnation: incarnation, RemainingMs: uint32(max(0, remaining)), Priority: uint32(c.priority),
+		Repeatable: c.kind.Repeatable, Interruptible: c.kind.Interruptible, IdempotencyKey: c.key,
+	}
+	if c.model != nil {
+		r.Request = &v1.ExecuteRequest_Model{Model: c.model}
+	} else {
+		r.Request = &v1.ExecuteRequest_Plain{Plain: c.plain}
+	}
+	return r
+}
--- /dev/null
+++ b/entry/decisions.go
@@ -0,0 +1,45 @@
+package entry
+
+import (
+	"sync"
+	"time"
+
+	v1 "github.com/quetzallug/quetzallug/gen/quetzallug/v1"
+)
+
+// DecisionLog keeps the most recent routing and placement decisions for the operators' tool.
+type DecisionLog struct {
+	mu   sync.Mutex
+	ring []*v1.Decision
+	next int
+}
+
+// NewDecisionLog returns a log of the given size.
+func NewDecisionLog(size int) *DecisionLog {
+	return &DecisionLog{ring: make([]*v1.Decision, size)}
+}
+
+// Add records a decision.
+func (l *DecisionLog) Add(subject, choice, reason string, candidates []string) {
+	d := &v1.Decision{
+		AtUnixMs: time.Now().UnixMilli(), Subject: subject, Choice: choice, Reason: reason, Candidates: candidates,
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ring[l.next] = d
+	l.next = (l.next + 1) % len(l.ring)
+}
+
+// Find returns the decisions about a subject, oldest first.
+func (l *DecisionLog) Find(subject string) []*v1.Decision {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var found []*v1.Decision
+	for i := range l.ring {
+		d := l.ring[(l.next+i)%len(l.ring)]
+		if d != nil && (d.GetSubject() == subject || d.GetChoice() == subject) {
+			found = append(found, d)
+		}
+	}
+	return found
+}
--- /dev/null
+++ b/entry/run.go
@@ -0,0 +1,224 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"net"
+	"slices"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/sirupsen/logrus"
+
+	v1 "github.com/quetzallug/quetzallug/gen/quetzallug/v1"
+	"github.com/quetzallug/quetzallug/stream"
+)
+
+const (
+	// maxAttempts bounds the attempts of one request.
+	maxAttempts = 6
+	// minStall is the shortest silence of a stream that ends a repeatable attempt.
+	minStall = 500 * time.Millisecond
+	// minFirstStall is the shortest wait for the first frame of a repeatable attempt.
+	minFirstStall = 2 * time.Second
+	// stallFactor times a latency target is the silence that ends a repeatable attempt.
+	stallFactor = 8
+)
+
+var errStalled = errors.New("no frame within the stall time")
+
+// sink takes the parts of an answer in order. An error means that the caller has left.
+type sink interface {
+	write(data []byte) error
+}
+
+// run answers one request with as many attempts as are needed and allowed.
+func (e *Entry) run(ctx context.Context, c *call, out sink) (*v1.Final, *Error) {
+	ctx, cancel := context.WithDeadline(ctx, c.deadline)
+	defer cancel()
+	r := &runner{Entry: e, call: c, out: out, asm: stream.NewAssembler(c.id)}
+	e.budget.Fresh(time.Now())
+	for {
+		final, err := r.step(ctx)
+		if final != nil || err != nil {
+			return final, err
+		}
+	}
+}
+
+// runner holds the state of one request's attempts.
+type runner struct {
+	*Entry
+	call *call
+	out  sink
+	asm  *stream.Assembler
+
+	tried []string
+	// ran is true once an attempt may have run.
+	ran      bool
+	attempts int
+	last     Result
+}
+
+// step makes one attempt. It returns nil, nil if another attempt should follow.
+func (r *runner) step(ctx context.Context) (*v1.Final, *Error) {
+	p := r.pickRequest()
+	w, reason, err := r.picker.Pick(p)
+	if err != nil {
+		return nil, r.giveUp(ReasonNoWorker, err.Error())
+	}
+	attempt, offset := r.asm.Begin()
+	r.attempts++
+	r.logChoice(attempt, offset, w, reason)
+	r.picker.Sent(w, p)
+	final, res := r.attempt(ctx, w, attempt, offset)
+	r.picker.Done(w, p, res)
+	r.last = res
+	if res.Outcome == v1.Outcome_OUTCOME_COMPLETE {
+		return final, nil
+	}
+	if res.Outcome != v1.Outcome_OUTCOME_NOT_RUN {
+		r.ran = true
+	}
+	r.tried = append(r.tried, w.Instance)
+	return nil, r.next(ctx, res)
+}
+
+// next decides whether another attempt may follow a failed one.
+func (r *runner) next(ctx context.Context, res Result) *Error {
+	detail := res.Reason.String()
+	switch {
+	case r.ran && !r.call.kind.Repeatable:
+		return r.giveUp(reasonOf(res.Reason), detail)
+	case ctx.Err() != nil || !time.Now().Before(r.call.deadline):
+		return r.giveUp(ReasonDeadline, "deadline passed")
+	case r.attempts >= maxAttempts:
+		return r.giveUp(reasonOf(res.Reason), detail)
+	case !r.budget.Spend(time.Now()):
+		return r.giveUp(ReasonRetryBudget, "retry budget is spent after "+detail)
+	}
+	r.metrics.Retry(r.call.service.Service, res.Reason)
+	return nil
+}
+
+// giveUp returns "not run" only if no attempt can have run.
+func (r *runner) giveUp(reason Reason, detail string) *Error {
+	if r.ran {
+		return unknown(reason, "%s", detail)
+	}
+	return notRun(reason, "%s", detail)
+}
+
+func (r *runner) pickRequest() PickRequest {
+	c := r.call
+	p := PickRequest{
+		Service: c.service.Service, Prefix: c.prefix, Repeatable: c.kind.Repeatable,
+		Deadline: c.deadline, Tried: r.tried,
+	}
+	if c.model != nil {
+		p.Model, p.Adapter = c.model.GetModel(), c.model.GetAdapter()
+		p.PromptTokens, p.MaxTokens = int(c.model.GetPromptTokens()), int(c.model.GetMaxTokens())
+	}
+	return p
+}
+
+func (r *runner) logChoice(attempt uint32, offset uint64, w Worker, reason string) {
+	r.log.WithFields(logrus.Fields{
+		"request_id": r.call.id, "service": r.call.service.Service, "kind": r.call.kind.Name,
+		"attempt": attempt, "offset": offset, "worker": w.Instance, "reason": reason,
+	}).Info("routed")
+	r.decisions.Add(r.call.id, w.Instance, reason, slices.Clone(r.tried))
+}
+
+// attempt sends one attempt and relays its frames until its final frame.
+func (r *runner) attempt(ctx context.Context, w Worker, attempt uint32, offset uint64) (*v1.Final, Result) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	started := time.Now()
+	first, between := r.stallTimes()
+	timer := time.AfterFunc(first, func() { cancel(errStalled) })
+	defer timer.Stop()
+	req := r.call.request(r.cfg.Cluster, w.Incarnation, attempt, offset, started)
+	s, err := r.clients.Worker(w.Address).Execute(ctx, connect.NewRequest(req))
+	if err != nil {
+		return nil, failed(ctx, err, started)
+	}
+	defer s.Close()
+	res := Result{Outcome: v1.Outcome_OUTCOME_UNKNOWN, Reason: v1.Reason_REASON_BACKEND_FAILED}
+	previous := started
+	for s.Receive() {
+		timer.Reset(between)
+		f := s.Msg()
+		verdict, err := r.asm.Accept(f)
+		if err != nil {
+			r.log.WithField("request_id", r.call.id).WithError(err).Warn("frame refused")
+			return nil, res
+		}
+		switch verdict {
+		case stream.Drop:
+		case stream.Deliver:
+			now := time.Now()
+			r.measure(&res, f, started, previous, now)
+			previous = now
+			if err := r.out.write(f.GetData()); err != nil {
+				res.Reason = v1.Reason_REASON_CANCELLED
+				return nil, res
+			}
+		case stream.End:
+			return r.ended(f.GetFinal(), res, started)
+		}
+	}
+	return nil, failed(ctx, s.Err(), started)
+}
+
+func (r *runner) measure(res *Result, f *v1.Frame, started, previous, now time.Time) {
+	c := r.call
+	if res.Tokens == 0 {
+		res.FirstToken = now.Sub(started)
+		if f.GetOffset() == 0 {
+			r.metrics.FirstToken(c.service.Service, c.kind.Name, now.Sub(c.started))
+		}
+	} else {
+		r.metrics.BetweenTokens(c.service.Service, c.kind.Name, now.Sub(previous)/time.Duration(max(1, f.GetTokens())))
+	}
+	res.Tokens += uint64(f.GetTokens())
+}
+
+func (r *runner) ended(f *v1.Final, res Result, started time.Time) (*v1.Final, Result) {
+	r.docs.Observe(r.call.service.Service, f.GetConfigRevision())
+	res.Outcome, res.Reason, res.Load = f.GetOutcome(), f.GetReason(), f.GetLoad()
+	res.Elapsed = time.Since(started)
+	return f, res
+}
+
+// failed classifies an attempt that ended without a final frame. Only a connection that was
+// never made proves that the request did not run.
+func failed(ctx context.Context, err error, started time.Time) Result {
+	res := Result{Outcome: v1.Outcome_OUTCOME_UNKNOWN, Reason: v1.Reason_REASON_BACKEND_FAILED, Elapsed: time.Since(started)}
+	var op *net.OpError
+	switch {
+	case errors.As(err, &op) && op.Op == "dial":
+		res.Outcome, res.Refused = v1.Outcome_OUTCOME_NOT_RUN, true
+	case errors.Is(context.Cause(ctx), errStalled):
+		res.Silent = true
+	case connect.CodeOf(err) == connect.CodeUnauthenticated:
+		res.Outcome, res.Reason = v1.Outcome_OUTCOME_NOT_RUN, v1.Reason_REASON_INVALID
+	case ctx.Err() != nil:
+		res.Reason = v1.Reason_REASON_DEADLINE
+		res.Silent = errors.Is(ctx.Err(), context.DeadlineExceeded)
+	}
+	return res
+}
+
+// stallTimes returns how long an attempt may be silent before its first frame and between
+// frames. An unrepeatable request waits for its deadline, since another attempt is not allowed.
+func (r *runner) stallTimes() (first, between time.Duration) {
+	rest := time.Until(r.call.deadline) + time.Second
+	if !r.call.kind.Repeatable || r.call.model == nil {
+		return rest, rest
+	}
+	d := r.call.kind.Deadlines
+	first = max(minFirstStall, 4*d.FirstToken.Std())
+	between = max(minStall, stallFactor*d.BetweenTokens.Std())
+	return min(first, rest), min(between, rest)
+}
--- /dev/null
+++ b/internal/logging/logging.go
@@ -0,0 +1,35 @@
+// Package logging builds the process's logger.
+package logging
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/sirupsen/logrus"
+)
+
+// Formats of log lines.
+const (
+	FormatText = "text"
+	FormatJSON = "json"
+)
+
+// New returns a logger that writes lines of the given level and format to w.
+func New(w io.Writer, level, format string) (*logrus.Logger, error) {
+	l, err := logrus.ParseLevel(level)
+	if err != nil {
+		return nil, fmt.Errorf("log level: %w", err)
+	}
+	log := logrus.New()
+	log.SetOutput(w)
+	log.SetLevel(l)
+	switch format {
+	case FormatText:
+		log.SetFormatter(&logrus.TextFormatter{FullTimestamp: true})
+	case FormatJSON:
+		log.SetFormatter(&logrus.JSONFormatter{})
+	default:
+		return nil, fmt.Errorf("log format: found %q, allowed are %q and %q", format, FormatText, FormatJSON)
+	}
+	return log, nil
+}
--- /dev/null
+++ b/internal/rpc/rpc.go
@@ -0,0 +1,155 @@
+// Package rpc builds the HTTP/2 servers and clients between the system's own processes.
+package rpc
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/quetzallug/quetzallug/gen/quetzallug/v1/quetzallugv1connect"
+)
+
+const (
+	// maxConcurrentStreams is per connection; an entry has one connection to a sidecar.
+	maxConcurrentStreams = 4096
+	readHeaderTimeout    = 5 * time.Second
+	idleTimeout          = 2 * time.Minute
+	dialTimeout          = 1 * time.Second
+	// pingInterval and pingTimeout detect a peer that is cut off while a stream is silent.
+	pingInterval = 2 * time.Second
+	pingTimeout  = 2 * time.Second
+	// MaxMessageBytes bounds one message.
+	MaxMessageBytes = 8 << 20
+)
+
+// NewServer returns a server for cleartext HTTP/2 and HTTP/1.
+func NewServer(h http.Handler) *http.Server {
+	var p http.Protocols
+	p.SetHTTP1(true)
+	p.SetUnencryptedHTTP2(true)
+	return &http.Server{
+		Handler:           h,
+		Protocols:         &p,
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxConcurrentStreams},
+	}
+}
+
+// Traffic counts bytes on connections.
+type Traffic struct {
+	In, Out atomic.Int64
+}
+
+// Clients holds one client per address and kind of service.
+type Clients struct {
+	http    *http.Client
+	options []connect.ClientOption
+
+	mu      sync.RWMutex
+	workers map[string]quetzallugv1connect.WorkerServiceClient
+	peers   map[string]quetzallugv1connect.PeerServiceClient
+}
+
+// NewClients returns clients that count the bytes they move in t, which may be nil.
+func NewClients(t *Traffic, interceptors ...connect.Interceptor) *Clients {
+	var p http.Protocols
+	p.SetUnencryptedHTTP2(true)
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	transport := &http.Transport{
+		Protocols: &p,
+		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, addr)
+			if err != nil || t == nil {
+				return conn, err
+			}
+			return &countedConn{Conn: conn, traffic: t}, nil
+		},
+		IdleConnTimeout: idleTimeout,
+		HTTP2:           &http.HTTP2Config{SendPingTimeout: pingInterval, PingTimeout: pingTimeout},
+	}
+	return &Clients{
+		http: &http.Client{Transport: transport},
+		options: []connect.ClientOption{
+			connect.WithGRPC(),
+			connect.WithInterceptors(interceptors...),
+			connect.WithReadMaxBytes(MaxMessageBytes),
+		},
+		workers: map[string]quetzallugv1connect.WorkerServiceClient{},
+		peers:   map[string]quetzallugv1connect.PeerServiceClient{},
+	}
+}
+
+// Worker returns the client of the sidecar at an address, such as 127.0.0.1:8000.
+func (c *Clients) Worker(address string) quetzallugv1connect.WorkerServiceClient {
+	return lookup(c, c.workers, address, func() quetzallugv1connect.WorkerServiceClient {
+		return quetzallugv1connect.NewWorkerServiceClient(c.http, "http://"+address, c.options...)
+	})
+}
+
+// Peer returns the client of the entry at a peer address.
+func (c *Clients) Peer(address string) quetzallugv1connect.PeerServiceClient {
+	return lookup(c, c.peers, address, func() quetzallugv1connect.PeerServiceClient {
+		return quetzallugv1connect.NewPeerServiceClient(c.http, "http://"+address, c.options...)
+	})
+}
+
+// Close closes idle connections.
+func (c *Clients) Close() { c.http.CloseIdleConnections() }
+
+func lookup[T any](c *Clients, m map[string]T, address string, create func() T) T {
+	c.mu.RLock()
+	v, ok := m[address]
+	c.mu.RUnlock()
+	if ok {
+		return v
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if v, ok := m[address]; ok {
+		return v
+	}
+	v = create()
+	m[address] = v
+	return v
+}
+
+type countedConn struct {
+	net.Conn
+	traffic *Traffic
+}
+
+func (c *countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.traffic.In.Add(int64(n))
+	return n, err
+}
+
+func (c *countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.traffic.Out.Add(int64(n))
+	return n, err
+}
+
+// CountListener counts the bytes of accepted connections in t.
+func CountListener(l net.Listener, t *Traffic) net.Listener {
+	return &countedListener{Listener: l, traffic: t}
+}
+
+type countedListener struct {
+	net.Listener
+	traffic *Traffic
+}
+
+func (l *countedListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &countedConn{Conn: conn, traffic: l.traffic}, nil
+}
--- /dev/null
+++ b/sidecar/drain.go
@@ -0,0 +1,77 @@
+package sidecar
+
+import (
+	"context"
+	"errors"
+)
+
+// errInterrupted is the cause of the cancellation of an interruptible attempt.
+var errInterrupted = errors.New("interrupted by a planned change")
+
+// Leave stops new work for good: the backend server or this process is leaving.
+func (s *Sidecar) Leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.leaving {
+		s.leaving = true
+		s.log.WithField("in_flight", len(s.inFlight)).Info("leaving: no new work is accepted")
+	}
+}
+
+// Stay takes back Leave after an operator's drain has been undone.
+func (s *Sidecar) Stay() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving = false
+}
+
+// BeginDrain stops new work for a planned change and interrupts the attempts that allow it.
+func (s *Sidecar) BeginDrain(_ context.Context) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ordered = true
+	for _, a := range s.inFlight {
+		if a.interruptible {
+			a.cancel(errInterrupted)
+		}
+	}
+	return nil
+}
+
+// EndDrain accepts work again after a planned change.
+func (s *Sidecar) EndDrain() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ordered = false
+}
+
+// Wait returns when nothing is in flight, or with the context's error.
+func (s *Sidecar) Wait(ctx context.Context) error {
+	for {
+		s.mu.Lock()
+		n, idle := len(s.inFlight), s.idle
+		s.mu.Unlock()
+		if n == 0 {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-idle:
+		}
+	}
+}
+
+// InFlight returns the number of attempts in flight.
+func (s *Sidecar) InFlight() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.inFlight)
+}
+
+// Draining reports whether new work is refused.
+func (s *Sidecar) Draining() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leaving || s.ordered
+}
--- /dev/null
+++ b/sidecar/sidecar.go
@@ -0,0 +1,201 @@
+// Package sidecar is the role that runs beside one backend server. It is the only process
+// that talks to that backend server and the exact admission point for its work: it knows
+// what is in flight, refuses with "not run" before handing anything over, and only then.
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	v1 "github.com/quetzallug/quetzallug/gen/quetzallug/v1"
+	"github.com/quetzallug/quetzallug/platform"
+)
+
+// Documents is what the sidecar needs from the documents in force.
+type Documents interface {
+	// Revision returns the revision of a service's document in force.
+	Revision(service string) uint64
+	// Observe reports a revision seen in traffic, so that a process that is behind catches up.
+	Observe(service string, revision uint64)
+}
+
+// Config describes one sidecar.
+type Config struct {
+	Cluster  string
+	Instance string
+	Service  string
+	// Incarnation is unique for each start of the process.
+	Incarnation string
+	// MaxInFlight bounds the attempts handed to the backend server or waiting in it.
+	MaxInFlight int
+	// Attempts bounds the memory of attempts seen.
+	Attempts int
+}
+
+// Sidecar serves one backend server. Exactly one of Engine and Backend is set.
+type Sidecar struct {
+	cfg     Config
+	engine  platform.Engine
+	backend platform.Backend
+	docs    Documents
+	log     logrus.FieldLogger
+	metrics Metrics
+
+	sequence atomic.Uint64
+	state    atomic.Pointer[engineView]
+
+	// mu guards the fields below. No call is made while it is held.
+	mu       sync.Mutex
+	inFlight map[attemptKey]*attempt
+	seen     *attemptLog
+	leaving  bool
+	ordered  bool
+	idle     chan struct{}
+}
+
+type attemptKey struct {
+	requestID string
+	number    uint32
+}
+
+type attempt struct {
+	cancel        context.CancelCauseFunc
+	interruptible bool
+	promptTokens  int
+	maxTokens     int
+}
+
+// engineView is the engine's configuration as last read.
+type engineView struct {
+	state platform.EngineState
+	at    time.Time
+}
+
+// Metrics receives counts from the sidecar.
+type Metrics interface {
+	Attempt(outcome v1.Outcome, reason v1.Reason)
+	InFlight(n int)
+}
+
+// New returns a sidecar beside an engine or a plain backend server.
+func New(cfg Config, engine platform.Engine, backend platform.Backend, docs Documents, m Metrics, log logrus.FieldLogger) (*Sidecar, error) {
+	if (engine == nil) == (backend == nil) {
+		return nil, errors.New("a sidecar needs either an engine or a plain backend server")
+	}
+	return &Sidecar{
+		cfg: cfg, engine: engine, backend: backend, docs: docs, metrics: m, log: log,
+		inFlight: map[attemptKey]*attempt{},
+		seen:     newAttemptLog(cfg.Attempts),
+		idle:     make(chan struct{}),
+	}, nil
+}
+
+// refusal is a reason not to hand an attempt to the backend server.
+type refusal struct {
+	outcome v1.Outcome
+	reason  v1.Reason
+	detail  string
+}
+
+func notRun(r v1.Reason, detail string) *refusal {
+	return &refusal{outcome: v1.Outcome_OUTCOME_NOT_RUN, reason: r, detail: detail}
+}
+
+// admit registers an attempt, or returns why it is refused. A refused attempt has had no
+// effect on the backend server. A duplicate is unknown, because its first copy may have run.
+func (s *Sidecar) admit(r *v1.ExecuteRequest, cancel context.CancelCauseFunc) (*attempt, *refusal) {
+	if ref := s.validate(r); ref != nil {
+		return nil, ref
+	}
+	key := attemptKey{r.GetRequestId(), r.GetAttempt()}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.seen.has(key) {
+		return nil, &refusal{v1.Outcome_OUTCOME_UNKNOWN, v1.Reason_REASON_DUPLICATE_ATTEMPT, "attempt was received before"}
+	}
+	if s.leaving || s.ordered {
+		return nil, notRun(v1.Reason_REASON_DRAINING, "backend server takes no new work")
+	}
+	if len(s.inFlight) >= s.cfg.MaxInFlight {
+		return nil, notRun(v1.Reason_REASON_QUEUE_FULL, "too many requests in flight")
+	}
+	s.seen.add(key)
+	a := &attempt{
+		cancel: cancel, interruptible: r.GetInterruptible(),
+		promptTokens: int(r.GetModel().GetPromptTokens()), maxTokens: int(r.GetModel().GetMaxTokens()),
+	}
+	s.inFlight[key] = a
+	s.metrics.InFlight(len(s.inFlight))
+	return a, nil
+}
+
+func (s *Sidecar) validate(r *v1.ExecuteRequest) *refusal {
+	switch {
+	case r.GetCluster() != s.cfg.Cluster:
+		return notRun(v1.Reason_REASON_INVALID, "request is for cluster "+r.GetCluster())
+	case r.GetRequestId() == "" || r.GetAttempt() == 0:
+		return notRun(v1.Reason_REASON_INVALID, "request ID and attempt are required")
+	case r.GetService() != s.cfg.Service:
+		return notRun(v1.Reason_REASON_WRONG_SERVICE, "this backend server belongs to service "+s.cfg.Service)
+	case r.GetIncarnation() != "" && r.GetIncarnation() != s.cfg.Incarnation:
+		return notRun(v1.Reason_REASON_WRONG_INCARNATION, "this sidecar's incarnation is "+s.cfg.Incarnation)
+	case r.GetIncarnation() == "" && !r.GetRepeatable():
+		return notRun(v1.Reason_REASON_WRONG_INCARNATION, "an unrepeatable request must name the incarnation")
+	case r.GetRemainingMs() == 0:
+		return notRun(v1.Reason_REASON_DEADLINE, "deadline has passed")
+	case (s.engine != nil) != (r.GetModel() != nil) || (s.backend != nil) != (r.GetPlain() != nil):
+		return notRun(v1.Reason_REASON_INVALID, "request does not fit the kind of backend server")
+	case s.engine != nil && !s.serves(r.GetModel()):
+		return notRun(v1.Reason_REASON_MODEL_NOT_LOADED, "model or adapter is not loaded")
+	}
+	return nil
+}
+
+// serves reports whether the engine has loaded the model and adapter, as far as is known.
+func (s *Sidecar) serves(m *v1.ModelRequest) bool {
+	v := s.state.Load()
+	if v == nil {
+		return false
+	}
+	return hasVersion(v.state.Config.Models, m.GetModel()) &&
+		(m.GetAdapter() == "" || hasVersion(v.state.Config.Adapters, m.GetAdapter()))
+}
+
+func hasVersion(list []platform.ModelVersion, name string) bool {
+	for _, v := range list {
+		if v.Name == name {
+			return true
+		}
+	}
+	return false
+}
+
+// release removes an attempt that has ended.
+func (s *Sidecar) release(r *v1.ExecuteRequest) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.inFlight, attemptKey{r.GetRequestId(), r.GetAttempt()})
+	s.metrics.InFlight(len(s.inFlight))
+	close(s.idle)
+	s.idle = make(chan struct{})
+}
+
+// RefreshState reads the engine's configuration.
+func (s *Sidecar) RefreshState(ctx context.Context) error {
+	if s.engine == nil {
+		return nil
+	}
+	st, err := s.engine.State(ctx)
+	if err != nil {
+		// An engine that does not answer serves nothing until it is seen again.
+		s.state.Store(nil)
+		return err
+	}
+	s.state.Store(&engineView{state: st, at: time.Now()})
+	return nil
+}
