--- a/entry/claims.go
+++ b/entry/claims.go
@@ -1,13 +1,14 @@
 package entry
 
 import (
-	"context"
+	"time"
 
-	v1 "github.com/quetzallug/quetzallug/gen/quetzallug/v1"
+	"github.com/quetzallug/quetzallug/once"
 )
 
+// settleTimeout bounds the recording of a keyed answer.
+const settleTimeout = 3 * time.Second
+
 // Claimer records claims of keyed requests, so that a request that may not be repeated runs at
 // most once over retries by its caller.
-type Claimer interface {
-	Claim(ctx context.Context, r *v1.ClaimRequest) (*v1.ClaimResponse, error)
-}
+type Claimer = once.Claimer
--- /dev/null
+++ b/entry/http.go
@@ -0,0 +1,166 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/gin-gonic/gin"
+	"github.com/sirupsen/logrus"
+
+	"github.com/quetzallug/quetzallug/document"
+	v1 "github.com/quetzallug/quetzallug/gen/quetzallug/v1"
+)
+
+// Handler serves callers.
+func (e *Entry) Handler() http.Handler {
+	g := gin.New()
+	g.Use(gin.CustomRecovery(e.recover))
+	g.POST("/v1/completions", func(c *gin.Context) { e.serveCompletion(c, false) })
+	g.POST("/v1/chat/completions", func(c *gin.Context) { e.serveCompletion(c, true) })
+	g.GET("/v1/models", e.serveModels)
+	g.Any("/svc/:service/*path", e.servePlain)
+	g.NoRoute(func(c *gin.Context) {
+		writeError(c, "", invalid(http.StatusNotFound, ReasonInvalid, "no such path: %s", c.Request.URL.Path))
+	})
+	return g
+}
+
+func (e *Entry) recover(c *gin.Context, v any) {
+	e.log.WithField("panic", v).Error("request handler failed")
+	c.AbortWithStatus(http.StatusInternalServerError)
+}
+
+func (e *Entry) serveModels(c *gin.Context) {
+	type model struct {
+		ID      string `json:"id"`
+		Object  string `json:"object"`
+		OwnedBy string `json:"owned_by"`
+	}
+	list := []model{}
+	for _, s := range e.docs.Services() {
+		for _, m := range s.Models {
+			list = append(list, model{ID: m.Name, Object: "model", OwnedBy: s.Service})
+		}
+	}
+	c.JSON(http.StatusOK, gin.H{"object": "list", "data": list})
+}
+
+func (e *Entry) serveCompletion(c *gin.Context, chat bool) {
+	body, err := readBody(c, e.cfg.MaxBodyBytes)
+	if err != nil {
+		writeError(c, "", err)
+		return
+	}
+	r, err := parseCompletion(body, chat)
+	if err != nil {
+		writeError(c, "", err)
+		return
+	}
+	call, err := e.modelCall(c, r)
+	if err == nil {
+		err = checkServiceLimit(call.service, len(body))
+	}
+	if err != nil {
+		writeError(c, "", err)
+		return
+	}
+	c.Header(headerRequestID, call.id)
+	if r.Stream {
+		e.serveEvents(c, call, chat)
+		return
+	}
+	e.serveWhole(c, call, chat)
+}
+
+func checkServiceLimit(s *document.Service, size int) *Error {
+	if limit := s.Limits.BodyKiB << 10; limit > 0 && size > limit {
+		return invalid(http.StatusRequestEntityTooLarge, ReasonTooLarge, "body is larger than %d bytes, the limit of service %s", limit, s.Service)
+	}
+	return nil
+}
+
+func (e *Entry) serveEvents(c *gin.Context, call *call, chat bool) {
+	out := newEventSink(c, call, chat, e.cfg.WriteTimeout)
+	final, err := e.serve(c.Request.Context(), call, out)
+	switch {
+	case err == nil:
+		if err := out.end(final); err != nil {
+			e.log.WithField("request_id", call.id).WithError(err).Debug("caller left before the end")
+		}
+	case out.started:
+		_ = out.fail(call.id, err)
+	default:
+		writeError(c, call.id, err)
+	}
+}
+
+func (e *Entry) serveWhole(c *gin.Context, call *call, chat bool) {
+	out := &wholeSink{}
+	final, err := e.serve(c.Request.Context(), call, out)
+	if err != nil {
+		writeError(c, call.id, err)
+		return
+	}
+	c.JSON(http.StatusOK, wholeAnswer(call, chat, out.buf.String(), final))
+}
+
+func (e *Entry) servePlain(c *gin.Context) {
+	body, err := readBody(c, e.cfg.MaxBodyBytes)
+	if err != nil {
+		writeError(c, "", err)
+		return
+	}
+	call, err := e.plainCall(c, c.Param("service"), c.Param("path"), body)
+	if err == nil {
+		err = checkServiceLimit(call.service, len(body))
+	}
+	if err != nil {
+		writeError(c, "", err)
+		return
+	}
+	c.Header(headerRequestID, call.id)
+	out := &wholeSink{}
+	final, err := e.servePlainCall(c.Request.Context(), call, out)
+	if err != nil {
+		writeError(c, call.id, err)
+		return
+	}
+	c.Data(int(final.GetStatus()), final.GetContentType(), out.buf.Bytes())
+}
+
+// serve admits, runs and measures one request.
+func (e *Entry) serve(ctx context.Context, call *call, out sink) (*v1.Final, *Error) {
+	release, priority, err := e.admit.Admit(AdmitRequest{
+		Caller: call.caller, Service: call.service, Kind: call.kind,
+		PromptTokens: int(call.model.GetPromptTokens()), MaxTokens: int(call.model.GetMaxTokens()),
+		Now: call.started,
+	})
+	if err != nil {
+		e.finish(call, err)
+		return nil, err
+	}
+	defer release()
+	call.priority = priority
+	final, err := e.run(ctx, call, out)
+	e.finish(call, err)
+	return final, err
+}
+
+// finish logs and measures the end of a request.
+func (e *Entry) finish(call *call, err *Error) {
+	elapsed := time.Since(call.started)
+	outcome, reason := "complete", Reason("")
+	if err != nil {
+		outcome, reason = string(err.Outcome), err.Reason
+	}
+	onTime := err == nil && elapsed <= call.kind.Deadlines.Total.Std()
+	e.metrics.Request(call.service.Service, call.kind.Name, outcome, reason, onTime, elapsed)
+	if err == nil {
+		return
+	}
+	e.log.WithFields(logrus.Fields{
+		"request_id": call.id, "service": call.service.Service, "kind": call.kind.Name,
+		"outcome": err.Outcome, "reason": err.Reason, "detail": err.Detail,
+	}).Info("request not answered whole")
+}
--- /dev/null
+++ b/entry/newcall.go
@@ -0,0 +1,73 @@
+package entry
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/gin-gonic/gin"
+	"github.com/google/uuid"
+
+	"github.com/quetzallug/quetzallug/document"
+)
+
+const (
+	// prefixBlockBytes is the size of a hashed prompt block, about 256 tokens.
+	prefixBlockBytes = 1024
+	// maxPrefixBlocks bounds the leading blocks that take part in routing.
+	maxPrefixBlocks = 8
+	// digestBytes of a hash are enough to tell callers apart.
+	digestBytes = 12
+)
+
+// newCall builds a call and checks the idempotency key.
+func (e *Entry) newCall(c *gin.Context, s *document.Service, k *document.Kind, user string, fill func(*call)) (*call, *Error) {
+	key := c.GetHeader(headerKey)
+	if len(key) > maxKeyBytes {
+		return nil, invalid(http.StatusBadRequest, ReasonInvalid, "header %s is longer than %d bytes", headerKey, maxKeyBytes)
+	}
+	id, err := uuid.NewV7()
+	if err != nil {
+		return nil, notRun(ReasonInvalid, "generate request ID: %v", err)
+	}
+	now := time.Now()
+	_, revision := e.docs.Lookup(s.Service)
+	out := &call{
+		id: id.String(), caller: callerID(c, user), service: s, revision: revision, kind: k,
+		deadline: now.Add(k.Deadlines.Total.Std()), key: key, started: now,
+	}
+	fill(out)
+	return out, nil
+}
+
+// digest shortens credentials, so that they are neither kept nor logged.
+func digest(s string) string {
+	sum := sha256.Sum256([]byte(s))
+	return hex.EncodeToString(sum[:digestBytes])
+}
+
+// countTokens estimates the number of tokens of a prompt as its number of words.
+func countTokens(s string) int {
+	n, inWord := 0, false
+	for i := range len(s) {
+		space := s[i] == ' ' || s[i] == '\n' || s[i] == '\t' || s[i] == '\r'
+		if !space && !inWord {
+			n++
+		}
+		inWord = !space
+	}
+	return n
+}
+
+// prefixHashes returns the chained hashes of the prompt's leading blocks.
+func prefixHashes(prompt string) []uint64 {
+	var hashes []uint64
+	d := xxhash.New()
+	for i := 0; i+prefixBlockBytes <= len(prompt) && len(hashes) < maxPrefixBlocks; i += prefixBlockBytes {
+		_, _ = d.WriteString(prompt[i : i+prefixBlockBytes])
+		hashes = append(hashes, d.Sum64())
+	}
+	return hashes
+}
--- /dev/null
+++ b/entry/parse.go
@@ -0,0 +1,178 @@
+package entry
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/gin-gonic/gin"
+
+	"github.com/quetzallug/quetzallug/document"
+	v1 "github.com/quetzallug/quetzallug/gen/quetzallug/v1"
+)
+
+// Headers of callers.
+const (
+	headerKind      = "X-Quetzallug-Kind"
+	headerService   = "X-Quetzallug-Service"
+	headerKey       = "Idempotency-Key"
+	headerRequestID = "X-Request-Id"
+)
+
+const (
+	defaultMaxTokens = 256
+	maxMaxTokens     = 1 << 20
+	// maxKeyBytes bounds an idempotency key.
+	maxKeyBytes = 256
+)
+
+// completionRequest is the body of POST /v1/completions and /v1/chat/completions. Fields that
+// are not listed are ignored, because existing clients send many.
+type completionRequest struct {
+	Model     string        `json:"model"`
+	Prompt    string        `json:"prompt"`
+	Messages  []chatMessage `json:"messages"`
+	MaxTokens int           `json:"max_tokens"`
+	Stream    bool          `json:"stream"`
+	Seed      uint64        `json:"seed"`
+	User      string        `json:"user"`
+}
+
+type chatMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// readBody reads a bounded body.
+func readBody(c *gin.Context, limit int64) ([]byte, *Error) {
+	body, err := io.ReadAll(http.MaxBytesReader(c.Writer, c.Request.Body, limit))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, invalid(http.StatusRequestEntityTooLarge, ReasonTooLarge, "body is larger than %d bytes", limit)
+	case err != nil:
+		return nil, invalid(http.StatusBadRequest, ReasonInvalid, "read body: %v", err)
+	}
+	return body, nil
+}
+
+// parseCompletion decodes and checks a completion request.
+func parseCompletion(body []byte, chat bool) (*completionRequest, *Error) {
+	var r completionRequest
+	if err := json.Unmarshal(body, &r); err != nil {
+		return nil, invalid(http.StatusBadRequest, ReasonInvalid, "body is not valid JSON of the completions shape: %v", err)
+	}
+	if chat {
+		r.Prompt = joinMessages(r.Messages)
+	}
+	if r.MaxTokens == 0 {
+		r.MaxTokens = defaultMaxTokens
+	}
+	switch {
+	case r.Model == "":
+		return nil, invalid(http.StatusBadRequest, ReasonInvalid, "field model is required")
+	case r.Prompt == "" && chat:
+		return nil, invalid(http.StatusBadRequest, ReasonInvalid, "field messages is required and must have content")
+	case r.Prompt == "":
+		return nil, invalid(http.StatusBadRequest, ReasonInvalid, "field prompt is required")
+	case r.MaxTokens < 0 || r.MaxTokens > maxMaxTokens:
+		return nil, invalid(http.StatusBadRequest, ReasonInvalid, "field max_tokens: found %d, allowed are 1 to %d", r.MaxTokens, maxMaxTokens)
+	}
+	return &r, nil
+}
+
+func joinMessages(messages []chatMessage) string {
+	var b strings.Builder
+	for _, m := range messages {
+		if m.Content == "" {
+			continue
+		}
+		b.WriteString(m.Role)
+		b.WriteString(": ")
+		b.WriteString(m.Content)
+		b.WriteByte('\n')
+	}
+	return b.String()
+}
+
+// modelCall resolves the service, kind and model of a completion request.
+func (e *Entry) modelCall(c *gin.Context, r *completionRequest) (*call, *Error) {
+	base, adapter, _ := strings.Cut(r.Model, ":")
+	s := e.modelService(c.GetHeader(headerService), base, adapter)
+	if s == nil {
+		return nil, invalid(http.StatusNotFound, ReasonNoModel, "no service has model %q", r.Model)
+	}
+	kind := s.FindKind(document.Match{Kind: c.GetHeader(headerKind), Model: base, Method: http.MethodPost})
+	if kind == nil {
+		return nil, invalid(http.StatusBadRequest, ReasonNoKind, "no kind of service %s matches the request", s.Service)
+	}
+	m := &v1.ModelRequest{
+		Model: base, Adapter: adapter, Prompt: r.Prompt, PromptTokens: uint32(countTokens(r.Prompt)),
+		MaxTokens: uint32(r.MaxTokens), Seed: r.Seed,
+	}
+	return e.newCall(c, s, kind, r.User, func(call *call) {
+		call.model = m
+		call.prefix = prefixHashes(r.Prompt)
+	})
+}
+
+// modelService finds the model service that has a model and adapter.
+func (e *Entry) modelService(service, model, adapter string) *document.Service {
+	for _, s := range e.docs.Services() {
+		if s.Type == document.TypeModel && (service == "" || s.Service == service) && hasModel(s, model, adapter) {
+			return s
+		}
+	}
+	return nil
+}
+
+func hasModel(s *document.Service, model, adapter string) bool {
+	for _, m := range s.Models {
+		if m.Name != model {
+			continue
+		}
+		if adapter == "" {
+			return true
+		}
+		for _, a := range m.Adapters {
+			if a.Name == adapter {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// plainCall resolves the service and kind of a plain request.
+func (e *Entry) plainCall(c *gin.Context, service, path string, body []byte) (*call, *Error) {
+	s, _ := e.docs.Lookup(service)
+	if s == nil || s.Type != document.TypePlain {
+		return nil, invalid(http.StatusNotFound, ReasonNoService, "no plain service %q", service)
+	}
+	kind := s.FindKind(document.Match{Kind: c.GetHeader(headerKind), Method: c.Request.Method, PathPrefix: path})
+	if kind == nil {
+		return nil, invalid(http.StatusBadRequest, ReasonNoKind, "no kind of service %s matches %s %s", service, c.Request.Method, path)
+	}
+	if q := c.Request.URL.RawQuery; q != "" {
+		path += "?" + q
+	}
+	return e.newCall(c, s, kind, "", func(call *call) {
+		call.plain = &v1.PlainRequest{Method: c.Request.Method, Path: path, ContentType: c.ContentType(), Body: body}
+	})
+}
+
+// callerCredentials starts the ID of a caller that is known by its credentials.
+const callerCredentials = "key:"
+
+// callerID names the caller for limits: its credentials, its user name or its address.
+func callerID(c *gin.Context, user string) string {
+	if auth := c.GetHeader("Authorization"); auth != "" {
+		return callerCredentials + digest(auth)
+	}
+	if user != "" {
+		return "user:" + user
+	}
+	return "addr:" + c.RemoteIP()
+}
--- /dev/null
+++ b/entry/peer.go
@@ -0,0 +1,99 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/quetzallug/quetzallug/dissemination"
+	v1 "github.com/quetzallug/quetzallug/gen/quetzallug/v1"
+	"github.com/quetzallug/quetzallug/gen/quetzallug/v1/quetzallugv1connect"
+	"github.com/quetzallug/quetzallug/once"
+)
+
+// maxFetchWait bounds a peer's long poll.
+const maxFetchWait = 30 * time.Second
+
+// Peer serves PeerService: documents, claims and status for the system's other processes.
+type Peer struct {
+	cfg       Config
+	store     *dissemination.Store
+	claims    once.Claimer
+	workers   func() []*v1.WorkerStatus
+	pools     func() []string
+	decisions *DecisionLog
+}
+
+var _ quetzallugv1connect.PeerServiceHandler = (*Peer)(nil)
+
+// PeerOptions are the collaborators of a Peer.
+type PeerOptions struct {
+	Store *dissemination.Store
+	// Claims commits claims in this process, without forwarding them again.
+	Claims    once.Claimer
+	Workers   func() []*v1.WorkerStatus
+	Pools     func() []string
+	Decisions *DecisionLog
+}
+
+// NewPeer returns the peer service of an entry.
+func NewPeer(cfg Config, o PeerOptions) *Peer {
+	return &Peer{cfg: cfg, store: o.Store, claims: o.Claims, workers: o.Workers, pools: o.Pools, decisions: o.Decisions}
+}
+
+// FetchDocuments implements PeerService.
+func (p *Peer) FetchDocuments(ctx context.Context, r *connect.Request[v1.FetchDocumentsRequest]) (*connect.Response[v1.FetchDocumentsResponse], error) {
+	wait := min(time.Duration(r.Msg.GetWaitMs())*time.Millisecond, maxFetchWait)
+	docs, confirmed, err := p.store.Wait(ctx, r.Msg.GetHave(), wait)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeCanceled, err)
+	}
+	resp := &v1.FetchDocumentsResponse{Confirmed: confirmed}
+	for _, d := range docs {
+		resp.Documents = append(resp.Documents, &v1.Document{
+			Service: d.Service, Revision: d.Revision, Body: d.Body, Deleted: d.Deleted,
+		})
+	}
+	return connect.NewResponse(resp), nil
+}
+
+// Claim implements PeerService.
+func (p *Peer) Claim(ctx context.Context, r *connect.Request[v1.ClaimRequest]) (*connect.Response[v1.ClaimResponse], error) {
+	res := p.claims.Do(ctx, claimFromProto(r.Msg))
+	return connect.NewResponse(claimToProto(res)), nil
+}
+
+// Status implements PeerService.
+func (p *Peer) Status(context.Context, *connect.Request[v1.StatusRequest]) (*connect.Response[v1.StatusResponse], error) {
+	resp := &v1.StatusResponse{
+		Instance: p.cfg.Instance, DataCentre: p.cfg.DataCentre, Incarnation: p.cfg.Incarnation,
+		Confirmed: p.store.Confirmed(), Workers: p.workers(), PoolsHeld: p.pools(),
+	}
+	for name, f := range p.store.Snapshot() {
+		resp.Documents = append(resp.Documents, &v1.DocumentStatus{
+			Service: name, Revision: f.Revision, InForceSinceUnixMs: f.Since.UnixMilli(), Deleted: f.Deleted,
+		})
+	}
+	return connect.NewResponse(resp), nil
+}
+
+// Explain implements PeerService.
+func (p *Peer) Explain(_ context.Context, r *connect.Request[v1.ExplainRequest]) (*connect.Response[v1.ExplainResponse], error) {
+	return connect.NewResponse(&v1.ExplainResponse{Decisions: p.decisions.Find(r.Msg.GetSubject())}), nil
+}
+
+func claimFromProto(m *v1.ClaimRequest) once.Request {
+	return once.Request{
+		Service: m.GetService(), Key: m.GetKey(), RequestID: m.GetRequestId(),
+		Action: once.Action(m.GetAction()), Fingerprint: m.GetFingerprint(),
+		Answer: once.Answer{Status: m.GetStatus(), ContentType: m.GetContentType(), Body: m.GetBody()},
+	}
+}
+
+func claimToProto(r once.Result) *v1.ClaimResponse {
+	return &v1.ClaimResponse{
+		State: v1.ClaimState(r.State), Status: r.Answer.Status,
+		ContentType: r.Answer.ContentType, Body: r.Answer.Body,
+	}
+}
--- /dev/null
+++ b/sidecar/service.go
@@ -0,0 +1,113 @@
+package sidecar
+
+import (
+	"context"
+	"errors"
+
+	"connectrpc.com/connect"
+	"github.com/sirupsen/logrus"
+
+	v1 "github.com/quetzallug/quetzallug/gen/quetzallug/v1"
+	"github.com/quetzallug/quetzallug/gen/quetzallug/v1/quetzallugv1connect"
+)
+
+// errWrongTarget means that a message names another engine, pool or instance.
+var errWrongTarget = errors.New("message is for another target")
+
+// Orders is the executor of orders beside an engine.
+type Orders interface {
+	Seal(ctx context.Context, fence uint64, holder string) (SealResult, error)
+	NotifyOrder(ctx context.Context, fence, number uint64) error
+}
+
+// SealResult is the answer to a seal.
+type SealResult struct {
+	Accepted       bool
+	HighestFence   uint64
+	ExecutingOrder uint64
+}
+
+// Service serves WorkerService for a sidecar. Orders is nil beside a plain backend server.
+type Service struct {
+	sidecar *Sidecar
+	orders  Orders
+	pool    string
+	log     logrus.FieldLogger
+}
+
+var _ quetzallugv1connect.WorkerServiceHandler = (*Service)(nil)
+
+// NewService returns the RPC service of a sidecar whose engine belongs to a pool.
+func NewService(s *Sidecar, o Orders, pool string, log logrus.FieldLogger) *Service {
+	return &Service{sidecar: s, orders: o, pool: pool, log: log}
+}
+
+// Execute implements WorkerService.
+func (s *Service) Execute(ctx context.Context, r *connect.Request[v1.ExecuteRequest], out *connect.ServerStream[v1.Frame]) error {
+	return s.sidecar.Execute(ctx, r.Msg, out)
+}
+
+// Cancel implements WorkerService.
+func (s *Service) Cancel(_ context.Context, r *connect.Request[v1.CancelRequest]) (*connect.Response[v1.CancelResponse], error) {
+	s.sidecar.Cancel(r.Msg.GetRequestId(), r.Msg.GetAttempt())
+	return connect.NewResponse(&v1.CancelResponse{}), nil
+}
+
+// Seal implements WorkerService.
+func (s *Service) Seal(ctx context.Context, r *connect.Request[v1.SealRequest]) (*connect.Response[v1.SealResponse], error) {
+	m := r.Msg
+	if err := s.checkTarget(m.GetPool(), m.GetEngine()); err != nil {
+		return nil, err
+	}
+	res, err := s.orders.Seal(ctx, m.GetFence(), m.GetHolder())
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	return connect.NewResponse(&v1.SealResponse{
+		Accepted: res.Accepted, HighestFence: res.HighestFence,
+		ExecutingOrder: res.ExecutingOrder, Incarnation: s.sidecar.cfg.Incarnation,
+	}), nil
+}
+
+// NotifyOrder implements WorkerService.
+func (s *Service) NotifyOrder(ctx context.Context, r *connect.Request[v1.NotifyOrderRequest]) (*connect.Response[v1.NotifyOrderResponse], error) {
+	m := r.Msg
+	if err := s.checkTarget(m.GetPool(), m.GetEngine()); err != nil {
+		return nil, err
+	}
+	if err := s.orders.NotifyOrder(ctx, m.GetFence(), m.GetOrderNumber()); err != nil {
+		return connect.NewResponse(&v1.NotifyOrderResponse{Reason: err.Error()}), nil
+	}
+	return connect.NewResponse(&v1.NotifyOrderResponse{Accepted: true}), nil
+}
+
+// checkTarget refuses a message for another engine.
+func (s *Service) checkTarget(pool, engine string) error {
+	if s.orders != nil && pool == s.pool && engine == s.sidecar.cfg.Instance {
+		return nil
+	}
+	s.log.WithFields(logrus.Fields{"pool": pool, "engine": engine}).Warn("order message refused: wrong target")
+	return connect.NewError(connect.CodeInvalidArgument, errWrongTarget)
+}
+
+// Drain implements WorkerService.
+func (s *Service) Drain(_ context.Context, r *connect.Request[v1.DrainRequest]) (*connect.Response[v1.DrainResponse], error) {
+	if r.Msg.GetInstance() != s.sidecar.cfg.Instance {
+		return nil, connect.NewError(connect.CodeInvalidArgument, errWrongTarget)
+	}
+	if r.Msg.GetUndo() {
+		s.sidecar.Stay()
+	} else {
+		s.sidecar.Leave()
+	}
+	return connect.NewResponse(&v1.DrainResponse{
+		InFlight: uint32(s.sidecar.InFlight()), Draining: s.sidecar.Draining(),
+	}), nil
+}
+
+// Probe implements WorkerService.
+func (s *Service) Probe(ctx context.Context, _ *connect.Request[v1.ProbeRequest]) (*connect.Response[v1.ProbeResponse], error) {
+	return connect.NewResponse(&v1.ProbeResponse{
+		Load: s.sidecar.Report(ctx), ConfigRevision: s.sidecar.docs.Revision(s.sidecar.cfg.Service),
+	}), nil
+}
