Add engine, backend, instance list and weight store stand-ins with HTTP adapters

Cause: the entry, sidecar and planner need the platform's other systems in tests and in development; only the key-value service had a stand-in.

Change: standin/engine, standin/backend, standin/instances and standin/weights implement the interfaces of package platform in-process and over HTTP. modules/enginehttp, backendhttp, instanceshttp and weightshttp reach them. internal/httpjson holds the client that net/http cannot make resend a request and that tells "not sent" from "outcome unknown". cmd/quetzallug-standin serves each one.

--- /dev/null
+++ b/cmd/quetzallug-standin/commands.go
@@ -0,0 +1,159 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+
+	"github.com/sirupsen/logrus"
+	"github.com/spf13/cobra"
+	"github.com/spf13/viper"
+
+	"github.com/quetzallug/quetzallug/platform"
+	"github.com/quetzallug/quetzallug/standin/backend"
+	"github.com/quetzallug/quetzallug/standin/engine"
+	"github.com/quetzallug/quetzallug/standin/instances"
+	"github.com/quetzallug/quetzallug/standin/kv"
+	"github.com/quetzallug/quetzallug/standin/weights"
+)
+
+const (
+	envPrefix = "QUETZALLUG_STANDIN"
+	// journalLimit bounds the memory of a stand-in that runs for hours.
+	journalLimit = 200_000
+)
+
+func newRoot(log *logrus.Logger) *cobra.Command {
+	root := &cobra.Command{
+		Use:           "quetzallug-standin",
+		Short:         "Stand-ins for the platform: test equipment",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	root.AddCommand(newKV(log), newInstances(log), newWeights(log), newEngine(log), newBackend(log))
+	return root
+}
+
+// standin describes a subcommand: build returns the handler and what to close after the server.
+type standin struct {
+	use, short string
+	build      func(v *viper.Viper) (http.Handler, func() error, error)
+}
+
+// command returns the subcommand, whose flags can also be set by QUETZALLUG_STANDIN_* variables.
+func (s standin) command(log *logrus.Logger) *cobra.Command {
+	v := viper.New()
+	cmd := &cobra.Command{
+		Use: s.use, Short: s.short, Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			h, closer, err := s.build(v)
+			if err != nil {
+				return err
+			}
+			defer func() { _ = closer() }()
+			return serve(cmd.Context(), log.WithField("standin", s.use), v.GetString("listen"), h)
+		},
+	}
+	cmd.Flags().String("listen", "127.0.0.1:0", "address to listen on")
+	v.SetEnvPrefix(envPrefix)
+	v.SetEnvKeyReplacer(strings.NewReplacer("-", "_"))
+	v.AutomaticEnv()
+	cmd.PreRunE = func(cmd *cobra.Command, _ []string) error { return v.BindPFlags(cmd.Flags()) }
+	return cmd
+}
+
+func noClose() error { return nil }
+
+func newKV(log *logrus.Logger) *cobra.Command {
+	cmd := standin{"kv", "key-value service", func(v *viper.Viper) (http.Handler, func() error, error) {
+		s := kv.NewStore(kv.Limits{Writes: v.GetFloat64("writes"), Reads: v.GetFloat64("reads")})
+		return s.Handler(), noClose, nil
+	}}.command(log)
+	cmd.Flags().Float64("writes", 500, "writes per second, 0 for no limit")
+	cmd.Flags().Float64("reads", 2000, "reads per second, 0 for no limit")
+	return cmd
+}
+
+func newInstances(log *logrus.Logger) *cobra.Command {
+	cmd := standin{"instances", "lagging instance list", func(v *viper.Viper) (http.Handler, func() error, error) {
+		return instances.New(v.GetDuration("lag")).Handler(), noClose, nil
+	}}.command(log)
+	cmd.Flags().Duration("lag", 0, "time before a change shows")
+	return cmd
+}
+
+func newWeights(log *logrus.Logger) *cobra.Command {
+	cmd := standin{"weights", "rate-limited weight store", func(v *viper.Viper) (http.Handler, func() error, error) {
+		return weights.New(v.GetInt64("rate")).Handler(), noClose, nil
+	}}.command(log)
+	cmd.Flags().Int64("rate", weights.DefaultBytesPerSecond, "bytes per second")
+	return cmd
+}
+
+func newBackend(log *logrus.Logger) *cobra.Command {
+	cmd := standin{"backend", "plain backend server", func(v *viper.Viper) (http.Handler, func() error, error) {
+		s := backend.New(backend.Config{
+			ServiceTime: v.GetDuration("service-time"), Limit: v.GetInt("limit"), JournalLimit: journalLimit,
+		})
+		return s.Handler(), noClose, nil
+	}}.command(log)
+	cmd.Flags().Duration("service-time", backend.DefaultServiceTime, "time of one request, negative for none")
+	cmd.Flags().Int("limit", backend.DefaultLimit, "requests that run at once")
+	return cmd
+}
+
+func newEngine(log *logrus.Logger) *cobra.Command {
+	cmd := standin{"engine", "model engine", func(v *viper.Viper) (http.Handler, func() error, error) {
+		cfg, err := engineConfig(v)
+		if err != nil {
+			return nil, nil, err
+		}
+		e := engine.New(cfg)
+		return e.Handler(), e.Close, nil
+	}}.command(log)
+	f := cmd.Flags()
+	f.String("name", "engine", "name, from which the start ID is derived")
+	f.Uint64("seed", 1, "seed of start IDs and cache event gaps")
+	f.String("role", string(platform.RoleMixed), "role at the first start: prefill, decode or mixed")
+	f.StringSlice("model", nil, "model loaded at the first start, as name or name@version; repeatable")
+	f.StringSlice("adapter", nil, "adapter loaded at the first start, as name or name@version; repeatable")
+	f.Int("pieces", engine.DefaultPieces, "capacity in pieces of 1,024 tokens")
+	f.Int("max-running", engine.DefaultMaxRunning, "requests that run at once")
+	f.Duration("load-lag", 0, "age of load reports")
+	f.Duration("order-time", engine.DefaultOrderTime, "time of one order")
+	f.Bool("check-fence", true, "refuse orders with an old fence number")
+	f.Bool("instant", false, "generate without step time, for benchmarks")
+	return cmd
+}
+
+func engineConfig(v *viper.Viper) (engine.Config, error) {
+	role := platform.Role(v.GetString("role"))
+	switch role {
+	case platform.RolePrefill, platform.RoleDecode, platform.RoleMixed:
+	default:
+		return engine.Config{}, fmt.Errorf("role %q is not prefill, decode or mixed", role)
+	}
+	return engine.Config{
+		Name: v.GetString("name"),
+		Seed: v.GetUint64("seed"),
+		Initial: platform.EngineConfig{
+			Role: role, Models: versions(v.GetStringSlice("model")), Adapters: versions(v.GetStringSlice("adapter")),
+		},
+		Pieces:       v.GetInt("pieces"),
+		MaxRunning:   v.GetInt("max-running"),
+		LoadLag:      v.GetDuration("load-lag"),
+		OrderTime:    v.GetDuration("order-time"),
+		CheckFence:   v.GetBool("check-fence"),
+		Instant:      v.GetBool("instant"),
+		JournalLimit: journalLimit,
+	}, nil
+}
+
+func versions(names []string) []platform.ModelVersion {
+	var out []platform.ModelVersion
+	for _, n := range names {
+		name, version, _ := strings.Cut(n, "@")
+		out = append(out, platform.ModelVersion{Name: name, Version: version})
+	}
+	return out
+}
--- /dev/null
+++ b/modules/backendhttp/backendhttp.go
@@ -0,0 +1,101 @@
+// Package backendhttp is the HTTP adapter of a plain backend server, registered as backend.http.
+package backendhttp
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/quetzallug/quetzallug/internal/httpjson"
+	"github.com/quetzallug/quetzallug/kernel"
+	"github.com/quetzallug/quetzallug/platform"
+)
+
+// ID is the module's ID.
+const ID = "backend.http"
+
+const (
+	defaultLoadPath  = "/load"
+	loadTimeout      = time.Second
+	maxResponseBytes = 16 << 20
+)
+
+func init() { kernel.Register(&Client{}) }
+
+// Client calls a plain backend server.
+type Client struct {
+	httpjson.Client
+	loadPath string
+}
+
+var _ platform.Backend = (*Client)(nil)
+
+// Module implements kernel.Module.
+func (*Client) Module() kernel.ModuleInfo {
+	return kernel.ModuleInfo{ID: ID, New: func() kernel.Module { return &Client{} }}
+}
+
+// Provision reads the settings "address", an http URL, and "load_path".
+func (c *Client) Provision(ctx context.Context, s kernel.Settings) error {
+	c.loadPath = cmp.Or(s["load_path"], defaultLoadPath)
+	return c.Client.Provision(ctx, s)
+}
+
+// Do implements platform.Backend. Any status is an answer. A redirect is passed on, not followed.
+func (c *Client) Do(ctx context.Context, r *platform.PlainRequest) (*platform.PlainResponse, error) {
+	if r.Timeout > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, r.Timeout)
+		defer cancel()
+	}
+	req, err := c.NewRequest(ctx, r.Method, r.Path, r.Body)
+	if err != nil {
+		return nil, convert(err)
+	}
+	setHeader(req, "Content-Type", r.ContentType)
+	setHeader(req, "Idempotency-Key", r.IdempotencyKey)
+	setHeader(req, "X-Request-Id", r.RequestID)
+	resp, err := c.Client.Do(req)
+	if err != nil {
+		return nil, convert(err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
+	if err != nil {
+		return nil, convert(err)
+	}
+	if len(body) > maxResponseBytes {
+		return nil, fmt.Errorf("%w: response is larger than %d bytes", platform.ErrEngineFailed, maxResponseBytes)
+	}
+	return &platform.PlainResponse{
+		Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: body,
+	}, nil
+}
+
+// Load implements platform.Backend.
+func (c *Client) Load(ctx context.Context) (platform.EngineLoad, error) {
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	var l platform.EngineLoad
+	if err := c.Call(ctx, http.MethodGet, c.loadPath, nil, &l); err != nil {
+		return l, convert(err)
+	}
+	return l, nil
+}
+
+func setHeader(r *http.Request, name, value string) {
+	if value != "" {
+		r.Header.Set(name, value)
+	}
+}
+
+func convert(err error) error {
+	if errors.Is(err, httpjson.ErrNotSent) {
+		return fmt.Errorf("%w: %w", platform.ErrEngineRefused, err)
+	}
+	return fmt.Errorf("%w: %w", platform.ErrEngineFailed, err)
+}
--- /dev/null
+++ b/modules/enginehttp/enginehttp.go
@@ -0,0 +1,98 @@
+// Package enginehttp is the HTTP adapter of a model engine, registered as engine.http.
+package enginehttp
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/quetzallug/quetzallug/internal/httpjson"
+	"github.com/quetzallug/quetzallug/kernel"
+	"github.com/quetzallug/quetzallug/platform"
+	"github.com/quetzallug/quetzallug/platform/enginewire"
+)
+
+// ID is the module's ID.
+const ID = "engine.http"
+
+// callTimeout bounds the short calls. Generate and Apply take as long as the caller's context.
+const callTimeout = 3 * time.Second
+
+func init() { kernel.Register(&Client{}) }
+
+// Client calls an engine.
+type Client struct{ httpjson.Client }
+
+var _ platform.Engine = (*Client)(nil)
+
+// Module implements kernel.Module.
+func (*Client) Module() kernel.ModuleInfo {
+	return kernel.ModuleInfo{ID: ID, New: func() kernel.Module { return &Client{} }}
+}
+
+// Cancel implements platform.Engine.
+func (c *Client) Cancel(ctx context.Context, requestID string) error {
+	return c.short(ctx, http.MethodPost, enginewire.PathCancel, enginewire.Cancel{RequestID: requestID}, nil)
+}
+
+// State implements platform.Engine.
+func (c *Client) State(ctx context.Context) (s platform.EngineState, err error) {
+	err = c.short(ctx, http.MethodGet, enginewire.PathState, nil, &s)
+	return s, err
+}
+
+// Apply implements platform.Engine.
+func (c *Client) Apply(ctx context.Context, o platform.EngineOrder) error {
+	return convert(c.Call(ctx, http.MethodPost, enginewire.PathApply, o, nil))
+}
+
+// Load implements platform.Engine.
+func (c *Client) Load(ctx context.Context) (l platform.EngineLoad, err error) {
+	err = c.short(ctx, http.MethodGet, enginewire.PathLoad, nil, &l)
+	return l, err
+}
+
+// CacheEvents implements platform.Engine.
+func (c *Client) CacheEvents(ctx context.Context, after uint64) (events []platform.CacheEvent, err error) {
+	path := enginewire.PathEvents + "?after=" + strconv.FormatUint(after, 10)
+	err = c.short(ctx, http.MethodGet, path, nil, &events)
+	return events, err
+}
+
+// ExportKV implements platform.Engine.
+func (c *Client) ExportKV(ctx context.Context, requestID string) ([]byte, error) {
+	var b enginewire.Blob
+	err := c.short(ctx, http.MethodPost, enginewire.PathExport, enginewire.Cancel{RequestID: requestID}, &b)
+	return b.Data, err
+}
+
+// ImportKV implements platform.Engine.
+func (c *Client) ImportKV(ctx context.Context, data []byte) (string, error) {
+	var h enginewire.Handle
+	err := c.short(ctx, http.MethodPost, enginewire.PathImport, enginewire.Blob{Data: data}, &h)
+	return h.Handle, err
+}
+
+func (c *Client) short(ctx context.Context, method, path string, in, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return convert(c.Call(ctx, method, path, in, out))
+}
+
+// convert reports a refusal only if the request was certainly not sent or the engine says so.
+func convert(err error) error {
+	if err == nil {
+		return nil
+	}
+	if errors.Is(err, httpjson.ErrNotSent) {
+		return fmt.Errorf("%w: %w", platform.ErrEngineRefused, err)
+	}
+	var status *httpjson.StatusError
+	if errors.As(err, &status) {
+		return fmt.Errorf("%w: %w", enginewire.Error(status.Code), err)
+	}
+	return fmt.Errorf("%w: %w", platform.ErrEngineFailed, err)
+}
--- /dev/null
+++ b/standin/backend/server.go
@@ -0,0 +1,61 @@
+package backend
+
+import (
+	"context"
+	"io"
+	"net/http"
+
+	"github.com/quetzallug/quetzallug/internal/httpjson"
+	"github.com/quetzallug/quetzallug/platform"
+)
+
+// Paths of the server itself; every other path is a request.
+const (
+	PathLoad    = "/load"
+	PathJournal = "/_standin/journal"
+	PathFaults  = "/_standin/faults"
+)
+
+// Handler serves the backend over HTTP. The headers X-Request-Id and Idempotency-Key name the
+// request. A request that fails breaks its connection.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	httpjson.Handle(mux, "GET "+PathLoad, func(ctx context.Context, _ struct{}) (platform.EngineLoad, error) {
+		return s.Load(ctx)
+	}, fail)
+	mux.HandleFunc("GET "+PathJournal, func(w http.ResponseWriter, _ *http.Request) {
+		httpjson.Write(w, http.StatusOK, s.Journal())
+	})
+	httpjson.Handle(mux, "POST "+PathFaults, func(_ context.Context, f Faults) (struct{}, error) {
+		s.SetFaults(f)
+		return struct{}{}, nil
+	}, fail)
+	mux.HandleFunc("/", s.serveRequest)
+	return mux
+}
+
+func fail(w http.ResponseWriter, err error) {
+	httpjson.WriteError(w, http.StatusInternalServerError, "failed", err)
+}
+
+func (s *Server) serveRequest(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, httpjson.MaxRequestBytes))
+	if err != nil {
+		httpjson.WriteError(w, http.StatusBadRequest, "invalid", err)
+		return
+	}
+	resp, err := s.Do(r.Context(), &platform.PlainRequest{
+		RequestID:      r.Header.Get("X-Request-Id"),
+		Method:         r.Method,
+		Path:           r.URL.RequestURI(),
+		ContentType:    r.Header.Get("Content-Type"),
+		IdempotencyKey: r.Header.Get("Idempotency-Key"),
+		Body:           body,
+	})
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("Content-Type", resp.ContentType)
+	w.WriteHeader(resp.Status)
+	_, _ = w.Write(resp.Body)
+}
--- /dev/null
+++ b/standin/engine/server.go
@@ -0,0 +1,145 @@
+package engine
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+
+	"github.com/quetzallug/quetzallug/internal/httpjson"
+	"github.com/quetzallug/quetzallug/platform"
+	"github.com/quetzallug/quetzallug/platform/enginewire"
+)
+
+// FaultRequest switches a fault over HTTP (POST /faults).
+type FaultRequest struct {
+	Crash   bool `json:"crash,omitempty"`
+	Restart bool `json:"restart,omitempty"`
+	// Config is the configuration after a restart.
+	Config           platform.EngineConfig `json:"config,omitzero"`
+	LoseOrderAnswers int                   `json:"lose_order_answers,omitempty"`
+}
+
+// Report is the answer of GET /journal.
+type Report struct {
+	Journal    []Record    `json:"journal"`
+	Violations []Violation `json:"violations"`
+}
+
+// Handler serves the engine over HTTP in the form of package enginewire, with GET /journal and
+// POST /faults for tests.
+func (e *Engine) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+enginewire.PathGenerate, e.serveGenerate)
+	httpjson.Handle(mux, "POST "+enginewire.PathCancel, func(ctx context.Context, r enginewire.Cancel) (struct{}, error) {
+		return struct{}{}, e.Cancel(ctx, r.RequestID)
+	}, e.fail)
+	httpjson.Handle(mux, "GET "+enginewire.PathState, func(ctx context.Context, _ struct{}) (platform.EngineState, error) {
+		return e.State(ctx)
+	}, e.fail)
+	httpjson.Handle(mux, "POST "+enginewire.PathApply, func(ctx context.Context, o platform.EngineOrder) (struct{}, error) {
+		return struct{}{}, e.Apply(ctx, o)
+	}, e.fail)
+	httpjson.Handle(mux, "GET "+enginewire.PathLoad, func(ctx context.Context, _ struct{}) (platform.EngineLoad, error) {
+		return e.Load(ctx)
+	}, e.fail)
+	mux.HandleFunc("GET "+enginewire.PathEvents, e.serveEvents)
+	httpjson.Handle(mux, "POST "+enginewire.PathExport, func(ctx context.Context, r enginewire.Cancel) (enginewire.Blob, error) {
+		data, err := e.ExportKV(ctx, r.RequestID)
+		return enginewire.Blob{Data: data}, err
+	}, e.fail)
+	httpjson.Handle(mux, "POST "+enginewire.PathImport, func(ctx context.Context, b enginewire.Blob) (enginewire.Handle, error) {
+		h, err := e.ImportKV(ctx, b.Data)
+		return enginewire.Handle{Handle: h}, err
+	}, e.fail)
+	mux.HandleFunc("GET /journal", func(w http.ResponseWriter, _ *http.Request) {
+		httpjson.Write(w, http.StatusOK, Report{Journal: e.Journal(), Violations: e.Violations()})
+	})
+	httpjson.Handle(mux, "POST /faults", func(_ context.Context, f FaultRequest) (struct{}, error) {
+		e.setFaults(f)
+		return struct{}{}, nil
+	}, e.fail)
+	return mux
+}
+
+func (e *Engine) setFaults(f FaultRequest) {
+	if f.Crash {
+		e.Crash()
+	}
+	if f.Restart {
+		e.Restart(f.Config)
+	}
+	e.LoseOrderAnswers(f.LoseOrderAnswers)
+}
+
+func (*Engine) fail(w http.ResponseWriter, err error) {
+	status, code := enginewire.Code(err)
+	httpjson.WriteError(w, status, code, err)
+}
+
+func (e *Engine) serveEvents(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	if err != nil {
+		httpjson.WriteError(w, http.StatusBadRequest, "invalid", err)
+		return
+	}
+	events, err := e.CacheEvents(r.Context(), after)
+	if err != nil {
+		e.fail(w, err)
+		return
+	}
+	httpjson.Write(w, http.StatusOK, events)
+}
+
+func (e *Engine) serveGenerate(w http.ResponseWriter, r *http.Request) {
+	var req platform.GenerateRequest
+	if !httpjson.Read(w, r, &req) {
+		return
+	}
+	stream, err := e.Generate(r.Context(), &req)
+	if err != nil {
+		e.fail(w, err)
+		return
+	}
+	defer stream.Close()
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.WriteHeader(http.StatusOK)
+	flush := http.NewResponseController(w).Flush
+	if flush() != nil {
+		return
+	}
+	var line []byte
+	for {
+		chunk, err := stream.Next()
+		if err != nil {
+			// A crashed process breaks the connection without a last event.
+			if e.Down() {
+				panic(http.ErrAbortHandler)
+			}
+			_, code := enginewire.Code(err)
+			_, _ = w.Write([]byte(enginewire.DataPrefix + `{"error":"` + code + "\"}\n\n"))
+			return
+		}
+		line = appendEvent(line[:0], chunk)
+		if _, err := w.Write(line); err != nil || flush() != nil || chunk.FinishReason != "" {
+			return
+		}
+	}
+}
+
+// appendEvent encodes a chunk without allocation. Texts of this package need no escapes.
+func appendEvent(b []byte, c platform.TokenChunk) []byte {
+	b = append(b, enginewire.DataPrefix...)
+	b = append(b, `{"offset":`...)
+	b = strconv.AppendInt(b, int64(c.Offset), 10)
+	b = append(b, `,"tokens":`...)
+	b = strconv.AppendInt(b, int64(c.Tokens), 10)
+	b = append(b, `,"text":"`...)
+	b = append(b, c.Text...)
+	b = append(b, '"')
+	if c.FinishReason != "" {
+		b = append(b, `,"finish_reason":"`...)
+		b = append(b, c.FinishReason...)
+		b = append(b, '"')
+	}
+	return append(b, "}\n\n"...)
+}
--- /dev/null
+++ b/standin/engine/tokens.go
@@ -0,0 +1,134 @@
+package engine
+
+import (
+	"encoding/binary"
+	"fmt"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/quetzallug/quetzallug/platform"
+)
+
+const (
+	// vocabularySize makes tokens of two answers differ at the same offset with 4095 in 4096.
+	vocabularySize = 1 << 12
+	// Answers stop by themselves after minAnswer to minAnswer+answerSpread-1 tokens.
+	minAnswer    = 16
+	answerSpread = 2032
+	// BlockTokens is the length of a prefix cache block.
+	BlockTokens = 256
+)
+
+// Finish reasons.
+const (
+	FinishLength = "length"
+	FinishStop   = "stop"
+)
+
+// Each token is a space and a word, so an answer has as many words as tokens.
+var vocabulary = func() (v [vocabularySize]string) {
+	for i := range v {
+		v[i] = fmt.Sprintf(" t%03x", i)
+	}
+	return v
+}()
+
+// answerKey identifies the answer to a model, adapter, prompt and seed.
+func answerKey(r *platform.GenerateRequest) uint64 {
+	d := prefixDigest(r.Model, r.Adapter)
+	_, _ = d.WriteString(r.Prompt)
+	var seed [8]byte
+	binary.LittleEndian.PutUint64(seed[:], r.Seed)
+	_, _ = d.Write(seed[:])
+	return d.Sum64()
+}
+
+func prefixDigest(model, adapter string) *xxhash.Digest {
+	d := xxhash.New()
+	_, _ = d.WriteString(model)
+	_, _ = d.WriteString("\x00")
+	_, _ = d.WriteString(adapter)
+	_, _ = d.WriteString("\x00")
+	return d
+}
+
+// mix is the finalizer of splitmix64.
+func mix(x uint64) uint64 {
+	x += 0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// token returns the token at an offset of an answer.
+func token(key uint64, offset int) string {
+	return vocabulary[mix(key+uint64(offset))%vocabularySize]
+}
+
+// answerLength returns the length in tokens and the finish reason of an answer.
+func answerLength(key uint64, maxTokens int) (int, string) {
+	natural := minAnswer + int(mix(^key)%answerSpread)
+	if natural < maxTokens {
+		return natural, FinishStop
+	}
+	return maxTokens, FinishLength
+}
+
+// tokens returns the text of the tokens from an offset up to an end.
+func tokens(key uint64, from, end int) string {
+	if end == from+1 {
+		return token(key, from)
+	}
+	var b strings.Builder
+	b.Grow((end - from) * len(vocabulary[0]))
+	for i := from; i < end; i++ {
+		b.WriteString(token(key, i))
+	}
+	return b.String()
+}
+
+// Answer returns the whole answer that any engine gives to a request, its length in tokens and
+// its finish reason. Checkers compare delivered answers with it.
+func Answer(r *platform.GenerateRequest) (text string, length int, finish string) {
+	key := answerKey(r)
+	length, finish = answerLength(key, r.MaxTokens)
+	return tokens(key, 0, length), length, finish
+}
+
+// CountWords returns the number of whitespace-separated words of a prompt.
+func CountWords(prompt string) int {
+	n, inWord := 0, false
+	for i := range len(prompt) {
+		space := isSpace(prompt[i])
+		if !space && !inWord {
+			n++
+		}
+		inWord = !space
+	}
+	return n
+}
+
+func isSpace(b byte) bool { return b == ' ' || b >= '\t' && b <= '\r' }
+
+// PrefixHashes returns a hash for each leading run of whole blocks of BlockTokens words of the
+// prompt, the shortest first: xxhash64 of model, NUL, adapter, NUL and the prompt's bytes up to
+// the end of the block's last word. Cache events name prefixes by these hashes.
+func PrefixHashes(model, adapter, prompt string) []uint64 {
+	d := prefixDigest(model, adapter)
+	var hashes []uint64
+	words, start := 0, 0
+	for i := range len(prompt) {
+		end := !isSpace(prompt[i]) && (i+1 == len(prompt) || isSpace(prompt[i+1]))
+		if !end {
+			continue
+		}
+		words++
+		if words%BlockTokens == 0 {
+			_, _ = d.WriteString(prompt[start : i+1])
+			start = i + 1
+			hashes = append(hashes, d.Sum64())
+		}
+	}
+	return hashes
+}
