Add lease and order packages

Planned changes need one authority per pool and orders that a process without authority cannot put into effect.

--- /dev/null
+++ b/lease/acquire.go
@@ -0,0 +1,121 @@
+package lease
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/quetzallug/quetzallug/internal/cas"
+	"github.com/quetzallug/quetzallug/platform"
+)
+
+// maxFenceTries bounds the compare-and-swap loop on the fence. Only processes whose lease was
+// granted compete for it, so conflicts are rare.
+const maxFenceTries = 4
+
+// acquire runs the three steps of an acquisition. On failure it revokes the lease, so that an
+// abandoned holder key does not block the pool for the rest of its TTL.
+func (m *Manager) acquire(ctx context.Context, pool string) (Authority, session, error) {
+	s := session{pool: pool, id: cas.NewID(), granted: time.Now()}
+	var err error
+	if s.lease, err = m.grant(ctx); err != nil {
+		return Authority{}, s, err
+	}
+	if err := m.createHolder(ctx, s); err != nil {
+		m.revoke(ctx, s)
+		return Authority{}, s, err
+	}
+	fence, err := m.incrementFence(ctx, s)
+	if err != nil {
+		m.revoke(ctx, s)
+		return Authority{}, s, err
+	}
+	a := NewAuthority(pool, m.cfg.Holder, fence, m.validUntil(s.granted))
+	if !a.Valid() {
+		m.revoke(ctx, s)
+		return Authority{}, s, fmt.Errorf("acquire pool %q: %w", pool, ErrLost)
+	}
+	return a, s, nil
+}
+
+func (m *Manager) validUntil(sent time.Time) time.Time {
+	return sent.Add(m.cfg.TTL - m.cfg.SafetyMargin)
+}
+
+// grant does not retry: a grant whose response was lost is a lease that nobody renews.
+func (m *Manager) grant(ctx context.Context) (platform.LeaseID, error) {
+	ctx, cancel := context.WithTimeout(ctx, cas.DefaultCallTimeout)
+	defer cancel()
+	id, err := m.kv.GrantLease(ctx, m.cfg.TTL)
+	if err != nil {
+		return 0, fmt.Errorf("grant lease: %w: %w", ErrUnavailable, err)
+	}
+	return id, nil
+}
+
+func (m *Manager) createHolder(ctx context.Context, s session) error {
+	_, err := cas.Swap(ctx, m.kv, cas.Write{
+		Key:   HolderKey(s.pool),
+		Value: mustEncode(HolderRecord{Holder: m.cfg.Holder, Session: s.id}),
+		Lease: s.lease,
+		ID:    s.id,
+		Check: m.unexpired(s),
+	})
+	return convert("create holder of pool "+s.pool, err)
+}
+
+// incrementFence reads the fence and raises it by one. The session's validity is checked between
+// the read and each send: while it holds, no other session can have raised the fence since, so a
+// process that was paused past its TTL cannot raise the fence under a new holder.
+func (m *Manager) incrementFence(ctx context.Context, s session) (uint64, error) {
+	for range maxFenceTries {
+		state, err := ReadPool(ctx, m.kv, s.pool)
+		if err != nil {
+			return 0, err
+		}
+		r := FenceRecord{Fence: state.Fence.Fence + 1, Holder: m.cfg.Holder, Session: s.id, WriteID: cas.NewID()}
+		_, err = cas.Swap(ctx, m.kv, cas.Write{
+			Key: FenceKey(s.pool), Expected: state.fenceVersion, Value: mustEncode(r), ID: r.WriteID,
+			Check: m.unexpired(s),
+		})
+		if err == nil {
+			return r.Fence, nil
+		}
+		if !errors.Is(err, platform.ErrConflict) {
+			return 0, convert("increment fence of pool "+s.pool, err)
+		}
+	}
+	return 0, fmt.Errorf("increment fence of pool %q: %w", s.pool, ErrHeld)
+}
+
+// unexpired is the validity check of a session that has no authority yet.
+func (m *Manager) unexpired(s session) func() error {
+	return func() error {
+		if time.Now().Before(m.validUntil(s.granted)) {
+			return nil
+		}
+		return ErrLost
+	}
+}
+
+func (m *Manager) revoke(ctx context.Context, s session) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), cas.DefaultCallTimeout)
+	defer cancel()
+	if err := m.kv.RevokeLease(ctx, s.lease); err != nil {
+		m.cfg.Log.WithField("pool", s.pool).WithError(err).Warn("lease not revoked; it expires by itself")
+	}
+}
+
+// convert maps errors of the key-value service to errors of this layer.
+func convert(what string, err error) error {
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, platform.ErrConflict):
+		return fmt.Errorf("%s: %w", what, ErrHeld)
+	case errors.Is(err, platform.ErrLeaseExpired), errors.Is(err, ErrLost):
+		return fmt.Errorf("%s: %w", what, ErrLost)
+	}
+	return fmt.Errorf("%s: %w: %w", what, ErrUnavailable, err)
+}
--- /dev/null
+++ b/lease/errors.go
@@ -0,0 +1,17 @@
+package lease
+
+import "errors"
+
+// Errors of the lease layer.
+var (
+	// ErrHeld means that another session holds the pool.
+	ErrHeld = errors.New("pool is held by another session")
+	// ErrLost means that the session's validity has ended.
+	ErrLost = errors.New("authority has ended")
+	// ErrUnavailable means that the key-value service did not answer; nothing was decided.
+	ErrUnavailable = errors.New("pool state cannot be read or written")
+	// ErrBadRecord means that a pool record cannot be decoded.
+	ErrBadRecord = errors.New("pool record is malformed")
+	// ErrConfig means that the configuration is not usable.
+	ErrConfig = errors.New("invalid lease configuration")
+)
--- /dev/null
+++ b/lease/manager.go
@@ -0,0 +1,251 @@
+package lease
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/quetzallug/quetzallug/internal/cas"
+	"github.com/quetzallug/quetzallug/platform"
+)
+
+// Defaults of Config.
+const (
+	DefaultTTL = 10 * time.Second
+	// DefaultSafetyMargin covers the difference in clock rates and the delay of the check.
+	DefaultSafetyMargin = time.Second
+	DefaultMaxPools     = 2
+	// DefaultPollSpacing is the mean time between two polls of a group of competitors.
+	DefaultPollSpacing = 500 * time.Millisecond
+)
+
+const (
+	minPollInterval = 2 * time.Second
+	maxPollInterval = 30 * time.Second
+	// keepAlivesPerTTL leaves two further tries after a failed keep-alive.
+	keepAlivesPerTTL = 3
+	// jitterShare spreads periodic calls by up to this share of their interval on either side.
+	jitterShare = 0.2
+	// retryDelay is the mean pause after a failed keep-alive.
+	retryDelay = 500 * time.Millisecond
+)
+
+// Config configures a Manager.
+type Config struct {
+	// Holder names this process. It must differ between processes and between restarts.
+	Holder string
+	// Pools are the pools to compete for.
+	Pools        []string
+	TTL          time.Duration
+	SafetyMargin time.Duration
+	// MaxPools bounds the number of pools that this process holds at once.
+	MaxPools    int
+	PollSpacing time.Duration
+	// Competitors returns the number of processes that compete for these pools; nil means 1.
+	Competitors func() int
+	// Random returns a number in [0, 1); nil means the runtime's source.
+	Random func() float64
+	// OnAcquire is called for each new authority. It must not block.
+	OnAcquire func(Authority)
+	Log       logrus.FieldLogger
+}
+
+// Manager competes for the configured pools and keeps alive the leases that it holds.
+type Manager struct {
+	kv  platform.KV
+	cfg Config
+
+	mu   sync.Mutex // guards held
+	held map[string]Authority
+}
+
+// NewManager validates the configuration and fills in defaults.
+func NewManager(kv platform.KV, cfg Config) (*Manager, error) {
+	if cfg.Holder == "" {
+		return nil, fmt.Errorf("%w: holder is empty", ErrConfig)
+	}
+	for _, p := range cfg.Pools {
+		if p == "" || strings.Contains(p, "/") {
+			return nil, fmt.Errorf("%w: pool name %q is empty or contains a slash", ErrConfig, p)
+		}
+	}
+	setDefault(&cfg.TTL, DefaultTTL)
+	setDefault(&cfg.SafetyMargin, DefaultSafetyMargin)
+	setDefault(&cfg.MaxPools, DefaultMaxPools)
+	setDefault(&cfg.PollSpacing, DefaultPollSpacing)
+	if cfg.SafetyMargin >= cfg.TTL/keepAlivesPerTTL {
+		return nil, fmt.Errorf("%w: safety margin %v must be below a third of the TTL %v", ErrConfig, cfg.SafetyMargin, cfg.TTL)
+	}
+	if cfg.Random == nil {
+		cfg.Random = rand.Float64
+	}
+	if cfg.Competitors == nil {
+		cfg.Competitors = func() int { return 1 }
+	}
+	if cfg.Log == nil {
+		l := logrus.New()
+		l.SetOutput(io.Discard)
+		cfg.Log = l
+	}
+	return &Manager{kv: kv, cfg: cfg, held: map[string]Authority{}}, nil
+}
+
+func setDefault[T comparable](v *T, d T) {
+	var zero T
+	if *v == zero {
+		*v = d
+	}
+}
+
+// Run competes until ctx ends, then gives up all pools and returns.
+func (m *Manager) Run(ctx context.Context) {
+	var sessions sync.WaitGroup
+	defer sessions.Wait()
+	if !sleep(ctx, time.Duration(m.cfg.Random()*float64(m.cfg.PollSpacing))) {
+		return
+	}
+	for {
+		for _, pool := range m.vacant(ctx) {
+			a, s, err := m.acquire(ctx, pool)
+			if err != nil {
+				m.cfg.Log.WithField("pool", pool).WithError(err).Info("pool not acquired")
+				continue
+			}
+			m.take(a)
+			sessions.Go(func() { m.hold(ctx, a, s) })
+		}
+		if !sleep(ctx, m.jitter(m.pollInterval())) {
+			return
+		}
+	}
+}
+
+// Authority returns the valid authority over a pool, if this process has one.
+func (m *Manager) Authority(pool string) (Authority, bool) {
+	m.mu.Lock()
+	a, ok := m.held[pool]
+	m.mu.Unlock()
+	return a, ok && a.Valid()
+}
+
+// Authorities returns all valid authorities in order of pool name.
+func (m *Manager) Authorities() []Authority {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var all []Authority
+	for _, a := range m.held {
+		if a.Valid() {
+			all = append(all, a)
+		}
+	}
+	slices.SortFunc(all, func(a, b Authority) int { return strings.Compare(a.Pool, b.Pool) })
+	return all
+}
+
+// vacant returns the pools without a holder that this process may take now.
+func (m *Manager) vacant(ctx context.Context) []string {
+	m.mu.Lock()
+	room := m.cfg.MaxPools - len(m.held)
+	held := make([]string, 0, len(m.held))
+	for p := range m.held {
+		held = append(held, p)
+	}
+	m.mu.Unlock()
+	if room <= 0 || ctx.Err() != nil {
+		return nil
+	}
+	states, err := readPools(ctx, m.kv, KeyPrefix)
+	if err != nil {
+		m.cfg.Log.WithError(err).Warn("pool states not read")
+		return nil
+	}
+	var free []string
+	for _, p := range m.cfg.Pools {
+		if s := states[p]; !s.Present && s.malformed == nil && !slices.Contains(held, p) {
+			free = append(free, p)
+		}
+	}
+	return free[:min(room, len(free))]
+}
+
+func (m *Manager) take(a Authority) {
+	m.mu.Lock()
+	m.held[a.Pool] = a
+	m.mu.Unlock()
+	m.cfg.Log.WithFields(logrus.Fields{"pool": a.Pool, "fence": a.Fence}).Info("pool acquired")
+	if m.cfg.OnAcquire != nil {
+		m.cfg.OnAcquire(a)
+	}
+}
+
+// hold keeps one session alive until it is lost or ctx ends. The authority ends before the lease
+// is revoked, so that no effect follows the revocation.
+func (m *Manager) hold(ctx context.Context, a Authority, s session) {
+	reason := m.keepAlive(ctx, a, s)
+	a.end()
+	m.mu.Lock()
+	delete(m.held, a.Pool)
+	m.mu.Unlock()
+	m.cfg.Log.WithFields(logrus.Fields{"pool": a.Pool, "fence": a.Fence}).WithError(reason).Info("pool given up")
+	m.revoke(ctx, s)
+}
+
+func (m *Manager) keepAlive(ctx context.Context, a Authority, s session) error {
+	interval := m.cfg.TTL / keepAlivesPerTTL
+	wait := m.jitter(interval)
+	for {
+		if !sleep(ctx, min(wait, a.remaining())) {
+			return ctx.Err()
+		}
+		if !a.Valid() {
+			return ErrLost
+		}
+		sent := time.Now()
+		err := m.renew(ctx, s)
+		if errors.Is(err, platform.ErrLeaseExpired) {
+			return fmt.Errorf("%w: %w", ErrLost, err)
+		}
+		if err != nil {
+			wait = m.jitter(retryDelay)
+			continue
+		}
+		if !a.extend(m.validUntil(sent)) {
+			return ErrLost
+		}
+		wait = m.jitter(interval)
+	}
+}
+
+func (m *Manager) renew(ctx context.Context, s session) error {
+	ctx, cancel := context.WithTimeout(ctx, cas.DefaultCallTimeout)
+	defer cancel()
+	return m.kv.KeepAlive(ctx, s.lease)
+}
+
+func (m *Manager) pollInterval() time.Duration {
+	d := time.Duration(m.cfg.Competitors()) * m.cfg.PollSpacing
+	return max(minPollInterval, min(d, maxPollInterval))
+}
+
+func (m *Manager) jitter(d time.Duration) time.Duration {
+	return d + time.Duration((2*m.cfg.Random()-1)*jitterShare*float64(d))
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return ctx.Err() == nil
+	}
+}
--- /dev/null
+++ b/lease/records.go
@@ -0,0 +1,120 @@
+package lease
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/quetzallug/quetzallug/internal/cas"
+	"github.com/quetzallug/quetzallug/platform"
+)
+
+// KeyPrefix is the prefix of all pool keys.
+const KeyPrefix = "pool/"
+
+const (
+	holderSuffix = "/holder"
+	fenceSuffix  = "/fence"
+)
+
+// HolderKey is the key that names a pool's holder while its lease lives.
+func HolderKey(pool string) string { return KeyPrefix + pool + holderSuffix }
+
+// FenceKey is the key of a pool's fence record.
+func FenceKey(pool string) string { return KeyPrefix + pool + fenceSuffix }
+
+// HolderRecord is the value of the holder key. Its write ID is the session ID.
+type HolderRecord struct {
+	Holder  string `json:"holder"`
+	Session string `json:"write_id"`
+}
+
+// FenceRecord is the value of the fence key.
+type FenceRecord struct {
+	Fence   uint64 `json:"fence"`
+	Holder  string `json:"holder"`
+	Session string `json:"session"`
+	WriteID string `json:"write_id"`
+}
+
+// PoolState is a pool's holder and fence, read in one call.
+type PoolState struct {
+	Fence   FenceRecord
+	Present bool // a holder key exists
+	Holder  HolderRecord
+
+	fenceVersion uint64
+	malformed    error
+}
+
+// Current reports whether the given holder holds the pool under the given fence number.
+func (s PoolState) Current(fence uint64, holder string) bool {
+	return s.Present && s.Fence.Fence == fence && s.Fence.Holder == holder &&
+		s.Holder.Holder == holder && s.Holder.Session == s.Fence.Session
+}
+
+// ReadPool reads the state of one pool.
+func ReadPool(ctx context.Context, kv platform.KV, pool string) (PoolState, error) {
+	states, err := readPools(ctx, kv, KeyPrefix+pool+"/")
+	if err != nil {
+		return PoolState{}, err
+	}
+	return states[pool], states[pool].malformed
+}
+
+func readPools(ctx context.Context, kv platform.KV, prefix string) (map[string]PoolState, error) {
+	ctx, cancel := context.WithTimeout(ctx, cas.DefaultCallTimeout)
+	defer cancel()
+	entries, _, err := kv.List(ctx, prefix)
+	if err != nil {
+		return nil, fmt.Errorf("list %q: %w: %w", prefix, ErrUnavailable, err)
+	}
+	states := map[string]PoolState{}
+	for _, e := range entries {
+		addEntry(states, e)
+	}
+	return states, nil
+}
+
+// addEntry decodes a pool key. A malformed record makes its own pool unusable, not the others.
+func addEntry(states map[string]PoolState, e platform.Entry) {
+	name := strings.TrimPrefix(e.Key, KeyPrefix)
+	pool, isHolder := strings.CutSuffix(name, holderSuffix)
+	if isHolder {
+		s := states[pool]
+		s.Present = true
+		s.decode(e, &s.Holder)
+		states[pool] = s
+		return
+	}
+	if pool, isFence := strings.CutSuffix(name, fenceSuffix); isFence {
+		s := states[pool]
+		s.fenceVersion = e.Version
+		s.decode(e, &s.Fence)
+		states[pool] = s
+	}
+}
+
+func (s *PoolState) decode(e platform.Entry, into any) {
+	if err := json.Unmarshal(e.Value, into); err != nil {
+		s.malformed = fmt.Errorf("%w: key %q: %w", ErrBadRecord, e.Key, err)
+	}
+}
+
+func mustEncode(v any) []byte {
+	b, err := json.Marshal(v)
+	if err != nil {
+		panic(fmt.Sprintf("encode %T: %v", v, err)) // the records hold strings and numbers only
+	}
+	return b
+}
+
+// session is one acquisition of a pool.
+type session struct {
+	pool    string
+	id      string
+	lease   platform.LeaseID
+	granted time.Time // when the grant was sent
+}
--- /dev/null
+++ b/order/machine.go
@@ -0,0 +1,222 @@
+package order
+
+import (
+	"fmt"
+
+	"github.com/quetzallug/quetzallug/platform"
+)
+
+// Event is a step of the state machine.
+type Event interface {
+	next(Record) (Record, error)
+}
+
+// Next returns the record after an event. It neither changes r nor performs I/O. The caller sets
+// the write ID.
+func Next(r Record, e Event) (Record, error) {
+	n, err := e.next(r)
+	if err != nil {
+		return r, fmt.Errorf("%T on order %d in phase %q: %w", e, r.Number, r.Phase, err)
+	}
+	return n, nil
+}
+
+// Issue starts a new order.
+type Issue struct {
+	Fence  uint64
+	Config platform.EngineConfig
+}
+
+func (e Issue) next(r Record) (Record, error) {
+	if e.Fence < r.Fence {
+		return r, ErrStaleFence
+	}
+	if !r.Phase.Settled() {
+		return r, ErrUnsettled
+	}
+	r.Number++
+	r.Fence, r.IssuedFence = e.Fence, e.Fence
+	r.Config, r.Phase = e.Config, PhasePlanned
+	r.Unknown, r.Detail = false, ""
+	return r, nil
+}
+
+// Adopt puts the record under a new planner's fence number. An order that has not begun to execute
+// is withdrawn. The sidecar ends one that has.
+type Adopt struct {
+	Fence uint64
+}
+
+func (e Adopt) next(r Record) (Record, error) {
+	if e.Fence < r.Fence {
+		return r, ErrStaleFence
+	}
+	if e.Fence > r.Fence && (r.Phase == PhasePlanned || r.Phase == PhaseDraining) {
+		r.Phase = PhaseFailed
+		r.Detail = fmt.Sprintf("withdrawn at handover to fence %d", e.Fence)
+	}
+	r.Fence = e.Fence
+	return r, nil
+}
+
+// Claim is the first write of a sidecar that starts.
+type Claim struct{}
+
+func (Claim) next(r Record) (Record, error) {
+	if r.Phase == "" {
+		r.Phase = PhaseDone
+	}
+	r.Incarnation++
+	return r, nil
+}
+
+// Resolve ends a sidecar's start: it compares the record with the engine's state, which must not
+// be changing.
+type Resolve struct {
+	Incarnation uint64
+	State       platform.EngineState
+}
+
+func (e Resolve) next(r Record) (Record, error) {
+	if err := checkIncarnation(r, e.Incarnation); err != nil {
+		return r, err
+	}
+	switch r.Phase {
+	case PhaseExecuting:
+		if holds(e.State, r) {
+			return settle(r, PhaseDone, e.State.StartID, "found done at the sidecar's start"), nil
+		}
+		r = settle(r, PhaseFailed, e.State.StartID, "engine did not finish the order")
+		r.Unknown = true
+	case PhasePlanned, PhaseDraining:
+		r.Phase, r.StartID = PhasePlanned, e.State.StartID
+	case PhaseDone, PhaseFailed:
+		if r.Number == 0 {
+			r.Number, r.Config, r.StartID = e.State.Number, e.State.Config, e.State.StartID
+			return r, nil
+		}
+		return compare(r, e.State), nil
+	}
+	return r, nil
+}
+
+// Observe compares a settled record with the engine's state.
+type Observe struct {
+	Incarnation uint64
+	State       platform.EngineState
+}
+
+func (e Observe) next(r Record) (Record, error) {
+	if err := checkIncarnation(r, e.Incarnation); err != nil {
+		return r, err
+	}
+	if !r.Phase.Settled() {
+		return r, ErrWrongPhase
+	}
+	return compare(r, e.State), nil
+}
+
+// BeginDrain marks that the engine takes no new work.
+type BeginDrain struct {
+	Incarnation, Fence, Number uint64
+}
+
+func (e BeginDrain) next(r Record) (Record, error) {
+	return e.advance(r, PhasePlanned, PhaseDraining)
+}
+
+// BeginExecute marks that the order may reach the engine.
+type BeginExecute struct {
+	Incarnation, Fence, Number uint64
+}
+
+func (e BeginExecute) next(r Record) (Record, error) {
+	return BeginDrain(e).advance(r, PhaseDraining, PhaseExecuting)
+}
+
+func (e BeginDrain) advance(r Record, from, to Phase) (Record, error) {
+	if err := checkIncarnation(r, e.Incarnation); err != nil {
+		return r, err
+	}
+	if r.Number != e.Number || r.Phase != from {
+		return r, ErrWrongPhase
+	}
+	if r.Fence != e.Fence || r.IssuedFence != e.Fence {
+		return r, ErrStaleFence
+	}
+	r.Phase = to
+	return r, nil
+}
+
+// Finish records that the engine has finished the order.
+type Finish struct {
+	Incarnation, Number uint64
+	StartID             string
+}
+
+func (e Finish) next(r Record) (Record, error) {
+	if err := checkEnd(r, e.Incarnation, e.Number); err != nil {
+		return r, err
+	}
+	return settle(r, PhaseDone, e.StartID, ""), nil
+}
+
+// Fail records that the order has ended without success.
+type Fail struct {
+	Incarnation, Number uint64
+	StartID             string
+	Detail              string
+	// Unknown means that the engine may have been changed in part.
+	Unknown bool
+}
+
+func (e Fail) next(r Record) (Record, error) {
+	if err := checkEnd(r, e.Incarnation, e.Number); err != nil {
+		return r, err
+	}
+	r = settle(r, PhaseFailed, e.StartID, e.Detail)
+	r.Unknown = e.Unknown
+	return r, nil
+}
+
+func checkIncarnation(r Record, incarnation uint64) error {
+	if r.Incarnation != incarnation {
+		return ErrSuperseded
+	}
+	return nil
+}
+
+func checkEnd(r Record, incarnation, number uint64) error {
+	if err := checkIncarnation(r, incarnation); err != nil {
+		return err
+	}
+	if r.Number != number || r.Phase.Settled() {
+		return ErrWrongPhase
+	}
+	return nil
+}
+
+func settle(r Record, p Phase, startID, detail string) Record {
+	r.Phase, r.Detail = p, detail
+	if startID != "" {
+		r.StartID = startID
+	}
+	return r
+}
+
+// holds reports whether the engine's state is what the record wants.
+func holds(s platform.EngineState, r Record) bool {
+	return !s.Changing && s.Number == r.Number && sameConfig(s.Config, r.Config)
+}
+
+// compare marks a settled record whose engine is not in the recorded state. A failed order leaves
+// the engine at an earlier number, so only a restart shows there.
+func compare(r Record, s platform.EngineState) Record {
+	restarted := r.StartID != "" && r.StartID != s.StartID
+	if restarted || (r.Phase == PhaseDone && r.Number > 0 && !holds(s, r)) {
+		r.Unknown = true
+		r.Detail = "engine is not in the recorded state"
+	}
+	r.StartID = s.StartID
+	return r
+}
--- /dev/null
+++ b/order/planner.go
@@ -0,0 +1,192 @@
+package order
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/quetzallug/quetzallug/lease"
+	"github.com/quetzallug/quetzallug/platform"
+)
+
+// sidecarTimeout bounds one call to a sidecar. A seal makes the sidecar read the key-value service.
+const sidecarTimeout = 3 * time.Second
+
+// Planner issues orders to the engines of the pools that this process holds.
+type Planner struct {
+	kv   platform.KV
+	dial func(pool, engine string) (Sidecar, error)
+	log  logrus.FieldLogger
+
+	mu     sync.Mutex // guards sealed
+	sealed map[string]uint64
+}
+
+// NewPlanner returns a planner. dial returns the sidecar of an engine. log may be nil.
+func NewPlanner(kv platform.KV, dial func(pool, engine string) (Sidecar, error), log logrus.FieldLogger) *Planner {
+	if log == nil {
+		log = discardLog()
+	}
+	return &Planner{kv: kv, dial: dial, log: log, sealed: map[string]uint64{}}
+}
+
+func discardLog() logrus.FieldLogger {
+	l := logrus.New()
+	l.SetOutput(io.Discard)
+	return l
+}
+
+// Own seals an engine under the authority's fence number and puts its record under it. An order
+// that has not begun is withdrawn. If the returned record is not settled, the sidecar is still
+// executing it, and Issue refuses until it has ended.
+func (p *Planner) Own(ctx context.Context, a lease.Authority, engine string) (Record, error) {
+	if err := valid(a); err != nil {
+		return Record{}, err
+	}
+	sealed, err := p.seal(ctx, a, engine)
+	if err != nil {
+		return Record{}, err
+	}
+	s := store{kv: p.kv, key: Key(a.Pool, engine)}
+	v, err := p.adopt(ctx, a, s)
+	if err != nil {
+		return Record{}, err
+	}
+	if v.Incarnation != sealed.Incarnation {
+		return Record{}, fmt.Errorf("engine %q: incarnation %d was sealed, %d is in force: %w", engine, sealed.Incarnation, v.Incarnation, ErrNotSealed)
+	}
+	p.mu.Lock()
+	p.sealed[s.key] = a.Fence
+	p.mu.Unlock()
+	p.log.WithFields(logrus.Fields{"engine": engine, "fence": a.Fence, "order": v.Number, "phase": v.Phase}).Info("engine owned")
+	return v.Record, nil
+}
+
+func (p *Planner) seal(ctx context.Context, a lease.Authority, engine string) (SealResult, error) {
+	sidecar, err := p.dial(a.Pool, engine)
+	if err != nil {
+		return SealResult{}, fmt.Errorf("seal engine %q: %w", engine, err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, sidecarTimeout)
+	defer cancel()
+	r, err := sidecar.Seal(ctx, SealRequest{Pool: a.Pool, Engine: engine, Fence: a.Fence, Holder: a.Holder})
+	if err != nil {
+		return r, fmt.Errorf("seal engine %q under fence %d: %w", engine, a.Fence, err)
+	}
+	if r.HighestFence != a.Fence {
+		return r, fmt.Errorf("seal engine %q under fence %d, sidecar has %d: %w", engine, a.Fence, r.HighestFence, ErrNotSealed)
+	}
+	return r, nil
+}
+
+// adoptTries bounds the retries when the sidecar advances the record at the same time.
+const adoptTries = 5
+
+// adopt writes the record even if its order is settled: a write by an earlier planner that is
+// still under way then meets a changed version.
+func (p *Planner) adopt(ctx context.Context, a lease.Authority, s store) (versioned, error) {
+	for range adoptTries {
+		v, err := s.read(ctx)
+		if err != nil {
+			return v, err
+		}
+		if v.version == 0 {
+			return v, ErrNotClaimed
+		}
+		n, err := s.write(ctx, v, Adopt{Fence: a.Fence}, func() error { return valid(a) })
+		if !errors.Is(err, ErrConflict) {
+			return n, err
+		}
+	}
+	return versioned{}, ErrConflict
+}
+
+// Issue records a new order for an engine and notifies its sidecar. The order stands even if the
+// notice is lost, because the sidecar also reads its record from time to time.
+func (p *Planner) Issue(ctx context.Context, a lease.Authority, engine string, config platform.EngineConfig) (Record, error) {
+	if err := p.checkOwned(a, engine); err != nil {
+		return Record{}, err
+	}
+	s := store{kv: p.kv, key: Key(a.Pool, engine)}
+	v, err := s.read(ctx)
+	if err != nil {
+		return Record{}, err
+	}
+	return p.issue(ctx, a, engine, v, config)
+}
+
+// Reconcile issues the recorded configuration again if the engine's state is not the recorded one.
+// It reports whether it issued an order.
+func (p *Planner) Reconcile(ctx context.Context, a lease.Authority, engine string) (Record, bool, error) {
+	if err := p.checkOwned(a, engine); err != nil {
+		return Record{}, false, err
+	}
+	s := store{kv: p.kv, key: Key(a.Pool, engine)}
+	v, err := s.read(ctx)
+	if err != nil || !v.Unknown || !v.Phase.Settled() {
+		return v.Record, false, err
+	}
+	r, err := p.issue(ctx, a, engine, v, v.Config)
+	return r, err == nil, err
+}
+
+// Read returns an engine's record.
+func (p *Planner) Read(ctx context.Context, pool, engine string) (Record, error) {
+	v, err := store{kv: p.kv, key: Key(pool, engine)}.read(ctx)
+	return v.Record, err
+}
+
+func (p *Planner) issue(ctx context.Context, a lease.Authority, engine string, v versioned, config platform.EngineConfig) (Record, error) {
+	if v.version == 0 {
+		return Record{}, ErrNotClaimed
+	}
+	s := store{kv: p.kv, key: Key(a.Pool, engine)}
+	n, err := s.write(ctx, v, Issue{Fence: a.Fence, Config: config}, func() error { return valid(a) })
+	if err != nil {
+		return Record{}, err
+	}
+	log := p.log.WithFields(logrus.Fields{"engine": engine, "fence": n.Fence, "order": n.Number, "role": config.Role})
+	if err := p.notify(ctx, a, engine, n.Record); err != nil {
+		log.WithError(err).Warn("order issued, notice not delivered")
+	} else {
+		log.Info("order issued")
+	}
+	return n.Record, nil
+}
+
+func (p *Planner) notify(ctx context.Context, a lease.Authority, engine string, r Record) error {
+	if err := valid(a); err != nil {
+		return err
+	}
+	sidecar, err := p.dial(a.Pool, engine)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, sidecarTimeout)
+	defer cancel()
+	return sidecar.NotifyOrder(ctx, Notice{Pool: a.Pool, Engine: engine, Fence: r.Fence, Number: r.Number})
+}
+
+func (p *Planner) checkOwned(a lease.Authority, engine string) error {
+	if err := valid(a); err != nil {
+		return err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.sealed[Key(a.Pool, engine)] != a.Fence {
+		return fmt.Errorf("engine %q, fence %d: %w", engine, a.Fence, ErrNotSealed)
+	}
+	return nil
+}
+
+func valid(a lease.Authority) error {
+	if !a.Valid() {
+		return fmt.Errorf("pool %q, fence %d: %w", a.Pool, a.Fence, ErrNoAuthority)
+	}
+	return nil
+}
--- /dev/null
+++ b/order/record.go
@@ -0,0 +1,63 @@
+package order
+
+import (
+	"slices"
+
+	"github.com/quetzallug/quetzallug/platform"
+)
+
+// Phase is the progress of an order.
+type Phase string
+
+// Phases of an order.
+const (
+	PhasePlanned   Phase = "planned"
+	PhaseDraining  Phase = "draining"
+	PhaseExecuting Phase = "executing"
+	PhaseDone      Phase = "done"
+	PhaseFailed    Phase = "failed"
+)
+
+// Settled reports whether the order has ended.
+func (p Phase) Settled() bool { return p == PhaseDone || p == PhaseFailed }
+
+// Record is the last order of one engine, kept at order/<pool>/<engine>. Number 0 means that no
+// order has been issued; Config is then what the engine reported when it was first claimed.
+type Record struct {
+	// Fence is the fence number of the planner that owns the order.
+	Fence uint64 `json:"fence"`
+	// IssuedFence is the fence number under which the order was issued. It differs from Fence
+	// after a handover.
+	IssuedFence uint64                `json:"issued_fence"`
+	Number      uint64                `json:"number"`
+	Config      platform.EngineConfig `json:"wanted"`
+	Phase       Phase                 `json:"phase"`
+	WriteID     string                `json:"write_id"`
+	// Incarnation numbers the sidecars that have claimed the engine; the highest is in force.
+	Incarnation uint64 `json:"incarnation"`
+	// StartID is the engine's start ID when the record was last compared with its state.
+	StartID string `json:"start_id,omitempty"`
+	// Unknown means that the engine's state is not the recorded one.
+	Unknown bool   `json:"unknown,omitempty"`
+	Detail  string `json:"detail,omitempty"`
+}
+
+// Key is the key of an engine's order record.
+func Key(pool, engine string) string { return "order/" + pool + "/" + engine }
+
+// sameConfig compares configurations without regard to the order of models and adapters.
+func sameConfig(a, b platform.EngineConfig) bool {
+	return a.Role == b.Role && sameSet(a.Models, b.Models) && sameSet(a.Adapters, b.Adapters)
+}
+
+func sameSet(a, b []platform.ModelVersion) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for _, m := range a {
+		if !slices.Contains(b, m) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/order/sidecar.go
@@ -0,0 +1,41 @@
+package order
+
+import "context"
+
+// SealRequest asks a sidecar to refuse lower fence numbers from now on.
+type SealRequest struct {
+	Pool, Engine string
+	Fence        uint64
+	Holder       string
+}
+
+// SealResult is a sidecar's answer to an accepted seal.
+type SealResult struct {
+	HighestFence uint64
+	Incarnation  uint64
+	// Executing is the number of the order that the sidecar is executing, 0 if none.
+	Executing uint64
+}
+
+// Notice tells a sidecar that its order record has changed.
+type Notice struct {
+	Pool, Engine  string
+	Fence, Number uint64
+}
+
+// Sidecar is the planner's view of an engine's sidecar. A refusal is one of the executor's errors.
+// Both calls may be delivered more than once.
+type Sidecar interface {
+	Seal(ctx context.Context, r SealRequest) (SealResult, error)
+	NotifyOrder(ctx context.Context, n Notice) error
+}
+
+// Drainer takes an engine out of service for a planned change. Calls may be repeated.
+type Drainer interface {
+	// BeginDrain stops new work.
+	BeginDrain(ctx context.Context) error
+	// Wait returns when no request that a planned change may not interrupt is in flight.
+	Wait(ctx context.Context) error
+	// EndDrain lets the engine take new work again.
+	EndDrain()
+}
--- /dev/null
+++ b/order/store.go
@@ -0,0 +1,63 @@
+package order
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"github.com/quetzallug/quetzallug/internal/cas"
+	"github.com/quetzallug/quetzallug/platform"
+)
+
+// store reads and writes the record of one engine.
+type store struct {
+	kv  platform.KV
+	key string
+}
+
+// versioned is a record with the version of its key. Version 0 means that the key is absent.
+type versioned struct {
+	Record
+	version uint64
+}
+
+func (s store) read(ctx context.Context) (versioned, error) {
+	e, err := cas.Get(ctx, s.kv, s.key, 0)
+	if errors.Is(err, platform.ErrNotFound) {
+		return versioned{}, nil
+	}
+	if err != nil {
+		return versioned{}, fmt.Errorf("read %q: %w: %w", s.key, ErrStore, err)
+	}
+	v := versioned{version: e.Version}
+	if err := json.Unmarshal(e.Value, &v.Record); err != nil {
+		return versioned{}, fmt.Errorf("read %q: %w: %w", s.key, ErrBadRecord, err)
+	}
+	return v, nil
+}
+
+// write applies an event to a record that was read before. check runs before each send.
+func (s store) write(ctx context.Context, v versioned, e Event, check func() error) (versioned, error) {
+	n, err := Next(v.Record, e)
+	if err != nil {
+		return v, err
+	}
+	n.WriteID = cas.NewID()
+	value, err := json.Marshal(n)
+	if err != nil {
+		return v, fmt.Errorf("encode %q: %w: %w", s.key, ErrBadRecord, err)
+	}
+	version, err := cas.Swap(ctx, s.kv, cas.Write{
+		Key: s.key, Expected: v.version, Value: value, ID: n.WriteID, Check: check,
+	})
+	switch {
+	case err == nil:
+		return versioned{Record: n, version: version}, nil
+	case errors.Is(err, ErrNoAuthority):
+		return v, err
+	case errors.Is(err, platform.ErrConflict):
+		return v, fmt.Errorf("write %q: %w", s.key, ErrConflict)
+	}
+	return v, fmt.Errorf("write %q: %w: %w", s.key, ErrStore, err)
+}
