Add document validation, registry of accepted documents and dissemination

Documents were decoded one error at a time and hardly validated. The decoder now walks the syntax tree and reports every fault with line, column and field. The registry accepts documents by compare-and-swap and settles writes whose response was lost. Dissemination spreads accepted documents over relays and long polls.

--- /dev/null
+++ b/dissemination/kvwatcher.go
@@ -0,0 +1,134 @@
+package dissemination
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+
+	"github.com/quetzallug/quetzallug/document/registry"
+	"github.com/quetzallug/quetzallug/platform"
+)
+
+// probeKey is never written. Reading it tells whether the key-value service answers.
+const probeKey = registry.ConfigPrefix
+
+// KVWatcher keeps a store up to date from the key-value service. Relays run it.
+type KVWatcher struct {
+	store *Store
+	kv    platform.KV
+	rand  *random
+	log   func(error)
+}
+
+// Run lists and watches until ctx ends.
+func (w *KVWatcher) Run(ctx context.Context) {
+	b := &backoff{rand: w.rand}
+	for ctx.Err() == nil {
+		err := w.session(ctx, b)
+		if ctx.Err() != nil {
+			return
+		}
+		w.store.setFresh(false)
+		w.log(fmt.Errorf("watch of the key-value service: %w", err))
+		if !b.wait(ctx) {
+			return
+		}
+	}
+}
+
+// session lists once and then watches from that revision. Any error ends it, so that the next
+// session lists again and no change is missed.
+func (w *KVWatcher) session(ctx context.Context, b *backoff) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	var health sync.WaitGroup
+	defer health.Wait()
+	defer cancel(nil)
+	revision, err := readAll(ctx, w.kv, w.store, w.log)
+	if err != nil {
+		return err
+	}
+	b.reset()
+	health.Go(func() { w.checkHealth(ctx, cancel) })
+	for {
+		next, err := w.watch(ctx, revision)
+		if err != nil {
+			return errors.Join(err, context.Cause(ctx))
+		}
+		if next < revision {
+			return fmt.Errorf("store revision went back from %d to %d", revision, next)
+		}
+		revision = next
+	}
+}
+
+func (w *KVWatcher) watch(ctx context.Context, after uint64) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, watchWait)
+	defer cancel()
+	events, next, err := w.kv.Watch(ctx, registry.ConfigPrefix, after)
+	if err != nil {
+		return 0, err
+	}
+	var docs []Document
+	for _, e := range events {
+		// A key that was removed is not a deletion, which is a tombstone with a higher revision.
+		if d, ok := decodeEntry(e.Entry, w.log); ok && !e.Deleted {
+			docs = append(docs, d)
+		}
+	}
+	w.store.Offer(docs...)
+	return next, nil
+}
+
+// checkHealth ends the session when the key-value service stops answering, since a watch on a
+// dead connection cannot be told from one without news.
+func (w *KVWatcher) checkHealth(ctx context.Context, cancel context.CancelCauseFunc) {
+	for sleep(ctx, w.rand.around(healthEvery)) {
+		if err := probe(ctx, w.kv); err != nil && ctx.Err() == nil {
+			w.store.setFresh(false)
+			cancel(fmt.Errorf("health check: %w", err))
+			return
+		}
+	}
+}
+
+func probe(ctx context.Context, kv platform.KV) error {
+	ctx, cancel := context.WithTimeout(ctx, healthTimeout)
+	defer cancel()
+	if _, err := kv.Get(ctx, probeKey); err != nil && !errors.Is(err, platform.ErrNotFound) {
+		return err
+	}
+	return nil
+}
+
+// readAll offers all documents in the key-value service to the store and confirms it.
+func readAll(ctx context.Context, kv platform.KV, s *Store, log func(error)) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	entries, revision, err := kv.List(ctx, registry.ConfigPrefix)
+	if err != nil {
+		return 0, fmt.Errorf("list documents: %w", err)
+	}
+	docs := make([]Document, 0, len(entries))
+	for _, e := range entries {
+		if d, ok := decodeEntry(e, log); ok {
+			docs = append(docs, d)
+		}
+	}
+	s.Offer(docs...)
+	s.confirm()
+	return revision, nil
+}
+
+// decodeEntry reports an invalid record and leaves it out.
+func decodeEntry(e platform.Entry, log func(error)) (Document, bool) {
+	if len(e.Value) == 0 {
+		return Document{}, false
+	}
+	r, err := registry.FromEntry(e)
+	if err != nil {
+		log(err)
+		return Document{}, false
+	}
+	return Document{Service: r.Service, Revision: r.Revision, Body: r.Body, Deleted: r.Deleted}, true
+}
--- /dev/null
+++ b/dissemination/role.go
@@ -0,0 +1,99 @@
+package dissemination
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/quetzallug/quetzallug/platform"
+)
+
+const (
+	// RelaysPerDataCentre is two, so that one may be lost at any time.
+	RelaysPerDataCentre = 2
+	// maxSources bounds the peers that one process turns to.
+	maxSources = 8
+)
+
+// Plan is what a process does to receive documents.
+type Plan struct {
+	// Relay says that the process watches the key-value service itself.
+	Relay bool
+	// Sources are the peers that it polls otherwise, in order of preference.
+	Sources []platform.Instance
+	// Fleet is the number of entries and sidecars, which sets the rate of direct reads.
+	Fleet int
+}
+
+// Role derives the plan of a process from the instance list. Processes with the same list
+// agree about the relays; the order of the sources differs, to spread the polls.
+func Role(instances []platform.Instance, self platform.Instance) Plan {
+	entries := liveEntries(instances)
+	plan := Plan{Fleet: len(instances)}
+	relays := relaysOf(entries)
+	if self.Role == platform.RoleEntry {
+		plan.Relay = slices.ContainsFunc(relays, func(r platform.Instance) bool { return r.ID == self.ID })
+		plan.Sources = preferred(relays, self)
+		return plan
+	}
+	plan.Sources = preferred(entries, self)
+	return plan
+}
+
+// liveEntries returns the live entries, or the leaving ones if there are no others.
+func liveEntries(instances []platform.Instance) []platform.Instance {
+	var live, leaving []platform.Instance
+	for _, in := range instances {
+		switch {
+		case in.Role != platform.RoleEntry:
+		case in.State == platform.InstanceLeaving:
+			leaving = append(leaving, in)
+		default:
+			live = append(live, in)
+		}
+	}
+	if len(live) > 0 {
+		return live
+	}
+	return leaving
+}
+
+// relaysOf chooses the relays of each data centre by rendezvous hashing.
+func relaysOf(entries []platform.Instance) []platform.Instance {
+	byDC := map[string][]platform.Instance{}
+	for _, in := range entries {
+		byDC[in.DataCentre] = append(byDC[in.DataCentre], in)
+	}
+	var relays []platform.Instance
+	for dc, ins := range byDC {
+		sortByWeight(ins, "relay/"+dc)
+		relays = append(relays, ins[:min(RelaysPerDataCentre, len(ins))]...)
+	}
+	return relays
+}
+
+// preferred orders peers: own data centre first, then by rendezvous hashing. The last places
+// go to other data centres, so that the loss of the own one leaves sources.
+func preferred(peers []platform.Instance, self platform.Instance) []platform.Instance {
+	peers = slices.DeleteFunc(slices.Clone(peers), func(p platform.Instance) bool { return p.ID == self.ID })
+	sortByWeight(peers, "source/"+self.ID)
+	var own, other []platform.Instance
+	for _, p := range peers {
+		if p.DataCentre == self.DataCentre {
+			own = append(own, p)
+		} else {
+			other = append(other, p)
+		}
+	}
+	own = own[:min(len(own), max(maxSources/2, maxSources-len(other)))]
+	return append(own, other[:min(len(other), maxSources-len(own))]...)
+}
+
+// sortByWeight orders instances by their rendezvous weight for a key, the highest first.
+func sortByWeight(ins []platform.Instance, key string) {
+	weight := func(in platform.Instance) uint64 { return xxhash.Sum64String(key + "\x00" + in.ID) }
+	slices.SortFunc(ins, func(a, b platform.Instance) int {
+		return cmp.Or(cmp.Compare(weight(b), weight(a)), cmp.Compare(a.ID, b.ID))
+	})
+}
--- /dev/null
+++ b/document/decode.go
@@ -0,0 +1,234 @@
+package document
+
+import (
+	"encoding"
+	"fmt"
+	"reflect"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/token"
+)
+
+// position is the place of a field in the file.
+type position struct{ line, column int }
+
+// decoder fills a Service from a syntax tree. It collects all faults instead of stopping at
+// the first one, and records the position of each field for the validation.
+type decoder struct {
+	errs      Errors
+	positions map[string]position
+}
+
+func (d *decoder) fault(tk *token.Token, field, found, allowed string) {
+	p := tokenPosition(tk)
+	d.errs = append(d.errs, &Error{Line: p.line, Column: p.column, Field: field, Found: found, Allowed: allowed})
+}
+
+func tokenPosition(tk *token.Token) position {
+	if tk == nil || tk.Position == nil {
+		return position{1, 1}
+	}
+	return position{tk.Position.Line, tk.Position.Column}
+}
+
+// value decodes one node into v.
+func (d *decoder) value(n ast.Node, field string, v reflect.Value) {
+	if tag, ok := n.(*ast.TagNode); ok {
+		d.fault(tag.GetToken(), field, "tag "+tag.GetToken().Value, "no tags")
+		return
+	}
+	switch n.(type) {
+	case *ast.AnchorNode, *ast.AliasNode:
+		// An alias can expand a small document to any size.
+		d.fault(n.GetToken(), field, "anchor or alias", "plain values only")
+		return
+	}
+	if _, ok := v.Addr().Interface().(encoding.TextUnmarshaler); ok {
+		d.text(n, field, v)
+		return
+	}
+	switch v.Kind() {
+	case reflect.Struct:
+		d.structure(n, field, v)
+	case reflect.Slice:
+		d.sequence(n, field, v)
+	default:
+		d.scalar(n, field, v)
+	}
+}
+
+func (d *decoder) text(n ast.Node, field string, v reflect.Value) {
+	const allowed = `a duration such as "730ms", "2s" or "5m"`
+	s, ok := stringValue(n)
+	if !ok {
+		d.fault(n.GetToken(), field, describe(n), allowed)
+		return
+	}
+	if err := v.Addr().Interface().(encoding.TextUnmarshaler).UnmarshalText([]byte(s)); err != nil {
+		d.fault(n.GetToken(), field, strconv.Quote(s), allowed)
+	}
+}
+
+func (d *decoder) structure(n ast.Node, field string, v reflect.Value) {
+	entries, ok := mapEntries(n)
+	if !ok {
+		d.fault(n.GetToken(), field, describe(n), "a mapping")
+		return
+	}
+	fields := structFields(v.Type())
+	seen := map[string]bool{}
+	for _, e := range entries {
+		name := keyName(e.Key)
+		path := join(field, name)
+		d.positions[path] = tokenPosition(e.Key.GetToken())
+		i := slices.Index(fields, name)
+		switch {
+		case i < 0:
+			d.fault(e.Key.GetToken(), path, "unknown field "+strconv.Quote(name), strings.Join(fields, ", "))
+		case seen[name]:
+			d.fault(e.Key.GetToken(), path, "the field a second time", "each field once")
+		default:
+			seen[name] = true
+			d.value(e.Value, path, v.Field(i))
+		}
+	}
+}
+
+func (d *decoder) sequence(n ast.Node, field string, v reflect.Value) {
+	seq, ok := n.(*ast.SequenceNode)
+	if !ok {
+		d.fault(n.GetToken(), field, describe(n), "a list")
+		return
+	}
+	v.Set(reflect.MakeSlice(v.Type(), len(seq.Values), len(seq.Values)))
+	for i, item := range seq.Values {
+		path := fmt.Sprintf("%s[%d]", field, i)
+		d.positions[path] = tokenPosition(item.GetToken())
+		d.value(item, path, v.Index(i))
+	}
+}
+
+func (d *decoder) scalar(n ast.Node, field string, v reflect.Value) {
+	allowed := ""
+	switch v.Kind() {
+	case reflect.String:
+		if s, ok := stringValue(n); ok {
+			v.SetString(s)
+			return
+		}
+		allowed = "a string (quote numbers and words such as true)"
+	case reflect.Bool:
+		if b, ok := n.(*ast.BoolNode); ok {
+			v.SetBool(b.Value)
+			return
+		}
+		allowed = "true or false"
+	case reflect.Int:
+		if i, ok := intValue(n); ok {
+			v.SetInt(i)
+			return
+		}
+		allowed = "a whole number"
+	case reflect.Float64:
+		if f, ok := floatValue(n); ok {
+			v.SetFloat(f)
+			return
+		}
+		allowed = "a number"
+	default:
+		panic(fmt.Sprintf("document: field %s has unsupported type %s", field, v.Type()))
+	}
+	d.fault(n.GetToken(), field, describe(n), allowed)
+}
+
+func stringValue(n ast.Node) (string, bool) {
+	switch n := n.(type) {
+	case *ast.StringNode:
+		return n.Value, true
+	case *ast.LiteralNode:
+		return n.Value.Value, true
+	}
+	return "", false
+}
+
+func intValue(n ast.Node) (int64, bool) {
+	i, ok := n.(*ast.IntegerNode)
+	if !ok {
+		return 0, false
+	}
+	switch v := i.Value.(type) {
+	case int64:
+		return v, true
+	case uint64:
+		return int64(v), v <= 1<<62
+	}
+	return 0, false
+}
+
+func floatValue(n ast.Node) (float64, bool) {
+	if f, ok := n.(*ast.FloatNode); ok {
+		return f.Value, true
+	}
+	i, ok := intValue(n)
+	return float64(i), ok
+}
+
+// mapEntries returns the entries of a mapping, which the parser represents by two node types.
+func mapEntries(n ast.Node) ([]*ast.MappingValueNode, bool) {
+	switch n := n.(type) {
+	case *ast.MappingNode:
+		return n.Values, true
+	case *ast.MappingValueNode:
+		return []*ast.MappingValueNode{n}, true
+	}
+	return nil, false
+}
+
+func keyName(k ast.MapKeyNode) string {
+	if s, ok := k.(*ast.StringNode); ok {
+		return s.Value
+	}
+	return k.String()
+}
+
+// maxQuoted bounds the part of a wrong value that an error shows.
+const maxQuoted = 64
+
+func describe(n ast.Node) string {
+	switch n := n.(type) {
+	case *ast.MappingNode, *ast.MappingValueNode:
+		return "a mapping"
+	case *ast.SequenceNode:
+		return "a list"
+	case *ast.NullNode:
+		return "no value"
+	case *ast.StringNode:
+		return "string " + strconv.Quote(truncate(n.Value))
+	}
+	return truncate(n.GetToken().Value)
+}
+
+func truncate(s string) string {
+	if len(s) > maxQuoted {
+		return strings.ToValidUTF8(s[:maxQuoted], "") + "..."
+	}
+	return s
+}
+
+func structFields(t reflect.Type) []string {
+	names := make([]string, t.NumField())
+	for i := range names {
+		names[i], _, _ = strings.Cut(t.Field(i).Tag.Get("yaml"), ",")
+	}
+	return names
+}
+
+func join(parent, name string) string {
+	if parent == "" {
+		return name
+	}
+	return parent + "." + name
+}
--- a/document/parse.go
+++ b/document/parse.go
@@ -1,10 +1,29 @@
 package document
 
 import (
-	"bytes"
+	"errors"
 	"fmt"
+	"math"
+	"reflect"
+	"strconv"
+	"unicode/utf8"
 
 	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/lexer"
+	"github.com/goccy/go-yaml/parser"
+	"github.com/goccy/go-yaml/token"
+)
+
+// MaxBytes bounds a document. The key-value service holds values up to 1 MiB, and the record
+// around the document encodes it in base64, which adds a third.
+const MaxBytes = 700 << 10
+
+const (
+	// maxDepth bounds nested flow collections; the parser recurses once per level.
+	maxDepth = 16
+	// maxLineBytes bounds a line, and with it the nesting that indentation can express.
+	maxLineBytes = 1024
 )
 
 // Defaults of optional fields.
@@ -16,52 +35,151 @@
 	DefaultConcurrent       = 256
 )
 
-// Parse decodes a document strictly, applies the defaults and validates it.
+// Parse decodes a document strictly, applies the defaults and validates it. Its error is of
+// type Errors.
 func Parse(body []byte) (*Service, error) {
-	var s Service
-	dec := yaml.NewDecoder(bytes.NewReader(body), yaml.DisallowUnknownField())
-	if err := dec.Decode(&s); err != nil {
-		return nil, fmt.Errorf("decode document: %w", err)
+	s, _, err := ParseFile("", body)
+	return s, err
+}
+
+// ParseFile is Parse with a file name for the errors. The warnings are faults that do not
+// make the document invalid.
+func ParseFile(file string, body []byte) (s *Service, warnings Errors, err error) {
+	s, d, err := decode(body)
+	if err == nil {
+		v := &validator{errs: d.errs, positions: d.positions}
+		v.service(s)
+		warnings = v.warnings.sorted()
+		if len(v.errs) > 0 {
+			err = v.errs.sorted()
+		}
 	}
-	s.applyDefaults()
-	if err := s.Validate(); err != nil {
-		return nil, err
+	for _, e := range append(Faults(err), warnings...) {
+		e.File = file
 	}
-	return &s, nil
+	if err != nil {
+		return nil, warnings, err
+	}
+	s.applyDefaults()
+	return s, warnings, nil
 }
 
-func (s *Service) applyDefaults() {
-	if s.Weights.Goodput == 0 {
-		s.Weights.Goodput = DefaultGoodputWeight
+// decode returns an error only if the body has no usable syntax tree; the faults of single
+// fields are in the decoder.
+func decode(body []byte) (s *Service, d *decoder, err error) {
+	if err := checkShape(body); err != nil {
+		return nil, nil, Errors{err}
+	}
+	// The parser has panicked on malformed input in past versions; a document from the
+	// key-value service must never end the process.
+	defer func() {
+		if r := recover(); r != nil {
+			s, d = nil, nil
+			err = Errors{{Line: 1, Column: 1, Found: fmt.Sprintf("syntax that the parser cannot read (%v)", r), Allowed: "YAML"}}
+		}
+	}()
+	f, err := parser.ParseBytes(body, 0, parser.AllowDuplicateMapKey())
+	if err != nil {
+		return nil, nil, Errors{syntaxError(err)}
 	}
-	if s.Weights.RoleChanges == 0 {
-		s.Weights.RoleChanges = DefaultRoleChangeWeight
+	root, fault := rootNode(f)
+	if fault != nil {
+		return nil, nil, Errors{fault}
 	}
-	if s.Limits.Queue == 0 {
-		s.Limits.Queue = DefaultQueue
+	s, d = &Service{}, &decoder{positions: map[string]position{}}
+	d.structure(root, "", reflect.ValueOf(s).Elem())
+	return s, d, nil
+}
+
+func rootNode(f *ast.File) (ast.Node, *Error) {
+	var roots []ast.Node
+	for _, doc := range f.Docs {
+		if doc.Body != nil && doc.Body.Type() != ast.CommentType {
+			roots = append(roots, doc.Body)
+		}
 	}
-	if s.Limits.BodyKiB == 0 {
-		s.Limits.BodyKiB = DefaultBodyKiB
+	switch {
+	case len(roots) == 0:
+		return nil, &Error{Line: 1, Column: 1, Found: "an empty file", Allowed: "one document"}
+	case len(roots) > 1 || len(f.Docs) > 1:
+		p := tokenPosition(roots[len(roots)-1].GetToken())
+		return nil, &Error{Line: p.line, Column: p.column, Found: "a second document", Allowed: "one document in a file"}
 	}
-	if s.Limits.PerCaller.Concurrent == 0 {
-		s.Limits.PerCaller.Concurrent = DefaultConcurrent
+	return roots[0], nil
+}
+
+func syntaxError(err error) *Error {
+	e := &Error{Line: 1, Column: 1, Found: "a syntax error: " + err.Error(), Allowed: "YAML"}
+	var ye yaml.Error
+	if errors.As(err, &ye) {
+		p := tokenPosition(ye.GetToken())
+		e.Line, e.Column = p.line, p.column
+		e.Found = "a syntax error: " + ye.GetMessage()
 	}
+	return e
 }
 
-// Validate checks the document as a whole.
-func (s *Service) Validate() error {
-	if s.Service == "" {
-		return fmt.Errorf("service: a name is required")
+// checkShape refuses bodies that the parser must not see: too large, binary or so deeply
+// nested that its recursion could exhaust the stack.
+func checkShape(body []byte) *Error {
+	if len(body) > MaxBytes {
+		return &Error{Line: 1, Column: 1, Found: strconv.Itoa(len(body)) + " bytes", Allowed: fmt.Sprintf("at most %d bytes", MaxBytes)}
+	}
+	line, start := 1, 0
+	for i, b := range body {
+		switch {
+		case b == '\n':
+			line, start = line+1, i+1
+		case b < ' ' && b != '\t' && b != '\r' || b == 0x7f:
+			return &Error{Line: line, Column: i - start + 1, Found: fmt.Sprintf("control character 0x%02x", b), Allowed: "text"}
+		case i-start >= maxLineBytes:
+			return &Error{Line: line, Column: 1, Found: "a longer line", Allowed: fmt.Sprintf("at most %d bytes in a line", maxLineBytes)}
+		}
 	}
-	if s.Type != TypeModel && s.Type != TypePlain {
-		return fmt.Errorf("type: found %q, allowed are %q and %q", s.Type, TypeModel, TypePlain)
+	if !utf8.Valid(body) {
+		return &Error{Line: 1, Column: 1, Found: "invalid UTF-8", Allowed: "UTF-8"}
 	}
-	if len(s.Kinds) == 0 {
-		return fmt.Errorf("kinds: at least one kind is required")
+	depth := 0
+	for _, tk := range lexer.Tokenize(string(body)) {
+		switch tk.Type {
+		case token.MappingStartType, token.SequenceStartType:
+			depth++
+		case token.MappingEndType, token.SequenceEndType:
+			depth--
+		}
+		if depth > maxDepth {
+			p := tokenPosition(tk)
+			return &Error{Line: p.line, Column: p.column, Found: "deeper nesting", Allowed: fmt.Sprintf("at most %d levels", maxDepth)}
+		}
 	}
 	return nil
 }
 
+func (s *Service) applyDefaults() {
+	setDefault(&s.Weights.Goodput, DefaultGoodputWeight)
+	setDefault(&s.Weights.RoleChanges, DefaultRoleChangeWeight)
+	setDefault(&s.Limits.Queue, DefaultQueue)
+	setDefault(&s.Limits.BodyKiB, DefaultBodyKiB)
+	setDefault(&s.Limits.PerCaller.Concurrent, DefaultConcurrent)
+	if l := &s.Limits.PerCaller; l.RequestsPerSecond > 0 {
+		setDefault(&l.Burst, int(math.Ceil(l.RequestsPerSecond)))
+	}
+	if s.Type != TypeModel {
+		return
+	}
+	for i := range s.Pools {
+		if p := &s.Pools[i]; p.Roles == (Roles{}) {
+			p.Roles.Mixed = p.Workers
+		}
+	}
+}
+
+func setDefault[T int | float64](field *T, value T) {
+	if *field == 0 {
+		*field = value
+	}
+}
+
 // FindKind returns the first kind that matches, or nil.
 func (s *Service) FindKind(m Match) *Kind {
 	for i := range s.Kinds {
--- /dev/null
+++ b/document/registry/record.go
@@ -0,0 +1,129 @@
+// Package registry stores the accepted documents in the key-value service.
+//
+// Invariants: the revision of a service's record only increases, also over deletion and
+// re-creation; a document is accepted if and only if the compare-and-swap of its record took
+// effect.
+package registry
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/quetzallug/quetzallug/document"
+	"github.com/quetzallug/quetzallug/platform"
+)
+
+const (
+	// ConfigPrefix is the prefix of the keys of accepted documents.
+	ConfigPrefix = "config/"
+	// HistoryPrefix is the prefix of the keys of earlier revisions.
+	HistoryPrefix = "history/"
+	// HistoryLength is the number of revisions that the history keeps.
+	HistoryLength = 20
+	// MaxAuthorBytes bounds the author's name.
+	MaxAuthorBytes = 256
+	// maxValueBytes is the largest value of the key-value service.
+	maxValueBytes = 1 << 20
+)
+
+// ConfigKey returns the key of a service's record.
+func ConfigKey(service string) string { return ConfigPrefix + service }
+
+// HistoryKey returns the key of one revision. The number is padded so that keys sort by it.
+func HistoryKey(service string, revision uint64) string {
+	return fmt.Sprintf("%s%s/%020d", HistoryPrefix, service, revision)
+}
+
+// Record is a service's document at one revision.
+type Record struct {
+	Service  string `json:"service" yaml:"service"`
+	Revision uint64 `json:"revision" yaml:"revision"`
+	// Body is empty if the service is deleted.
+	Body    []byte    `json:"body,omitempty" yaml:"-"`
+	Deleted bool      `json:"deleted,omitempty" yaml:"deleted,omitempty"`
+	Author  string    `json:"author" yaml:"author"`
+	WriteID string    `json:"write_id" yaml:"write_id"`
+	Time    time.Time `json:"time" yaml:"time"`
+	// Recent names the writes of the last revisions, newest first and this one included. A
+	// writer whose response was lost finds its write here even after others have followed.
+	Recent []Write `json:"recent,omitempty" yaml:"-"`
+}
+
+// Write names the write that made a revision.
+type Write struct {
+	Revision uint64 `json:"revision"`
+	WriteID  string `json:"write_id"`
+}
+
+// CorruptRecordError means that a stored value is not a valid record.
+type CorruptRecordError struct {
+	Key    string
+	Reason string
+}
+
+// Error implements error.
+func (e *CorruptRecordError) Error() string {
+	return fmt.Sprintf("key %q holds an invalid record: %s", e.Key, e.Reason)
+}
+
+// Decode decodes and checks the value of a key under ConfigPrefix or HistoryPrefix. The body
+// is not parsed, because another version may have written it.
+func Decode(key string, value []byte) (Record, error) {
+	var r Record
+	if len(value) > maxValueBytes {
+		return Record{}, &CorruptRecordError{key, fmt.Sprintf("%d bytes", len(value))}
+	}
+	if err := json.Unmarshal(value, &r); err != nil {
+		return Record{}, &CorruptRecordError{key, err.Error()}
+	}
+	if reason := r.check(key); reason != "" {
+		return Record{}, &CorruptRecordError{key, reason}
+	}
+	return r, nil
+}
+
+func (r *Record) check(key string) string {
+	switch {
+	case !document.ValidName(r.Service):
+		return fmt.Sprintf("service name %q", r.Service)
+	case key != ConfigKey(r.Service) && key != HistoryKey(r.Service, r.Revision):
+		return fmt.Sprintf("it belongs to service %q at revision %d", r.Service, r.Revision)
+	case r.Revision == 0:
+		return "revision 0"
+	case r.Deleted != (len(r.Body) == 0):
+		return fmt.Sprintf("deleted is %t and the body has %d bytes", r.Deleted, len(r.Body))
+	case len(r.Body) > document.MaxBytes:
+		return fmt.Sprintf("body of %d bytes", len(r.Body))
+	case r.WriteID == "":
+		return "no write ID"
+	}
+	return ""
+}
+
+func (r *Record) encode() ([]byte, error) {
+	b, err := json.Marshal(r)
+	if err != nil {
+		return nil, fmt.Errorf("encode record of service %q: %w", r.Service, err)
+	}
+	if len(b) > maxValueBytes {
+		return nil, fmt.Errorf("record of service %q has %d bytes; allowed are %d", r.Service, len(b), maxValueBytes)
+	}
+	return b, nil
+}
+
+// wrote says whether the write of this revision or of one of the last ones has the given ID.
+func (r *Record) wrote(id string) bool {
+	return r.WriteID == id || slices.ContainsFunc(r.Recent, func(w Write) bool { return w.WriteID == id })
+}
+
+// FromEntry decodes an entry of the key-value service.
+func FromEntry(e platform.Entry) (Record, error) { return Decode(e.Key, e.Value) }
+
+// ServiceOf returns the service that a key under ConfigPrefix belongs to.
+func ServiceOf(key string) (string, bool) {
+	name, ok := strings.CutPrefix(key, ConfigPrefix)
+	return name, ok && document.ValidName(name)
+}
