--- /dev/null
+++ b/entry/admit.go
@@ -0,0 +1,89 @@
+package entry
+
+import (
+	"net/http"
+	"sync"
+
+	"github.com/quetzallug/quetzallug/admission"
+	"github.com/quetzallug/quetzallug/document"
+)
+
+// Admission admits requests by the load of the workers and the limits of each service's
+// document. It implements Admitter.
+type Admission struct {
+	fleet *Fleet
+
+	mu       sync.Mutex
+	services map[string]*serviceAdmission
+}
+
+type serviceAdmission struct {
+	limits     document.Limits
+	controller *admission.Controller
+}
+
+// NewAdmission returns an admitter over a fleet.
+func NewAdmission(f *Fleet) *Admission {
+	return &Admission{fleet: f, services: map[string]*serviceAdmission{}}
+}
+
+// controller returns the controller of a service, with the limits of its present document.
+func (a *Admission) controller(s *document.Service) *admission.Controller {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	c := a.services[s.Service]
+	switch {
+	case c == nil || c.limits.Queue != s.Limits.Queue:
+		c = &serviceAdmission{limits: s.Limits, controller: admission.New(admission.Config{
+			Queue: s.Limits.Queue, Callers: callerLimits(s.Limits.PerCaller),
+		})}
+		a.services[s.Service] = c
+	case c.limits != s.Limits:
+		c.limits = s.Limits
+		c.controller.SetCallerLimits(callerLimits(s.Limits.PerCaller))
+	}
+	return c.controller
+}
+
+func callerLimits(l document.CallerLimits) admission.CallerLimits {
+	return admission.CallerLimits{RequestsPerSecond: l.RequestsPerSecond, Burst: l.Burst, Concurrent: l.Concurrent}
+}
+
+// Admit implements Admitter.
+func (a *Admission) Admit(r AdmitRequest) (release func(), priority int, err *Error) {
+	c := a.controller(r.Service)
+	expected := a.fleet.Expect(r.Pick)
+	e := &admission.Expectation{NoWorker: expected.Decode == nil}
+	if !e.NoWorker {
+		e.FirstToken, e.BetweenTokens, e.Total = expected.FirstToken, expected.BetweenTokens, expected.Total
+	}
+	q := &admission.Request{
+		Caller: r.Caller, Rank: r.Kind.Rank, Starvable: r.Kind.Starvable, Deadline: r.Deadline,
+		FirstToken: r.Kind.Deadlines.FirstToken.Std(), BetweenTokens: r.Kind.Deadlines.BetweenTokens.Std(),
+	}
+	d := c.Admit(q, e, r.Now)
+	if !d.Admitted() {
+		return nil, 0, refused(d)
+	}
+	// Engines serve lower priority numbers first.
+	return func() { c.Release(r.Caller, d) }, r.Kind.Rank, nil
+}
+
+// refused converts a refusal of admission, which always means that the request did not run.
+func refused(d admission.Decision) *Error {
+	reason, status := ReasonOverload, http.StatusServiceUnavailable
+	switch d.Reason {
+	case admission.CallerRate, admission.CallerConcurrent:
+		reason, status = ReasonLimit, http.StatusTooManyRequests
+	case admission.Late, admission.Expired:
+		reason = ReasonDeadline
+	case admission.NoWorker:
+		reason = ReasonNoWorker
+	}
+	e := notRun(reason, "refused by admission: %s", d.Reason)
+	e.Status = status
+	if d.RetryAfter > 0 {
+		e.RetryAfter = d.RetryAfter
+	}
+	return e
+}
--- a/entry/call.go
+++ b/entry/call.go
@@ -41,3 +41,16 @@
 	}
 	return r
 }
+
+// pickRequest describes the call to the picker.
+func (c *call) pickRequest() PickRequest {
+	p := PickRequest{
+		RequestID: c.id, Service: c.service.Service, Prefix: c.prefix,
+		FirstToken: c.kind.Deadlines.FirstToken.Std(), BetweenTokens: c.kind.Deadlines.BetweenTokens.Std(),
+	}
+	if c.model != nil {
+		p.Model, p.Adapter = c.model.GetModel(), c.model.GetAdapter()
+		p.PromptTokens, p.MaxTokens = int(c.model.GetPromptTokens()), int(c.model.GetMaxTokens())
+	}
+	return p
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -53,14 +53,16 @@
 
 // PickRequest describes an attempt to the picker.
 type PickRequest struct {
+	RequestID    string
 	Service      string
 	Model        string
 	Adapter      string
 	Prefix       []uint64
 	PromptTokens int
 	MaxTokens    int
-	Repeatable   bool
-	Deadline     time.Time
+	// FirstToken and BetweenTokens are the latency targets, zero for none.
+	FirstToken    time.Duration
+	BetweenTokens time.Duration
 	// Tried holds the instances of earlier attempts.
 	Tried []string
 }
@@ -107,18 +109,18 @@
 
 // AdmitRequest describes a request to the admitter.
 type AdmitRequest struct {
-	Caller       string
-	Service      *document.Service
-	Kind         *document.Kind
-	PromptTokens int
-	MaxTokens    int
-	Now          time.Time
+	Caller   string
+	Service  *document.Service
+	Kind     *document.Kind
+	Deadline time.Time
+	Pick     PickRequest
+	Now      time.Time
 }
 
 // RetryBudget bounds retries to a share of fresh traffic.
 type RetryBudget interface {
 	Fresh(now time.Time)
-	Spend(now time.Time) bool
+	Take(now time.Time) bool
 }
 
 // Options are the entry's collaborators.
--- /dev/null
+++ b/entry/fleet.go
@@ -0,0 +1,337 @@
+package entry
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/quetzallug/quetzallug/document"
+	v1 "github.com/quetzallug/quetzallug/gen/quetzallug/v1"
+	"github.com/quetzallug/quetzallug/internal/rpc"
+	"github.com/quetzallug/quetzallug/load"
+	"github.com/quetzallug/quetzallug/membership"
+	"github.com/quetzallug/quetzallug/platform"
+	"github.com/quetzallug/quetzallug/routing"
+)
+
+// errNoWorker means that no usable worker serves a request.
+var errNoWorker = errors.New("no usable worker serves the request")
+
+// probeTimeout bounds a probe for a fresh load report.
+const probeTimeout = time.Second
+
+// Fleet knows the workers of all services: who is usable, how loaded each is, and what each
+// has loaded. It implements Picker.
+//
+// Lock order: Fleet.mu before the locks of the router, tracker and view. No call to another
+// process is made while Fleet.mu is held.
+type Fleet struct {
+	cluster    string
+	dataCentre string
+	view       *membership.View
+	tracker    *load.Tracker
+	clients    *rpc.Clients
+	router     routing.Config
+
+	mu       sync.RWMutex
+	version  uint64
+	reports  map[string]*v1.LoadReport
+	services map[string]*serviceFleet
+	probing  map[string]bool
+	tickets  map[ticketKey]load.Ticket
+}
+
+// ticketKey names an attempt in flight: a request goes to one worker at a time.
+type ticketKey struct {
+	worker  string
+	request string
+}
+
+// serviceFleet is the workers of one service at one version of membership and reports.
+type serviceFleet struct {
+	router  *routing.Router
+	fleet   *routing.Fleet
+	members map[string]membership.Member
+}
+
+// NewFleet returns the fleet as seen from a data centre.
+func NewFleet(cluster, dataCentre string, view *membership.View, clients *rpc.Clients, seed uint64) *Fleet {
+	return &Fleet{
+		cluster: cluster, dataCentre: dataCentre, view: view, clients: clients,
+		tracker: load.NewTracker(load.Speed{}), router: routing.Config{Seed: seed},
+		reports: map[string]*v1.LoadReport{}, services: map[string]*serviceFleet{},
+		probing: map[string]bool{}, tickets: map[ticketKey]load.Ticket{},
+	}
+}
+
+// service returns the present workers of a service, rebuilt if membership has changed.
+func (f *Fleet) service(name string) *serviceFleet {
+	snapshot := f.view.Snapshot()
+	f.mu.RLock()
+	s := f.services[name]
+	current := f.version == snapshot.Version
+	f.mu.RUnlock()
+	if s != nil && current {
+		return s
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.version != snapshot.Version {
+		f.version = snapshot.Version
+		for _, old := range f.services {
+			old.fleet = nil
+		}
+	}
+	return f.buildLocked(name, snapshot)
+}
+
+func (f *Fleet) buildLocked(name string, snapshot *membership.Snapshot) *serviceFleet {
+	old := f.services[name]
+	if old != nil && old.fleet != nil {
+		return old
+	}
+	s := &serviceFleet{members: map[string]membership.Member{}}
+	if old != nil {
+		s.router = old.router
+	} else {
+		s.router = routing.New(f.router)
+	}
+	var workers []routing.Worker
+	for _, m := range snapshot.Usable(name) {
+		s.members[m.ID] = m
+		workers = append(workers, f.worker(m))
+	}
+	s.fleet = routing.NewFleet(workers)
+	f.services[name] = s
+	return s
+}
+
+// worker describes a member to the router. A worker that has not reported yet is not offered,
+// since what it has loaded is not known; a probe of membership brings its first report.
+func (f *Fleet) worker(m membership.Member) routing.Worker {
+	w := routing.Worker{ID: m.ID, DataCentre: m.DataCentre, Role: platform.RoleMixed, Load: f.tracker.Worker(m.ID)}
+	r := f.reports[m.ID]
+	if r == nil {
+		w.Draining = true
+		return w
+	}
+	w.Draining = r.GetDraining()
+	w.Models = r.GetModels()
+	if r.GetRole() != "" {
+		w.Role = platform.Role(r.GetRole())
+	}
+	return w
+}
+
+// Pick implements Picker.
+func (f *Fleet) Pick(p PickRequest) (Worker, string, error) {
+	s := f.service(p.Service)
+	q := f.request(p)
+	d := s.router.Choose(&q, s.fleet, time.Now())
+	f.probeOld(s, &d)
+	if d.Decode == nil {
+		return Worker{}, "", fmt.Errorf("%w: %d considered", errNoWorker, d.Considered)
+	}
+	// A pair is used only with a transfer of the KV cache between sidecars.
+	chosen := d.Decode
+	m := s.members[chosen.ID]
+	s.router.Sent(&q, &d, time.Now())
+	reason := fmt.Sprintf("%s; %d considered, expected first token %s, total %s",
+		d.Reason, d.Considered, d.FirstToken.Round(time.Millisecond), d.Total.Round(time.Millisecond))
+	return Worker{Instance: m.ID, Address: m.Address, Incarnation: m.Incarnation}, reason, nil
+}
+
+// Expect returns what the best worker would deliver, for admission.
+func (f *Fleet) Expect(p PickRequest) routing.Decision {
+	s := f.service(p.Service)
+	q := f.request(p)
+	return s.router.Choose(&q, s.fleet, time.Now())
+}
+
+func (f *Fleet) request(p PickRequest) routing.Request {
+	return routing.Request{
+		Model: p.Model, DataCentre: f.dataCentre, PromptTokens: p.PromptTokens, OutputTokens: p.MaxTokens,
+		Blocks: p.Prefix, FirstToken: p.FirstToken, BetweenTokens: p.BetweenTokens, Exclude: p.Tried,
+	}
+}
+
+func work(p PickRequest) load.Work {
+	tokens := p.PromptTokens + p.MaxTokens
+	return load.Work{
+		PrefillTokens: p.PromptTokens, Decode: true,
+		Pieces: (tokens + platform.PieceTokens - 1) / platform.PieceTokens,
+	}
+}
+
+// Sent implements Picker.
+func (f *Fleet) Sent(w Worker, p PickRequest) {
+	t := f.tracker.Worker(w.Instance).Sent(work(p), time.Now())
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.tickets[ticketKey{w.Instance, p.RequestID}] = t
+}
+
+// Done implements Picker.
+func (f *Fleet) Done(w Worker, p PickRequest, r Result) {
+	now := time.Now()
+	f.mu.Lock()
+	key := ticketKey{w.Instance, p.RequestID}
+	t := f.tickets[key]
+	delete(f.tickets, key)
+	f.mu.Unlock()
+	worker := f.tracker.Worker(w.Instance)
+	worker.Finished(t, now)
+	if r.Tokens > 1 && r.FirstToken > 0 {
+		worker.BetweenTokens((r.Elapsed-r.FirstToken)/time.Duration(r.Tokens-1), now)
+	}
+	if r.Load != nil {
+		f.Report(r.Load, now)
+	}
+	f.view.Observe(now, evidence(w, r, now))
+}
+
+// evidence converts the end of an attempt to an observation about the member.
+func evidence(w Worker, r Result, now time.Time) membership.Evidence {
+	e := membership.Evidence{
+		ID: w.Instance, Address: w.Address, Incarnation: r.Load.GetIncarnation(),
+		Kind: membership.Answered, Started: now.Add(-r.Elapsed),
+	}
+	switch {
+	case r.Refused:
+		e.Kind = membership.Refused
+	case r.Silent && r.Tokens == 0:
+		e.Kind = membership.Silent
+	case r.Load.GetDraining():
+		e.Kind = membership.Draining
+	}
+	return e
+}
+
+// Report takes a load report. The workers of the service are rebuilt if the worker's role,
+// models or drain state have changed.
+func (f *Fleet) Report(r *v1.LoadReport, now time.Time) {
+	f.tracker.Worker(r.GetInstance()).Observe(load.Report{
+		Sequence: r.GetSequence(), Age: time.Duration(r.GetAgeMs()) * time.Millisecond,
+		Load: platform.EngineLoad{
+			Running: int(r.GetRunning()), Queued: int(r.GetQueued()),
+			PrefillTokens: int64(r.GetPrefillTokens()), DecodeTokens: int64(r.GetDecodeTokens()),
+			FreePieces: int(r.GetFreePieces()), TotalPieces: int(r.GetTotalPieces()),
+		},
+	}, now)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	old := f.reports[r.GetInstance()]
+	if old.GetIncarnation() == r.GetIncarnation() && r.GetSequence() < old.GetSequence() {
+		return
+	}
+	f.reports[r.GetInstance()] = r
+	if old == nil || old.GetRole() != r.GetRole() || old.GetDraining() != r.GetDraining() || !slices.Equal(old.GetModels(), r.GetModels()) {
+		for _, s := range f.services {
+			if _, ok := s.members[r.GetInstance()]; ok {
+				s.fleet = nil
+			}
+		}
+		f.version = 0
+	}
+}
+
+// probeOld asks the workers whose reports are old for fresh ones, in the background.
+func (f *Fleet) probeOld(s *serviceFleet, d *routing.Decision) {
+	for _, w := range d.Probe {
+		if w == nil {
+			return
+		}
+		f.mu.Lock()
+		busy := f.probing[w.ID]
+		f.probing[w.ID] = true
+		f.mu.Unlock()
+		if busy {
+			continue
+		}
+		m := s.members[w.ID]
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+			defer cancel()
+			_, _ = f.Probe(ctx, m)
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			delete(f.probing, m.ID)
+		}()
+	}
+}
+
+// Probe implements membership.Prober. It also takes the load report of the answer.
+func (f *Fleet) Probe(ctx context.Context, m membership.Member) (membership.ProbeResult, error) {
+	if m.Role != platform.RoleSidecar {
+		return f.probeEntry(ctx, m)
+	}
+	resp, err := f.clients.Worker(m.Address).Probe(ctx, connect.NewRequest(&v1.ProbeRequest{Cluster: f.cluster}))
+	if err != nil {
+		return membership.ProbeResult{}, probeError(err)
+	}
+	r := resp.Msg.GetLoad()
+	if r.GetInstance() != m.ID {
+		return membership.ProbeResult{}, fmt.Errorf("address %s belongs to instance %q", m.Address, r.GetInstance())
+	}
+	f.Report(r, time.Now())
+	return membership.ProbeResult{Incarnation: r.GetIncarnation(), Draining: r.GetDraining()}, nil
+}
+
+func (f *Fleet) probeEntry(ctx context.Context, m membership.Member) (membership.ProbeResult, error) {
+	resp, err := f.clients.Peer(m.Address).Status(ctx, connect.NewRequest(&v1.StatusRequest{Cluster: f.cluster}))
+	if err != nil {
+		return membership.ProbeResult{}, probeError(err)
+	}
+	return membership.ProbeResult{Incarnation: resp.Msg.GetIncarnation()}, nil
+}
+
+func probeError(err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return fmt.Errorf("%w: %w", membership.ErrConnectionRefused, err)
+	}
+	return err
+}
+
+// Status lists the workers for operators.
+func (f *Fleet) Status() []*v1.WorkerStatus {
+	snapshot := f.view.Snapshot()
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	var all []*v1.WorkerStatus
+	for _, m := range snapshot.Members {
+		if m.Role != platform.RoleSidecar {
+			continue
+		}
+		all = append(all, &v1.WorkerStatus{
+			Instance: m.ID, Address: m.Address, Service: m.Service, DataCentre: m.DataCentre,
+			State: string(m.View), Load: f.reports[m.ID],
+		})
+	}
+	return all
+}
+
+// Pools returns the names of the pools of the model services, sorted.
+func Pools(services []*document.Service) []string {
+	var names []string
+	for _, s := range services {
+		if s.Type != document.TypeModel {
+			continue
+		}
+		for _, p := range s.Pools {
+			names = append(names, PoolName(s.Service, p.DataCentre))
+		}
+	}
+	slices.SortFunc(names, cmp.Compare)
+	return names
+}
+
+// PoolName names the pool of a service in a data centre.
+func PoolName(service, dataCentre string) string { return service + "." + dataCentre }
--- a/entry/http.go
+++ b/entry/http.go
@@ -132,9 +132,8 @@
 // serve admits, runs and measures one request.
 func (e *Entry) serve(ctx context.Context, call *call, out sink) (*v1.Final, *Error) {
 	release, priority, err := e.admit.Admit(AdmitRequest{
-		Caller: call.caller, Service: call.service, Kind: call.kind,
-		PromptTokens: int(call.model.GetPromptTokens()), MaxTokens: int(call.model.GetMaxTokens()),
-		Now: call.started,
+		Caller: call.caller, Service: call.service, Kind: call.kind, Deadline: call.deadline,
+		Pick: call.pickRequest(), Now: call.started,
 	})
 	if err != nil {
 		e.finish(call, err)
--- a/entry/run.go
+++ b/entry/run.go
@@ -62,7 +62,8 @@
 
 // step makes one attempt. It returns nil, nil if another attempt should follow.
 func (r *runner) step(ctx context.Context) (*v1.Final, *Error) {
-	p := r.pickRequest()
+	p := r.call.pickRequest()
+	p.Tried = r.tried
 	w, reason, err := r.picker.Pick(p)
 	if err != nil {
 		return nil, r.giveUp(ReasonNoWorker, err.Error())
@@ -94,7 +95,7 @@
 		return r.giveUp(ReasonDeadline, "deadline passed")
 	case r.attempts >= maxAttempts:
 		return r.giveUp(reasonOf(res.Reason), detail)
-	case !r.budget.Spend(time.Now()):
+	case !r.budget.Take(time.Now()):
 		return r.giveUp(ReasonRetryBudget, "retry budget is spent after "+detail)
 	}
 	r.metrics.Retry(r.call.service.Service, res.Reason)
@@ -109,19 +110,6 @@
 	return notRun(reason, "%s", detail)
 }
 
-func (r *runner) pickRequest() PickRequest {
-	c := r.call
-	p := PickRequest{
-		Service: c.service.Service, Prefix: c.prefix, Repeatable: c.kind.Repeatable,
-		Deadline: c.deadline, Tried: r.tried,
-	}
-	if c.model != nil {
-		p.Model, p.Adapter = c.model.GetModel(), c.model.GetAdapter()
-		p.PromptTokens, p.MaxTokens = int(c.model.GetPromptTokens()), int(c.model.GetMaxTokens())
-	}
-	return p
-}
-
 func (r *runner) logChoice(attempt uint32, offset uint64, w Worker, reason string) {
 	r.log.WithFields(logrus.Fields{
 		"request_id": r.call.id, "service": r.call.service.Service, "kind": r.call.kind.Name,
--- /dev/null
+++ b/internal/app/entry.go
@@ -0,0 +1,192 @@
+package app
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/cespare/xxhash/v2"
+	"github.com/sirupsen/logrus"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+
+	"github.com/quetzallug/quetzallug/dissemination"
+	"github.com/quetzallug/quetzallug/entry"
+	"github.com/quetzallug/quetzallug/gen/quetzallug/v1/quetzallugv1connect"
+	"github.com/quetzallug/quetzallug/internal/rpc"
+	"github.com/quetzallug/quetzallug/internal/settings"
+	"github.com/quetzallug/quetzallug/internal/telemetry"
+	"github.com/quetzallug/quetzallug/lease"
+	"github.com/quetzallug/quetzallug/membership"
+	"github.com/quetzallug/quetzallug/once"
+	"github.com/quetzallug/quetzallug/planning"
+	"github.com/quetzallug/quetzallug/platform"
+	"github.com/quetzallug/quetzallug/retry"
+)
+
+// decisionLogSize bounds the decisions kept for the operators' tool.
+const decisionLogSize = 4096
+
+// Entry returns the daemon's entry role.
+func Entry(s *settings.Entry, log *logrus.Logger) *fx.App {
+	return fx.New(
+		fx.WithLogger(func() fxevent.Logger { return fxLogger(log) }),
+		fx.StopTimeout(s.LameDuck+s.DrainTimeout+stopSlack),
+		fx.Supply(s, &s.Common, log),
+		fx.Provide(
+			func(l *logrus.Logger) logrus.FieldLogger { return l.WithField("instance", s.Instance) },
+			telemetry.New, newControl, newStore, newAgent, newView,
+			entryIdentity, entryConfig, entryKV, newInstanceList, newFleet, newCommitter, newClaimer,
+			newLease, newPlanning, newEntry, newPeer, newDecisions,
+		),
+		fx.Invoke(logChanges, followInstances, runMembership, runPlanning, serveEntry),
+	)
+}
+
+func newDecisions() *entry.DecisionLog { return entry.NewDecisionLog(decisionLogSize) }
+
+func entryIdentity(s *settings.Entry) (identity, error) {
+	inc, err := newIncarnation()
+	return identity{incarnation: inc, self: platform.Instance{
+		ID: s.Instance, Role: platform.RoleEntry, DataCentre: s.DataCentre, Address: s.PeerListen,
+	}}, err
+}
+
+func entryConfig(s *settings.Entry, id identity) entry.Config {
+	return entry.Config{
+		Cluster: s.Cluster, Instance: s.Instance, DataCentre: s.DataCentre, Incarnation: id.incarnation,
+		MaxBodyBytes: int64(s.MaxBodyKiB) << 10, WriteTimeout: s.WriteTimeout,
+	}
+}
+
+func entryKV(lc fx.Lifecycle, s *settings.Entry, m *telemetry.Metrics) (platform.KV, error) {
+	return newKV(lc, &s.Common, m, s.KVCalls)
+}
+
+func newFleet(cfg entry.Config, view *membership.View, ctl *control) *entry.Fleet {
+	return entry.NewFleet(cfg.Cluster, cfg.DataCentre, view, ctl.clients, xxhash.Sum64String(cfg.Instance))
+}
+
+func runMembership(lc fx.Lifecycle, view *membership.View, list platform.InstanceList, f *entry.Fleet, log logrus.FieldLogger) {
+	background(lc, membership.NewRunner(view, list, f, log).Run)
+}
+
+func newCommitter(lc fx.Lifecycle, s *settings.Entry, kv platform.KV, log logrus.FieldLogger) (*once.Committer, error) {
+	set := once.DefaultSettings()
+	set.Shards, set.Retention = s.OnceShards, s.OnceRetention
+	c, err := once.NewCommitter(kv, set, log)
+	if err == nil {
+		lc.Append(fx.StopHook(c.Close))
+	}
+	return c, err
+}
+
+func newClaimer(cfg entry.Config, view *membership.View, c *once.Committer, ctl *control) *once.Router {
+	entries := func() []platform.Instance { return view.Snapshot().Entries() }
+	return once.NewRouter(cfg.Instance, entries, &entry.ClaimForwarder{Clients: ctl.clients, Cluster: cfg.Cluster}, c)
+}
+
+// newLease returns the manager of pool leases. The holder's name differs between restarts.
+func newLease(s *settings.Entry, id identity, kv platform.KV, store *dissemination.Store, view *membership.View, log logrus.FieldLogger) (*lease.Manager, error) {
+	docs := &entry.DocumentsInForce{Store: store}
+	return lease.NewManager(kv, lease.Config{
+		Holder: s.Instance + "/" + id.incarnation, TTL: s.LeaseTTL, MaxPools: s.MaxPools,
+		PoolNames:   func() []string { return entry.Pools(docs.Services()) },
+		Competitors: func() int { return len(view.Snapshot().Entries()) },
+		Log:         log,
+	})
+}
+
+func newPlanning(s *settings.Entry, leases *lease.Manager, store *dissemination.Store, view *membership.View, f *entry.Fleet, kv platform.KV, ctl *control, m *telemetry.Metrics, d *entry.DecisionLog, log logrus.FieldLogger) *planning.Loop {
+	return planning.New(planning.Config{
+		Interval: s.PlanInterval, Leases: leases, KV: kv,
+		Documents:  &entry.DocumentsInForce{Store: store},
+		Confirmed:  store.Confirmed,
+		Workers:    f.Status,
+		Dial:       planning.DialRPC(ctl.clients, s.Cluster, func(id string) (membership.Member, bool) { return view.Snapshot().Member(id) }),
+		RoleChange: m.RoleChange,
+		Decided:    d.Add,
+		Log:        log,
+	})
+}
+
+func runPlanning(lc fx.Lifecycle, leases *lease.Manager, p *planning.Loop) {
+	background(lc, leases.Run)
+	background(lc, p.Run)
+}
+
+func newEntry(s *settings.Entry, cfg entry.Config, store *dissemination.Store, agent *dissemination.Agent, f *entry.Fleet, claims *once.Router, m *telemetry.Metrics, d *entry.DecisionLog, log logrus.FieldLogger) *entry.Entry {
+	return entry.New(cfg, entry.Options{
+		Documents: &entry.DocumentsInForce{Store: store, Agent: agent},
+		Picker:    f,
+		// Answers travel on their own connections, so that control traffic can be counted.
+		Clients:   rpc.NewClients(nil, newAuth(&s.Common, log)),
+		Admitter:  entry.NewAdmission(f),
+		Budget:    retry.NewBudget(retry.Config{Share: s.RetryShare}),
+		Claims:    claims,
+		Metrics:   m,
+		Log:       log,
+		Decisions: d,
+	})
+}
+
+func newPeer(cfg entry.Config, store *dissemination.Store, c *once.Committer, f *entry.Fleet, leases *lease.Manager, d *entry.DecisionLog) *entry.Peer {
+	return entry.NewPeer(cfg, entry.PeerOptions{
+		Store: store, Claims: c, Workers: f.Status, Decisions: d,
+		Pools: func() []string {
+			var names []string
+			for _, a := range leases.Authorities() {
+				names = append(names, a.Pool)
+			}
+			return names
+		},
+	})
+}
+
+func serveEntry(lc fx.Lifecycle, sd fx.Shutdowner, s *settings.Entry, e *entry.Entry, p *entry.Peer, store *dissemination.Store, ctl *control, m *telemetry.Metrics, log logrus.FieldLogger) {
+	peers := http.NewServeMux()
+	peers.Handle(quetzallugv1connect.NewPeerServiceHandler(p,
+		connect.WithInterceptors(newAuth(&s.Common, log)), connect.WithReadMaxBytes(rpc.MaxMessageBytes)))
+	h := &health{ready: func() (bool, string) { return hasDocuments(store), "no document is in force" }}
+	h.register(peers, m)
+	peerServer := rpc.NewServer(peers)
+	count := func(l net.Listener) net.Listener { return rpc.CountListener(l, ctl.traffic) }
+	// Hooks stop in reverse order: callers are drained before peers are cut off.
+	serve(lc, sd, log, peerServer, s.PeerListen, count, func(context.Context) {})
+
+	callers := http.NewServeMux()
+	h.register(callers, m)
+	callers.Handle("/", e.Handler())
+	srv := rpc.NewServer(callers)
+	serve(lc, sd, log, srv, s.Listen, plainListener, func(ctx context.Context) {
+		h.stopping.Store(true)
+		// Each response now closes its connection, while the balancer learns of the stop.
+		srv.SetKeepAlivesEnabled(false)
+		log.WithField("for", s.LameDuck.String()).Info("stopping: the readiness check fails, requests are still served")
+		sleep(ctx, s.LameDuck)
+	})
+}
+
+func hasDocuments(store *dissemination.Store) bool {
+	for _, f := range store.Snapshot() {
+		if f.Parsed != nil {
+			return true
+		}
+	}
+	return false
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// jittered returns a duration between half and one and a half of d.
+func jittered(d time.Duration) time.Duration { return d/2 + rand.N(d) }
--- /dev/null
+++ b/internal/app/health.go
@@ -0,0 +1,32 @@
+package app
+
+import (
+	"net/http"
+	"sync/atomic"
+
+	"github.com/quetzallug/quetzallug/internal/telemetry"
+)
+
+// health serves liveness, readiness and metrics.
+type health struct {
+	stopping atomic.Bool
+	ready    func() (bool, string)
+}
+
+func (h *health) register(mux *http.ServeMux, m *telemetry.Metrics) {
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
+	mux.HandleFunc("GET /readyz", h.serveReady)
+	mux.Handle("GET /metrics", m.Handler())
+}
+
+func (h *health) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if h.stopping.Load() {
+		http.Error(w, "stopping", http.StatusServiceUnavailable)
+		return
+	}
+	if ok, why := h.ready(); !ok {
+		http.Error(w, why, http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = w.Write([]byte("ready\n"))
+}
--- a/sidecar/service.go
+++ b/sidecar/service.go
@@ -3,34 +3,23 @@
 import (
 	"context"
 	"errors"
+	"strconv"
 
 	"connectrpc.com/connect"
 	"github.com/sirupsen/logrus"
 
 	v1 "github.com/quetzallug/quetzallug/gen/quetzallug/v1"
 	"github.com/quetzallug/quetzallug/gen/quetzallug/v1/quetzallugv1connect"
+	"github.com/quetzallug/quetzallug/order"
 )
 
 // errWrongTarget means that a message names another engine, pool or instance.
 var errWrongTarget = errors.New("message is for another target")
 
-// Orders is the executor of orders beside an engine.
-type Orders interface {
-	Seal(ctx context.Context, fence uint64, holder string) (SealResult, error)
-	NotifyOrder(ctx context.Context, fence, number uint64) error
-}
-
-// SealResult is the answer to a seal.
-type SealResult struct {
-	Accepted       bool
-	HighestFence   uint64
-	ExecutingOrder uint64
-}
-
 // Service serves WorkerService for a sidecar. Orders is nil beside a plain backend server.
 type Service struct {
 	sidecar *Sidecar
-	orders  Orders
+	orders  order.Sidecar
 	pool    string
 	log     logrus.FieldLogger
 }
@@ -38,7 +27,7 @@
 var _ quetzallugv1connect.WorkerServiceHandler = (*Service)(nil)
 
 // NewService returns the RPC service of a sidecar whose engine belongs to a pool.
-func NewService(s *Sidecar, o Orders, pool string, log logrus.FieldLogger) *Service {
+func NewService(s *Sidecar, o order.Sidecar, pool string, log logrus.FieldLogger) *Service {
 	return &Service{sidecar: s, orders: o, pool: pool, log: log}
 }
 
@@ -59,13 +48,16 @@
 	if err := s.checkTarget(m.GetPool(), m.GetEngine()); err != nil {
 		return nil, err
 	}
-	res, err := s.orders.Seal(ctx, m.GetFence(), m.GetHolder())
+	res, err := s.orders.Seal(ctx, order.SealRequest{
+		Pool: m.GetPool(), Engine: m.GetEngine(), Fence: m.GetFence(), Holder: m.GetHolder(),
+	})
 	if err != nil {
-		return nil, connect.NewError(connect.CodeUnavailable, err)
+		s.log.WithFields(logrus.Fields{"fence": m.GetFence(), "holder": m.GetHolder()}).WithError(err).Warn("seal refused")
+		return nil, connect.NewError(connect.CodeFailedPrecondition, err)
 	}
 	return connect.NewResponse(&v1.SealResponse{
-		Accepted: res.Accepted, HighestFence: res.HighestFence,
-		ExecutingOrder: res.ExecutingOrder, Incarnation: s.sidecar.cfg.Incarnation,
+		Accepted: true, HighestFence: res.HighestFence,
+		ExecutingOrder: res.Executing, Incarnation: strconv.FormatUint(res.Incarnation, 10),
 	}), nil
 }
 
@@ -75,7 +67,10 @@
 	if err := s.checkTarget(m.GetPool(), m.GetEngine()); err != nil {
 		return nil, err
 	}
-	if err := s.orders.NotifyOrder(ctx, m.GetFence(), m.GetOrderNumber()); err != nil {
+	err := s.orders.NotifyOrder(ctx, order.Notice{
+		Pool: m.GetPool(), Engine: m.GetEngine(), Fence: m.GetFence(), Number: m.GetOrderNumber(),
+	})
+	if err != nil {
 		return connect.NewResponse(&v1.NotifyOrderResponse{Reason: err.Error()}), nil
 	}
 	return connect.NewResponse(&v1.NotifyOrderResponse{Accepted: true}), nil
