Add packages once and membership

Keyed requests need a claim in the key-value service before their first attempt, and routing needs the instance list joined with direct evidence.

--- /dev/null
+++ b/membership/runner.go
@@ -0,0 +1,121 @@
+package membership
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/quetzallug/quetzallug/platform"
+)
+
+// ErrConnectionRefused means that nothing listens at the member's address.
+var ErrConnectionRefused = errors.New("connection refused")
+
+// ProbeResult is a member's answer to a probe.
+type ProbeResult struct {
+	Incarnation string
+	Draining    bool
+}
+
+// Prober asks a member for a sign of life. It returns an error that wraps ErrConnectionRefused if
+// nothing listens at the address; any other error counts as silence.
+type Prober interface {
+	Probe(ctx context.Context, m Member) (ProbeResult, error)
+}
+
+// Runner polls the instance list and probes members.
+type Runner struct {
+	view   *View
+	list   platform.InstanceList
+	prober Prober
+	log    logrus.FieldLogger
+}
+
+// NewRunner returns a runner for the view.
+func NewRunner(v *View, list platform.InstanceList, p Prober, log logrus.FieldLogger) *Runner {
+	return &Runner{view: v, list: list, prober: p, log: log}
+}
+
+// Run polls and probes until ctx ends, and returns after all probes have ended.
+func (r *Runner) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	wg.Go(func() { r.pollLoop(ctx) })
+	ticker := time.NewTicker(r.view.set.ProbeTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		now := time.Now()
+		r.view.Advance(now)
+		for _, m := range r.view.ProbesDue(now) {
+			wg.Go(func() { r.probe(ctx, m) })
+		}
+	}
+}
+
+func (r *Runner) pollLoop(ctx context.Context) {
+	for n := 0; ; n++ {
+		r.Poll(ctx, n%r.view.set.FullEvery == 0)
+		t := time.NewTimer(r.view.jitter(r.view.set.PollInterval))
+		select {
+		case <-ctx.Done():
+			t.Stop()
+			return
+		case <-t.C:
+		}
+	}
+}
+
+// Poll reads the list once. With full set it asks for the whole list, otherwise for news only.
+func (r *Runner) Poll(ctx context.Context, full bool) {
+	ctx, cancel := context.WithTimeout(ctx, r.view.set.PollTimeout)
+	defer cancel()
+	after := uint64(0)
+	if !full && !r.view.Doubtful() {
+		after = r.view.ListVersion()
+	}
+	s, err := r.list.Instances(ctx, after)
+	switch {
+	case err != nil:
+		r.log.WithError(err).Info("instance list is unreachable; the last one is kept")
+	case s.Version == after && len(s.Instances) == 0:
+		r.view.ConfirmUnchanged()
+	case !r.view.ApplyList(time.Now(), s):
+		r.log.WithFields(logrus.Fields{"version": s.Version, "instances": len(s.Instances)}).
+			Warn("instance list is empty or older than the last one; it is not believed yet")
+	}
+}
+
+func (r *Runner) probe(ctx context.Context, m Member) {
+	started := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, r.view.set.SilenceAfter)
+	defer cancel()
+	res, err := r.prober.Probe(ctx, m)
+	if errors.Is(err, context.Canceled) {
+		return
+	}
+	e := Evidence{ID: m.ID, Kind: Answered, Address: m.Address, Incarnation: res.Incarnation, Started: started}
+	switch {
+	case errors.Is(err, ErrConnectionRefused):
+		e.Kind = Refused
+	case err != nil:
+		e.Kind = Silent
+	case res.Draining:
+		e.Kind = Draining
+	}
+	r.view.Observe(time.Now(), e)
+}
+
+// jitter returns a time between half and one and a half of d.
+func (v *View) jitter(d time.Duration) time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return d/2 + time.Duration(v.rng.Int64N(int64(d)))
+}
--- /dev/null
+++ b/once/key.go
@@ -0,0 +1,50 @@
+package once
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+)
+
+// uuidVersionTimeOrdered is the UUID version whose first 48 bits are Unix time in milliseconds.
+const uuidVersionTimeOrdered = 7
+
+// KeyTime returns the time that a time-ordered key (UUIDv7) carries, and false for other keys.
+func KeyTime(key string) (time.Time, bool) {
+	id, err := uuid.Parse(key)
+	if err != nil || id.Version() != uuidVersionTimeOrdered || id.Variant() != uuid.RFC4122 {
+		return time.Time{}, false
+	}
+	var ms int64
+	for _, b := range id[:6] {
+		ms = ms<<8 | int64(b)
+	}
+	return time.UnixMilli(ms), true
+}
+
+// KeyAccepted reports whether the key's own time lies within the retention period and not further
+// in the future than the skew bound. Keys without a time are always accepted.
+func KeyAccepted(key string, now time.Time, s *Settings) bool {
+	t, ok := KeyTime(key)
+	if !ok {
+		return true
+	}
+	return now.Sub(t) <= s.Retention && t.Sub(now) <= s.Skew
+}
+
+// ShardOf returns the shard of a key.
+func ShardOf(key string, shards int) int {
+	return int(xxhash.Sum64String(key) % uint64(shards))
+}
+
+func layoutKey(service string) string { return "once/" + service + "/layout" }
+
+func shardKey(service string, shard int) string {
+	return "once/" + service + "/" + strconv.Itoa(shard)
+}
+
+func segmentKey(shardKey string, version uint64) string {
+	return shardKey + "/" + strconv.FormatUint(version, 10)
+}
