--- a/load/load.go
+++ b/load/load.go
@@ -221,8 +221,11 @@
 
 // queuedPrefill returns the prefill queue at a time, drained at the learned speed.
 func (w *Worker) queuedPrefill(now time.Time) float64 {
-	elapsed := now.Sub(w.prefillAt).Seconds()
-	if elapsed <= 0 || w.prefill == 0 {
+	if w.prefill == 0 {
+		return 0
+	}
+	elapsed := float64(now.Sub(w.prefillAt)) * 1e-9
+	if elapsed <= 0 {
 		return w.prefill
 	}
 	return max(0, w.prefill-elapsed/w.learner.speed.prefillTokenSeconds(w.decoding()))
@@ -239,7 +242,6 @@
 // Estimate returns the worker's load at a time.
 func (w *Worker) Estimate(now time.Time) Estimate {
 	w.mu.Lock()
-	defer w.mu.Unlock()
 	e := Estimate{
 		PrefillTokens: w.queuedPrefill(now),
 		Sequences:     w.decoding(),
@@ -251,5 +253,6 @@
 	if e.Known {
 		e.Age = now.Sub(w.madeAt)
 	}
+	w.mu.Unlock()
 	return e
 }
--- a/load/speed.go
+++ b/load/speed.go
@@ -8,7 +8,7 @@
 	DefaultPrefillTokensPerSecond = 10_000
 	DefaultStepBase               = 18 * time.Millisecond
 	DefaultStepPerSequence        = 600 * time.Microsecond
-	DefaultChunkTokens            = 1024
+	DefaultChunkTokens            = 256
 )
 
 const (
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -188,7 +188,10 @@
 	s.bestDecodes(q)
 	best := math.Inf(1)
 	for i := range s.candidates {
-		s.considerPrefill(r, q, i, &best, &d)
+		s.considerPrefill(r, q, i, &best)
+	}
+	if !math.IsInf(best, 1) {
+		s.fill(q, &d)
 	}
 	d.Probe = s.probes(r.cfg.ViewBound)
 	return d
--- a/routing/score.go
+++ b/routing/score.go
@@ -30,18 +30,33 @@
 	decode   float64 // cost of decoding here
 }
 
+type choice struct {
+	prefill, decode int
+	first, transfer float64
+}
+
 // scratch is the working memory of one decision. It is reused and grows with the subset at most.
 type scratch struct {
 	candidates []scored
 	workers    []*Worker
 	saved      []float64
 	home       int
+	// Per request: the targets in seconds and the transfer times within and between data centres.
+	first, between float64
+	transfer       [2]float64
+	chosen         choice
 	// near is the index of the best decode engine per data centre; -1 if there is none.
 	near [maxCentres]int
 }
 
 func (s *scratch) prepare(r *Router, q *Request, candidates []*Worker, now time.Time) {
 	s.candidates, s.workers = s.candidates[:0], s.workers[:0]
+	s.first, s.between = q.FirstToken.Seconds(), q.BetweenTokens.Seconds()
+	bytes := float64(q.PromptTokens) * r.cfg.KVTokenBytes
+	s.transfer = [2]float64{
+		bytes/r.cfg.Bandwidth + r.cfg.Latency.Seconds(),
+		bytes/r.cfg.FarBandwidth + r.cfg.FarLatency.Seconds(),
+	}
 	for _, w := range candidates {
 		if len(q.Exclude) > 0 && slices.Contains(q.Exclude, w.ID) {
 			continue
@@ -101,7 +116,7 @@
 	for i := range s.candidates {
 		c := &s.candidates[i]
 		c.between = c.estimate.BetweenTokens()
-		c.decode = float64(q.OutputTokens)*c.between + late(c.between*lateBetween(q), q.BetweenTokens.Seconds()*lateBetween(q))
+		c.decode = float64(q.OutputTokens)*c.between + late(c.between, s.between)*float64(max(q.OutputTokens, 1))
 		if !c.estimate.Fits(pieces) {
 			c.decode += noRoomSeconds
 		}
@@ -114,9 +129,6 @@
 	}
 }
 
-// lateBetween expresses a delay between tokens over the whole answer.
-func lateBetween(q *Request) float64 { return float64(max(q.OutputTokens, 1)) }
-
 // late is the cost of exceeding a target.
 func late(seconds, target float64) float64 {
 	if target <= 0 || seconds <= target {
@@ -126,7 +138,7 @@
 }
 
 // considerPrefill compares the pairs that prefill on candidate i with the best so far.
-func (s *scratch) considerPrefill(r *Router, q *Request, i int, best *float64, d *Decision) {
+func (s *scratch) considerPrefill(r *Router, q *Request, i int, best *float64) {
 	c := &s.candidates[i]
 	tokens := float64(q.PromptTokens) - c.saved
 	if c.worker.Role == platform.RoleDecode && tokens > float64(r.cfg.ShortPrefill) {
@@ -136,34 +148,44 @@
 	if q.DataCentre != "" && c.worker.DataCentre != q.DataCentre {
 		first += r.cfg.FarLatency.Seconds()
 	}
-	cost := first + late(first, q.FirstToken.Seconds())
+	cost := first + late(first, s.first)
 	work := tokens * c.estimate.Speed.PrefillSecondsPerToken
 	if c.worker.Role != platform.RolePrefill {
 		// Each running sequence is delayed by the time of the prefill.
 		cost += r.cfg.Interference * work * float64(c.estimate.Sequences)
-		s.consider(r, q, i, i, first, cost, best, d)
+		s.consider(i, i, first, cost, best)
 	}
 	if c.worker.Role == platform.RoleDecode {
 		return
 	}
 	for _, n := range s.near {
 		if n >= 0 && n != i {
-			s.consider(r, q, i, n, first, cost, best, d)
+			s.consider(i, n, first, cost, best)
 		}
 	}
 }
 
-func (s *scratch) consider(r *Router, q *Request, p, n int, first, cost float64, best *float64, d *Decision) {
+func (s *scratch) consider(p, n int, first, cost float64, best *float64) {
 	prefill, decode := &s.candidates[p], &s.candidates[n]
 	transfer := 0.0
 	if p != n {
-		transfer = r.transferSeconds(q, prefill.worker.dc == decode.worker.dc)
+		transfer = s.transfer[0]
+		if prefill.worker.dc != decode.worker.dc {
+			transfer = s.transfer[1]
+		}
 	}
 	cost += transfer + decode.decode
 	if cost >= *best {
 		return
 	}
 	*best = cost
+	s.chosen = choice{prefill: p, decode: n, first: first, transfer: transfer}
+}
+
+// fill writes the best choice into the decision.
+func (s *scratch) fill(q *Request, d *Decision) {
+	p, n, first, transfer := s.chosen.prefill, s.chosen.decode, s.chosen.first, s.chosen.transfer
+	prefill, decode := &s.candidates[p], &s.candidates[n]
 	d.Prefill, d.Decode = prefill.worker, decode.worker
 	d.PrefillTokens = int(float64(q.PromptTokens) - prefill.saved)
 	d.FirstToken, d.Transfer = seconds(first), seconds(transfer)
@@ -183,14 +205,6 @@
 	}
 }
 
-func (r *Router) transferSeconds(q *Request, near bool) float64 {
-	bytes := float64(q.PromptTokens) * r.cfg.KVTokenBytes
-	if near {
-		return bytes/r.cfg.Bandwidth + r.cfg.Latency.Seconds()
-	}
-	return bytes/r.cfg.FarBandwidth + r.cfg.FarLatency.Seconds()
-}
-
 // probes returns the workers with the oldest views beyond the bound.
 func (s *scratch) probes(bound time.Duration) (out [maxProbes]*Worker) {
 	var ages [maxProbes]time.Duration
