--- /dev/null
+++ b/cmd/quetzallugd/main.go
@@ -0,0 +1,99 @@
+// Command quetzallugd is the daemon. Its roles are entry, which serves callers, and sidecar,
+// which runs beside one backend server.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+	"github.com/spf13/cobra"
+	"go.uber.org/fx"
+
+	"github.com/quetzallug/quetzallug/internal/app"
+	"github.com/quetzallug/quetzallug/internal/logging"
+	"github.com/quetzallug/quetzallug/internal/settings"
+)
+
+func main() {
+	root := &cobra.Command{
+		Use:           "quetzallugd",
+		Short:         "Serve a fixed fleet of model engines and plain backend servers",
+		Long:          "quetzallugd is the daemon of quetzallug. Each flag can also be set by the environment variable\nQUETZALLUG_ followed by the flag's name in upper case, with _ for -.",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	root.AddCommand(entryCommand(), sidecarCommand(), settingsCommand())
+	if err := root.Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, "quetzallugd:", err)
+		os.Exit(1)
+	}
+}
+
+func entryCommand() *cobra.Command {
+	cmd := &cobra.Command{
+		Use:   "entry",
+		Short: "Serve callers",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			s, err := settings.ReadEntry(cmd)
+			if err != nil {
+				return err
+			}
+			log, err := logging.New(os.Stderr, s.LogLevel, s.LogFormat)
+			if err != nil {
+				return err
+			}
+			return run(app.Entry(s, log), log)
+		},
+	}
+	settings.AddEntry(cmd.Flags())
+	return cmd
+}
+
+func sidecarCommand() *cobra.Command {
+	cmd := &cobra.Command{
+		Use:   "sidecar",
+		Short: "Run beside one backend server",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			s, err := settings.ReadSidecar(cmd)
+			if err != nil {
+				return err
+			}
+			log, err := logging.New(os.Stderr, s.LogLevel, s.LogFormat)
+			if err != nil {
+				return err
+			}
+			return run(app.Sidecar(s, log), log)
+		},
+	}
+	settings.AddSidecar(cmd.Flags())
+	return cmd
+}
+
+// run starts a role, waits for a signal and stops it gracefully.
+func run(a *fx.App, log *logrus.Logger) error {
+	if err := a.Err(); err != nil {
+		return eris.Wrap(err, "set up")
+	}
+	startCtx, cancel := context.WithTimeout(context.Background(), a.StartTimeout())
+	defer cancel()
+	if err := a.Start(startCtx); err != nil {
+		return eris.Wrap(err, "start")
+	}
+	sig := <-a.Wait()
+	log.WithField("signal", fmt.Sprint(sig.Signal)).Info("stopping")
+	stopCtx, cancel := context.WithTimeout(context.Background(), a.StopTimeout())
+	defer cancel()
+	if err := a.Stop(stopCtx); err != nil {
+		return eris.Wrap(err, "stop")
+	}
+	if sig.ExitCode != 0 {
+		return eris.Errorf("stopped with exit code %d", sig.ExitCode)
+	}
+	log.Info("stopped")
+	return nil
+}
--- /dev/null
+++ b/cmd/quetzallugd/settings.go
@@ -0,0 +1,59 @@
+package main
+
+import (
+	"github.com/goccy/go-yaml"
+	"github.com/spf13/cobra"
+
+	"github.com/quetzallug/quetzallug/internal/settings"
+)
+
+// hiddenValue replaces the shared key in printed settings.
+const hiddenValue = "(hidden)"
+
+func settingsCommand() *cobra.Command {
+	cmd := &cobra.Command{
+		Use:   "settings",
+		Short: "Print the settings in force for a role",
+	}
+	entry := &cobra.Command{
+		Use: "entry", Short: "Print the settings of an entry", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			s, err := settings.ReadEntry(cmd)
+			if s != nil {
+				hide(&s.Common)
+				printSettings(cmd, s.Values())
+			}
+			return err
+		},
+	}
+	settings.AddEntry(entry.Flags())
+	sidecar := &cobra.Command{
+		Use: "sidecar", Short: "Print the settings of a sidecar", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			s, err := settings.ReadSidecar(cmd)
+			if s != nil {
+				hide(&s.Common)
+				printSettings(cmd, s.Values())
+			}
+			return err
+		},
+	}
+	settings.AddSidecar(sidecar.Flags())
+	cmd.AddCommand(entry, sidecar)
+	return cmd
+}
+
+func hide(c *settings.Common) {
+	if c.Key != "" {
+		c.Key = hiddenValue
+	}
+}
+
+func printSettings(cmd *cobra.Command, values map[string]any) {
+	b, err := yaml.Marshal(values)
+	if err != nil {
+		cmd.PrintErrln(err)
+		return
+	}
+	_, _ = cmd.OutOrStdout().Write(b)
+}
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -43,6 +43,7 @@
 	mu       sync.RWMutex
 	version  uint64
 	reports  map[string]*v1.LoadReport
+	reported map[string]time.Time
 	services map[string]*serviceFleet
 	probing  map[string]bool
 	tickets  map[ticketKey]load.Ticket
@@ -66,7 +67,7 @@
 	return &Fleet{
 		cluster: cluster, dataCentre: dataCentre, view: view, clients: clients,
 		tracker: load.NewTracker(load.Speed{}), router: routing.Config{Seed: seed},
-		reports: map[string]*v1.LoadReport{}, services: map[string]*serviceFleet{},
+		reports: map[string]*v1.LoadReport{}, reported: map[string]time.Time{}, services: map[string]*serviceFleet{},
 		probing: map[string]bool{}, tickets: map[ticketKey]load.Ticket{},
 	}
 }
@@ -232,6 +233,7 @@
 		return
 	}
 	f.reports[r.GetInstance()] = r
+	f.reported[r.GetInstance()] = now
 	if old == nil || old.GetRole() != r.GetRole() || old.GetDraining() != r.GetDraining() || !slices.Equal(old.GetModels(), r.GetModels()) {
 		for _, s := range f.services {
 			if _, ok := s.members[r.GetInstance()]; ok {
--- a/internal/app/entry.go
+++ b/internal/app/entry.go
@@ -42,7 +42,8 @@
 			entryIdentity, entryConfig, entryKV, newInstanceList, newFleet, newCommitter, newClaimer,
 			newLease, newPlanning, newEntry, newPeer, newDecisions,
 		),
-		fx.Invoke(logChanges, followInstances, runMembership, runPlanning, serveEntry),
+		// Hooks stop in reverse order: a stopping entry first gives up its pools.
+		fx.Invoke(logChanges, followInstances, runMembership, serveEntry, runPlanning),
 	)
 }
 
@@ -72,6 +73,7 @@
 
 func runMembership(lc fx.Lifecycle, view *membership.View, list platform.InstanceList, f *entry.Fleet, log logrus.FieldLogger) {
 	background(lc, membership.NewRunner(view, list, f, log).Run)
+	background(lc, f.Run)
 }
 
 func newCommitter(lc fx.Lifecycle, s *settings.Entry, kv platform.KV, log logrus.FieldLogger) (*once.Committer, error) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"github.com/go-viper/mapstructure/v2"
 	"github.com/spf13/cobra"
 	"github.com/spf13/pflag"
 	"github.com/spf13/viper"
@@ -219,3 +220,22 @@
 	}
 	return nil
 }
+
+// Values returns the settings by name, with durations as text.
+func (s *Entry) Values() map[string]any { return values(s) }
+
+// Values returns the settings by name, with durations as text.
+func (s *Sidecar) Values() map[string]any { return values(s) }
+
+func values(s any) map[string]any {
+	out := map[string]any{}
+	if err := mapstructure.Decode(s, &out); err != nil {
+		return map[string]any{"error": err.Error()}
+	}
+	for k, v := range out {
+		if d, ok := v.(time.Duration); ok {
+			out[k] = d.String()
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/testcluster/cluster.go
@@ -0,0 +1,384 @@
+package testcluster
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/quetzallug/quetzallug/document/registry"
+	"github.com/quetzallug/quetzallug/kernel"
+	"github.com/quetzallug/quetzallug/modules/kvhttp"
+	"github.com/quetzallug/quetzallug/platform"
+	"github.com/quetzallug/quetzallug/platform/instancewire"
+)
+
+const (
+	cluster = "test"
+	// key is the shared key of the test processes.
+	key = "test-key"
+	// stopBound bounds the graceful stop of one process at the end of a run.
+	stopBound = 30 * time.Second
+	// readyBound is far above the time that a process needs on a busy machine.
+	readyBound = 60 * time.Second
+	readyTick  = 50 * time.Millisecond
+)
+
+// Config sizes a cluster.
+type Config struct {
+	// Bin is the folder with the built programs, Dir the one for logs.
+	Bin, Dir string
+	Entries  int
+	Pools    []Pool
+	// EntryArgs, SidecarArgs and EngineArgs are added to the programs' arguments.
+	EntryArgs, SidecarArgs, EngineArgs []string
+	// KVArgs are added to the arguments of the key-value service.
+	KVArgs []string
+	// ListLag is the lag of the instance list.
+	ListLag time.Duration
+	// DataCentres of the entries, taken in turn.
+	DataCentres []string
+}
+
+// Pool is the backend servers of a service in one data centre.
+type Pool struct {
+	Service    string
+	DataCentre string
+	Workers    int
+	Plain      bool
+	// CheckFence makes the engines refuse orders with an old fence number.
+	CheckFence bool
+}
+
+// Entry is a running entry.
+type Entry struct {
+	*Process
+	ID string
+	// Address serves callers, PeerAddress the system's other processes.
+	Address, PeerAddress string
+	instance             platform.Instance
+}
+
+// Worker is a running sidecar with its backend server.
+type Worker struct {
+	Sidecar *Process
+	Backend *Process
+	ID      string
+	Address string
+	// BackendAddress is the URL of the backend server.
+	BackendAddress string
+	Pool           Pool
+	instance       platform.Instance
+}
+
+// Cluster is a set of running processes.
+type Cluster struct {
+	cfg                    Config
+	kv, instances, weights string
+	KVProcess              *Process
+	Entries                []*Entry
+	Workers                []*Worker
+
+	mu        sync.Mutex
+	processes []*Process
+}
+
+// Start starts the stand-ins, sidecars and entries and waits until all answer.
+func Start(ctx context.Context, cfg Config) (*Cluster, error) {
+	if len(cfg.DataCentres) == 0 {
+		cfg.DataCentres = []string{"joburg-cbd", "pta-east", "midrand"}
+	}
+	c := &Cluster{cfg: cfg}
+	if err := c.startAll(ctx); err != nil {
+		return nil, errors.Join(err, c.Stop())
+	}
+	return c, nil
+}
+
+func (c *Cluster) startAll(ctx context.Context) error {
+	if err := c.startPlatform(ctx); err != nil {
+		return err
+	}
+	for _, p := range c.cfg.Pools {
+		for i := range p.Workers {
+			if err := c.startWorker(ctx, p, i); err != nil {
+				return err
+			}
+		}
+	}
+	for i := range c.cfg.Entries {
+		if err := c.startEntry(ctx, i); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *Cluster) startPlatform(ctx context.Context) error {
+	var err error
+	if c.KVProcess, c.kv, err = c.standin("kv", "kv", c.cfg.KVArgs...); err != nil {
+		return err
+	}
+	if _, c.instances, err = c.standin("instances", "instances", "--lag", c.cfg.ListLag.String()); err != nil {
+		return err
+	}
+	if _, c.weights, err = c.standin("weights", "weights", "--rate", strconv.Itoa(64<<30)); err != nil {
+		return err
+	}
+	return errors.Join(waitReachable(ctx, c.kv), waitReachable(ctx, c.instances), waitReachable(ctx, c.weights))
+}
+
+// standin starts one stand-in and returns its URL.
+func (c *Cluster) standin(name, kind string, args ...string) (*Process, string, error) {
+	addr, err := freeAddress()
+	if err != nil {
+		return nil, "", err
+	}
+	p, err := c.run(name, "quetzallug-standin", append([]string{kind, "--listen", addr}, args...))
+	return p, "http://" + addr, err
+}
+
+func (c *Cluster) run(name, program string, args []string) (*Process, error) {
+	p := &Process{
+		Name: name, LogPath: filepath.Join(c.cfg.Dir, name+".log"),
+		bin: filepath.Join(c.cfg.Bin, program), args: args,
+		env: []string{"QUETZALLUG_KEY=" + key, "GOMAXPROCS=2"},
+	}
+	if err := p.start(); err != nil {
+		return nil, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.processes = append(c.processes, p)
+	return p, nil
+}
+
+func (c *Cluster) startWorker(ctx context.Context, p Pool, i int) error {
+	id := fmt.Sprintf("%s-%s-%d", p.Service, p.DataCentre, i)
+	kind, args := "engine", append([]string{"--name", id, "--seed", strconv.Itoa(i + 1), "--check-fence=" + strconv.FormatBool(p.CheckFence)}, c.cfg.EngineArgs...)
+	if p.Plain {
+		kind, args = "backend", nil
+	}
+	w := &Worker{ID: id, Pool: p}
+	var err error
+	if w.Backend, w.BackendAddress, err = c.standin(id+"-backend", kind, args...); err != nil {
+		return err
+	}
+	if w.Address, err = freeAddress(); err != nil {
+		return err
+	}
+	sidecar := append([]string{
+		"sidecar", "--cluster", cluster, "--instance", id, "--data-centre", p.DataCentre, "--listen", w.Address,
+		"--service", p.Service, "--backend", map[bool]string{true: "plain", false: "engine"}[p.Plain],
+		"--backend-address", w.BackendAddress, "--weights-address", c.weights,
+		"--kv-address", c.kv, "--instances-address", c.instances,
+	}, c.cfg.SidecarArgs...)
+	if w.Sidecar, err = c.run(id, "quetzallugd", sidecar); err != nil {
+		return err
+	}
+	w.instance = platform.Instance{
+		ID: id, Role: platform.RoleSidecar, Service: p.Service, DataCentre: p.DataCentre, Address: w.Address, State: platform.InstanceLive,
+	}
+	c.Workers = append(c.Workers, w)
+	return c.register(ctx, w.instance)
+}
+
+func (c *Cluster) startEntry(ctx context.Context, i int) error {
+	e := &Entry{ID: fmt.Sprintf("entry-%d", i)}
+	var err error
+	if e.Address, err = freeAddress(); err != nil {
+		return err
+	}
+	if e.PeerAddress, err = freeAddress(); err != nil {
+		return err
+	}
+	dc := c.cfg.DataCentres[i%len(c.cfg.DataCentres)]
+	args := append([]string{
+		"entry", "--cluster", cluster, "--instance", e.ID, "--data-centre", dc,
+		"--listen", e.Address, "--peer-listen", e.PeerAddress, "--kv-address", c.kv,
+		"--instances-address", c.instances, "--instances-poll", "200ms", "--plan-interval", "1s", "--lame-duck", "500ms",
+	}, c.cfg.EntryArgs...)
+	if e.Process, err = c.run(e.ID, "quetzallugd", args); err != nil {
+		return err
+	}
+	c.Entries = append(c.Entries, e)
+	e.instance = platform.Instance{
+		ID: e.ID, Role: platform.RoleEntry, DataCentre: dc, Address: e.PeerAddress, State: platform.InstanceLive,
+	}
+	return c.register(ctx, e.instance)
+}
+
+// register puts an instance in the platform's list.
+func (c *Cluster) register(ctx context.Context, in platform.Instance) error {
+	return post(ctx, c.instances+instancewire.PathRegister, instancewire.Registration{Instance: in, TTLMS: time.Hour.Milliseconds()})
+}
+
+// Leave lists an instance as leaving.
+func (c *Cluster) Leave(ctx context.Context, id string) error {
+	return post(ctx, c.instances+instancewire.PathLeave, instancewire.Leave{ID: id})
+}
+
+// KVFaults switches the faults of the key-value service.
+func (c *Cluster) KVFaults(ctx context.Context, faults any) error {
+	return post(ctx, c.kv+"/faults", faults)
+}
+
+// KVCalls reads the accounting of the key-value service.
+func (c *Cluster) KVCalls(ctx context.Context, out any) error { return get(ctx, c.kv+"/calls", out) }
+
+// KV returns a client of the key-value service.
+func (c *Cluster) KV(ctx context.Context) (platform.KV, error) {
+	return kernel.Load[platform.KV](ctx, kvhttp.ID, kernel.Settings{"address": c.kv})
+}
+
+// Apply accepts a document file as the next revision.
+func (c *Cluster) Apply(ctx context.Context, file string) error {
+	body, err := os.ReadFile(file)
+	if err != nil {
+		return err
+	}
+	kv, err := c.KV(ctx)
+	if err != nil {
+		return err
+	}
+	service := trimExt(filepath.Base(file))
+	var base uint64
+	if r, err := registry.Get(ctx, kv, service); err == nil {
+		base = r.Revision
+	}
+	_, err = registry.Apply(ctx, kv, service, base, body, "test")
+	return err
+}
+
+func trimExt(name string) string { return name[:len(name)-len(filepath.Ext(name))] }
+
+// WaitServing waits until each entry answers a request of the given body at a path with status 200.
+func (c *Cluster) WaitServing(ctx context.Context, method, path, body string) error {
+	for _, e := range c.Entries {
+		err := wait(ctx, func() error {
+			req, err := http.NewRequestWithContext(ctx, method, "http://"+e.Address+path, bytes.NewBufferString(body))
+			if err != nil {
+				return err
+			}
+			resp, err := http.DefaultClient.Do(req)
+			if err != nil {
+				return err
+			}
+			defer resp.Body.Close()
+			if resp.StatusCode != http.StatusOK {
+				b, _ := io.ReadAll(resp.Body)
+				return fmt.Errorf("status %d: %s", resp.StatusCode, b)
+			}
+			return nil
+		})
+		if err != nil {
+			return fmt.Errorf("entry %s: %w", e.ID, err)
+		}
+	}
+	return nil
+}
+
+// Stop ends all processes that still run: entries first, then sidecars, then stand-ins.
+func (c *Cluster) Stop() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var entries, sidecars, standins []*Process
+	for _, p := range c.processes {
+		switch p.args[0] {
+		case "entry":
+			entries = append(entries, p)
+		case "sidecar":
+			sidecars = append(sidecars, p)
+		default:
+			standins = append(standins, p)
+		}
+	}
+	return errors.Join(stopAll(entries), stopAll(sidecars), stopAll(standins))
+}
+
+func stopAll(processes []*Process) error {
+	var wg sync.WaitGroup
+	errs := make([]error, len(processes))
+	for i, p := range processes {
+		wg.Go(func() {
+			_ = p.Resume()
+			errs[i] = p.Stop(stopBound)
+		})
+	}
+	wg.Wait()
+	return errors.Join(errs...)
+}
+
+func waitReachable(ctx context.Context, url string) error {
+	return wait(ctx, func() error {
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
+		if err != nil {
+			return err
+		}
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			return err
+		}
+		return resp.Body.Close()
+	})
+}
+
+func wait(ctx context.Context, try func() error) error {
+	ctx, cancel := context.WithTimeout(ctx, readyBound)
+	defer cancel()
+	for {
+		err := try()
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return err
+		case <-time.After(readyTick):
+		}
+	}
+}
+
+func post(ctx context.Context, url string, in any) error {
+	b, err := json.Marshal(in)
+	if err != nil {
+		return err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(b))
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	return do(req, nil)
+}
+
+func get(ctx context.Context, url string, out any) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
+	if err != nil {
+		return err
+	}
+	return do(req, out)
+}
+
+func do(req *http.Request, out any) error {
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode >= http.StatusBadRequest {
+		return fmt.Errorf("%s %s: status %d", req.Method, req.URL, resp.StatusCode)
+	}
+	if out == nil {
+		return nil
+	}
+	return json.NewDecoder(resp.Body).Decode(out)
+}
--- a/lease/manager.go
+++ b/lease/manager.go
@@ -42,8 +42,10 @@
 type Config struct {
 	// Holder names this process. It must differ between processes and between restarts.
 	Holder string
-	// Pools are the pools to compete for.
+	// Pools are the pools to compete for. PoolNames replaces them if it is set; it is read before
+	// each poll.
 	Pools        []string
+	PoolNames    func() []string
 	TTL          time.Duration
 	SafetyMargin time.Duration
 	// MaxPools bounds the number of pools that this process holds at once.
@@ -168,7 +170,7 @@
 		return nil
 	}
 	var free []string
-	for _, p := range m.cfg.Pools {
+	for _, p := range m.pools() {
 		if s := states[p]; !s.Present && s.malformed == nil && !slices.Contains(held, p) {
 			free = append(free, p)
 		}
@@ -176,6 +178,13 @@
 	return free[:min(room, len(free))]
 }
 
+func (m *Manager) pools() []string {
+	if m.cfg.PoolNames != nil {
+		return m.cfg.PoolNames()
+	}
+	return m.cfg.Pools
+}
+
 func (m *Manager) take(a Authority) {
 	m.mu.Lock()
 	m.held[a.Pool] = a
--- a/load/speed.go
+++ b/load/speed.go
@@ -130,3 +130,6 @@
 	observed = min(max(observed, initial/maxDrift), initial*maxDrift)
 	return old + learnRate*(observed-old)
 }
+
+// DefaultSpeed is the speed assumed of a worker that has not been observed.
+func DefaultSpeed() Speed { return Speed{}.withDefaults() }
--- a/sidecar/service.go
+++ b/sidecar/service.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"strconv"
 
 	"connectrpc.com/connect"
 	"github.com/sirupsen/logrus"
@@ -57,7 +56,7 @@
 	}
 	return connect.NewResponse(&v1.SealResponse{
 		Accepted: true, HighestFence: res.HighestFence,
-		ExecutingOrder: res.Executing, Incarnation: strconv.FormatUint(res.Incarnation, 10),
+		ExecutingOrder: res.Executing, ExecutorIncarnation: res.Incarnation,
 	}), nil
 }
 
@@ -104,5 +103,6 @@
 func (s *Service) Probe(ctx context.Context, _ *connect.Request[v1.ProbeRequest]) (*connect.Response[v1.ProbeResponse], error) {
 	return connect.NewResponse(&v1.ProbeResponse{
 		Load: s.sidecar.Report(ctx), ConfigRevision: s.sidecar.docs.Revision(s.sidecar.cfg.Service),
+		Work: s.sidecar.Work(),
 	}), nil
 }
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"google.golang.org/protobuf/proto"
 
 	v1 "github.com/quetzallug/quetzallug/gen/quetzallug/v1"
 	"github.com/quetzallug/quetzallug/platform"
@@ -53,6 +54,7 @@
 	mu       sync.Mutex
 	inFlight map[attemptKey]*attempt
 	seen     *attemptLog
+	work     map[string]*v1.KindWork
 	leaving  bool
 	ordered  bool
 	idle     chan struct{}
@@ -91,6 +93,7 @@
 		cfg: cfg, engine: engine, backend: backend, docs: docs, metrics: m, log: log,
 		inFlight: map[attemptKey]*attempt{},
 		seen:     newAttemptLog(cfg.Attempts),
+		work:     map[string]*v1.KindWork{},
 		idle:     make(chan struct{}),
 	}, nil
 }
@@ -125,6 +128,7 @@
 		return nil, notRun(v1.Reason_REASON_QUEUE_FULL, "too many requests in flight")
 	}
 	s.seen.add(key)
+	s.countWork(r)
 	a := &attempt{
 		cancel: cancel, interruptible: r.GetInterruptible(),
 		promptTokens: int(r.GetModel().GetPromptTokens()), maxTokens: int(r.GetModel().GetMaxTokens()),
@@ -175,6 +179,29 @@
 	return false
 }
 
+// countWork adds an admitted attempt to the work of its kind. The caller holds mu.
+func (s *Sidecar) countWork(r *v1.ExecuteRequest) {
+	w := s.work[r.GetKind()]
+	if w == nil {
+		w = &v1.KindWork{Kind: r.GetKind()}
+		s.work[r.GetKind()] = w
+	}
+	w.Requests++
+	w.PromptTokens += uint64(r.GetModel().GetPromptTokens())
+	w.OutputTokens += uint64(r.GetModel().GetMaxTokens())
+}
+
+// Work returns the work admitted since the start, by kind.
+func (s *Sidecar) Work() []*v1.KindWork {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var all []*v1.KindWork
+	for _, w := range s.work {
+		all = append(all, proto.CloneOf(w))
+	}
+	return all
+}
+
 // release removes an attempt that has ended.
 func (s *Sidecar) release(r *v1.ExecuteRequest) {
 	s.mu.Lock()
--- /dev/null
+++ b/test/e2e/e2e_test.go
@@ -0,0 +1,159 @@
+// Package e2e_test runs the whole path as separate processes.
+package e2e_test
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/quetzallug/quetzallug/internal/testcluster"
+	"github.com/quetzallug/quetzallug/platform"
+	"github.com/quetzallug/quetzallug/standin/engine"
+)
+
+const (
+	root    = "../.."
+	model   = "halte-verdict"
+	callers = 200
+)
+
+func start(t *testing.T) *testcluster.Cluster {
+	t.Helper()
+	bin, dir := t.TempDir(), t.TempDir()
+	require.NoError(t, testcluster.Build(root, bin))
+	c, err := testcluster.Start(t.Context(), testcluster.Config{
+		Bin: bin, Dir: dir, Entries: 2,
+		Pools: []testcluster.Pool{
+			{Service: "halte-llm", DataCentre: "joburg-cbd", Workers: 1, CheckFence: true},
+			{Service: "halte-llm", DataCentre: "pta-east", Workers: 1, CheckFence: true},
+			{Service: "halte-llm", DataCentre: "midrand", Workers: 1},
+			{Service: "halte-api", DataCentre: "joburg-cbd", Workers: 1, Plain: true},
+			{Service: "halte-api", DataCentre: "midrand", Workers: 1, Plain: true},
+		},
+		EngineArgs: []string{"--order-time", "200ms"},
+	})
+	require.NoError(t, err)
+	t.Cleanup(func() {
+		require.NoError(t, c.Stop())
+		if t.Failed() {
+			dumpLogs(t, dir)
+		}
+	})
+	for _, f := range []string{"halte-llm", "halte-api"} {
+		require.NoError(t, c.Apply(t.Context(), filepath.Join(root, "examples", "transport", f+".yaml")))
+	}
+	require.NoError(t, c.WaitServing(t.Context(), http.MethodPost, "/v1/completions", completionBody("ready?", 1, false)))
+	require.NoError(t, c.WaitServing(t.Context(), http.MethodGet, "/svc/halte-api/schedules/7", ""))
+	return c
+}
+
+func dumpLogs(t *testing.T, dir string) {
+	files, _ := filepath.Glob(filepath.Join(dir, "*.log"))
+	for _, f := range files {
+		b, _ := os.ReadFile(f)
+		if len(b) > 4000 {
+			b = b[len(b)-4000:]
+		}
+		t.Logf("%s:\n%s", filepath.Base(f), b)
+	}
+}
+
+func completionBody(prompt string, maxTokens int, stream bool) string {
+	b, _ := json.Marshal(map[string]any{
+		"model": model, "prompt": prompt, "max_tokens": maxTokens, "stream": stream, "seed": 7,
+	})
+	return string(b)
+}
+
+// Guards against an answer that is cut, mixed up with another caller's or changed on its way,
+// and against a request that is served by one process only in the test.
+func TestWholeAnswersForConcurrentCallers(t *testing.T) {
+	c := start(t)
+	var wg sync.WaitGroup
+	errs := make(chan error, 2*callers)
+	for i := range callers {
+		entry := c.Entries[i%len(c.Entries)].Address
+		wg.Go(func() { errs <- checkCompletion(entry, i) })
+		wg.Go(func() { errs <- checkSchedule(entry, i) })
+	}
+	wg.Wait()
+	close(errs)
+	for err := range errs {
+		require.NoError(t, err)
+	}
+}
+
+func checkCompletion(entry string, i int) error {
+	prompt := fmt.Sprintf("caller %d asks for the next arrival at stop %d", i, i*3)
+	want, _, finish := engine.Answer(&platform.GenerateRequest{Model: model, Prompt: prompt, MaxTokens: 20, Seed: 7})
+	resp, err := http.Post("http://"+entry+"/v1/completions", "application/json", strings.NewReader(completionBody(prompt, 20, true)))
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	got, reason, err := readEvents(resp.Body)
+	if err != nil {
+		return fmt.Errorf("caller %d: %w", i, err)
+	}
+	if got != want || reason != finish {
+		return fmt.Errorf("caller %d: got %q (%s), want %q (%s)", i, got, reason, want, finish)
+	}
+	return nil
+}
+
+// readEvents returns the text of a stream that has ended with [DONE].
+func readEvents(r io.Reader) (text, finish string, err error) {
+	s := bufio.NewScanner(r)
+	for s.Scan() {
+		data, ok := bytes.CutPrefix(s.Bytes(), []byte("data: "))
+		if !ok {
+			continue
+		}
+		if string(data) == "[DONE]" {
+			return text, finish, nil
+		}
+		var event struct {
+			Choices []struct {
+				Text         string  `json:"text"`
+				FinishReason *string `json:"finish_reason"`
+			} `json:"choices"`
+		}
+		if err := json.Unmarshal(data, &event); err != nil {
+			return "", "", err
+		}
+		if len(event.Choices) != 1 {
+			return "", "", fmt.Errorf("event without choice: %s", data)
+		}
+		text += event.Choices[0].Text
+		if f := event.Choices[0].FinishReason; f != nil {
+			finish = *f
+		}
+	}
+	return "", "", fmt.Errorf("stream ended without [DONE]: %w", s.Err())
+}
+
+func checkSchedule(entry string, i int) error {
+	resp, err := http.Get(fmt.Sprintf("http://%s/svc/halte-api/schedules/%d", entry, i))
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return err
+	}
+	if resp.StatusCode != http.StatusOK || !strings.Contains(string(b), fmt.Sprintf("/schedules/%d\"", i)) {
+		return fmt.Errorf("schedule %d: status %d: %s", i, resp.StatusCode, b)
+	}
+	return nil
+}
