Test the stand-ins and their adapters

Cause: the stand-ins are the ground for the proofs of the invariants, so a fault in them would hide faults of the product.

--- a/cmd/quetzallug-standin/commands.go
+++ b/cmd/quetzallug-standin/commands.go
@@ -115,6 +115,7 @@
 	f.String("name", "engine", "name, from which the start ID is derived")
 	f.Uint64("seed", 1, "seed of start IDs and cache event gaps")
 	f.String("role", string(platform.RoleMixed), "role at the first start: prefill, decode or mixed")
+	// The environment variables of the two lists are separated by spaces.
 	f.StringSlice("model", nil, "model loaded at the first start, as name or name@version; repeatable")
 	f.StringSlice("adapter", nil, "adapter loaded at the first start, as name or name@version; repeatable")
 	f.Int("pieces", engine.DefaultPieces, "capacity in pieces of 1,024 tokens")
--- /dev/null
+++ b/modules/instanceshttp/instanceshttp_test.go
@@ -0,0 +1,81 @@
+package instanceshttp_test
+
+import (
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/quetzallug/quetzallug/kernel"
+	"github.com/quetzallug/quetzallug/modules/instanceshttp"
+	"github.com/quetzallug/quetzallug/platform"
+	"github.com/quetzallug/quetzallug/standin/instances"
+)
+
+var worker = platform.Instance{
+	ID: "w1", Role: platform.RoleSidecar, Service: "oracolo", DataCentre: "palermo", Address: "127.0.0.1:1",
+}
+
+func states(t *testing.T, l platform.InstanceList) map[string]platform.InstanceState {
+	t.Helper()
+	s, err := l.Instances(t.Context(), 0)
+	require.NoError(t, err)
+	out := map[string]platform.InstanceState{}
+	for _, in := range s.Instances {
+		out[in.ID] = in.State
+	}
+	return out
+}
+
+// Guards against a list without lag and against instances that stay after they stopped
+// registering.
+func TestChangesShowLateAndRegistrationsExpire(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := instances.New(2 * time.Second)
+		l.Register(worker, 5*time.Second)
+		require.Empty(t, states(t, l))
+		time.Sleep(2 * time.Second)
+		require.Equal(t, map[string]platform.InstanceState{"w1": platform.InstanceLive}, states(t, l))
+		l.Register(worker, 5*time.Second)
+		l.Leave("w1")
+		time.Sleep(time.Second)
+		require.Equal(t, platform.InstanceLive, states(t, l)["w1"])
+		time.Sleep(time.Second)
+		require.Equal(t, platform.InstanceLeaving, states(t, l)["w1"])
+		time.Sleep(4 * time.Second)
+		require.Len(t, states(t, l), 1, "expired 1 s ago, shown 1 s from now")
+		time.Sleep(time.Second)
+		require.Empty(t, states(t, l))
+	})
+}
+
+// Guards against versions that go back or change without news, and against a list that answers
+// while it is switched off.
+func TestVersionsOverHTTP(t *testing.T) {
+	l := instances.New(0)
+	srv := httptest.NewServer(l.Handler())
+	defer srv.Close()
+	c, err := kernel.Load[*instanceshttp.Client](t.Context(), instanceshttp.ID, kernel.Settings{"address": srv.URL})
+	require.NoError(t, err)
+	defer func() { _ = c.Cleanup() }()
+	require.NoError(t, c.Register(t.Context(), worker, time.Hour))
+	first, err := c.Instances(t.Context(), 0)
+	require.NoError(t, err)
+	want := worker
+	want.State = platform.InstanceLive
+	require.Equal(t, []platform.Instance{want}, first.Instances)
+	require.NoError(t, c.Register(t.Context(), worker, time.Hour))
+	again, err := c.Instances(t.Context(), first.Version)
+	require.NoError(t, err)
+	require.Equal(t, platform.InstanceSnapshot{Version: first.Version}, again)
+	require.NoError(t, c.Leave(t.Context(), "w1"))
+	left, err := c.Instances(t.Context(), first.Version)
+	require.NoError(t, err)
+	require.Greater(t, left.Version, first.Version)
+	require.Equal(t, platform.InstanceLeaving, left.Instances[0].State)
+	l.SetDown(true)
+	_, err = c.Instances(t.Context(), 0)
+	require.Error(t, err)
+}
--- /dev/null
+++ b/modules/weightshttp/weightshttp_test.go
@@ -0,0 +1,50 @@
+package weightshttp_test
+
+import (
+	"context"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/quetzallug/quetzallug/kernel"
+	"github.com/quetzallug/quetzallug/modules/weightshttp"
+	"github.com/quetzallug/quetzallug/platform"
+	"github.com/quetzallug/quetzallug/standin/weights"
+)
+
+// Guards against a store that is faster than its rate, also for loads at the same time.
+func TestRateIsShared(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := weights.New(1000)
+		begin := time.Now()
+		done := make(chan error, 2)
+		for range 2 {
+			go func() { done <- s.Acquire(t.Context(), "m", 5000) }()
+		}
+		require.NoError(t, <-done)
+		require.InDelta(t, 10, time.Since(begin).Seconds(), 0.2)
+		require.NoError(t, <-done)
+		require.InDelta(t, 10, time.Since(begin).Seconds(), 0.2)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		require.ErrorIs(t, s.Acquire(ctx, "m", 5000), context.DeadlineExceeded)
+	})
+}
+
+// Guards against a refusal that the adapter takes for a grant.
+func TestAcquireOverHTTP(t *testing.T) {
+	s := weights.New(1 << 30)
+	srv := httptest.NewServer(s.Handler())
+	defer srv.Close()
+	c, err := kernel.Load[platform.WeightStore](t.Context(), weightshttp.ID, kernel.Settings{"address": srv.URL})
+	require.NoError(t, err)
+	defer func() { _ = kernel.Cleanup(c) }()
+	require.NoError(t, c.Acquire(t.Context(), "m", 1<<20))
+	require.Equal(t, map[string]int64{"m": 1 << 20}, s.Granted())
+	require.Error(t, c.Acquire(t.Context(), "m", -1))
+	_, err = kernel.Load[platform.WeightStore](t.Context(), weightshttp.ID, kernel.Settings{"address": "localhost"})
+	require.ErrorContains(t, err, "not an http or https URL")
+}
--- /dev/null
+++ b/standin/engine/engine_test.go
@@ -0,0 +1,262 @@
+package engine_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/quetzallug/quetzallug/platform"
+	"github.com/quetzallug/quetzallug/standin/engine"
+)
+
+var loaded = platform.EngineConfig{
+	Role: platform.RoleMixed, Models: []platform.ModelVersion{{Name: "m", Version: "1"}},
+}
+
+func request(id string, promptTokens, maxTokens int) *platform.GenerateRequest {
+	return &platform.GenerateRequest{
+		RequestID: id, Model: "m", Prompt: "prompt of " + id, PromptTokens: promptTokens, MaxTokens: maxTokens,
+	}
+}
+
+func newEngine(t *testing.T, cfg engine.Config) *engine.Engine {
+	if cfg.Initial.Role == "" {
+		cfg.Initial = loaded
+	}
+	e := engine.New(cfg)
+	t.Cleanup(func() { _ = e.Close() })
+	return e
+}
+
+// read returns the text of a stream and its finish reason, and checks the offsets.
+func read(s platform.TokenStream, offset int) (text, finish string, err error) {
+	defer s.Close()
+	for {
+		c, err := s.Next()
+		if errors.Is(err, io.EOF) {
+			return text, finish, nil
+		}
+		if err != nil {
+			return text, "", err
+		}
+		if c.Offset != offset {
+			return text, "", fmt.Errorf("chunk at offset %d, expected %d", c.Offset, offset)
+		}
+		offset += c.Tokens
+		text += c.Text
+		finish = c.FinishReason
+	}
+}
+
+func run(t *testing.T, e *engine.Engine, r *platform.GenerateRequest) string {
+	t.Helper()
+	s, err := e.Generate(t.Context(), r)
+	require.NoError(t, err)
+	text, _, err := read(s, r.Offset)
+	require.NoError(t, err)
+	return text
+}
+
+func started(e *engine.Engine) (ids []string) {
+	for _, r := range e.Journal() {
+		if r.Kind == engine.RequestStarted {
+			ids = append(ids, r.RequestID)
+		}
+	}
+	return ids
+}
+
+// Guards against a resumed answer that differs from the original, which would make the loss or
+// mixing of tokens by the proxy undetectable.
+func TestResumeYieldsTheSameAnswer(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		r := &platform.GenerateRequest{
+			RequestID: "a", Model: "m", Prompt: rapid.String().Draw(rt, "prompt"),
+			MaxTokens: rapid.IntRange(1, 300).Draw(rt, "max"), Seed: rapid.Uint64().Draw(rt, "seed"),
+		}
+		whole, length, finish := engine.Answer(r)
+		require.Len(rt, strings.Fields(whole), length)
+		r.Offset = rapid.IntRange(0, length).Draw(rt, "offset")
+		instant := rapid.Bool().Draw(rt, "instant")
+		synctest.Test(t, func(*testing.T) {
+			e := engine.New(engine.Config{Seed: r.Seed, Initial: loaded, Instant: instant})
+			defer e.Close()
+			s, err := e.Generate(context.Background(), r)
+			require.NoError(rt, err)
+			text, got, err := read(s, r.Offset)
+			require.NoError(rt, err)
+			require.Equal(rt, strings.Fields(whole)[r.Offset:], strings.Fields(text))
+			require.Equal(rt, finish, got)
+		})
+	})
+}
+
+// Guards against a step model whose speed is outside the range that the planners assume.
+func TestPrefillRateAndStepTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newEngine(t, engine.Config{})
+		begin := time.Now()
+		run(t, e, request("prefill", 100_000, 1))
+		rate := 100_000 / time.Since(begin).Seconds()
+		require.InDelta(t, 80_000, rate, 20_000)
+
+		first, err := e.Generate(t.Context(), request("decode", 1, 16))
+		require.NoError(t, err)
+		defer first.Close()
+		_, err = first.Next()
+		require.NoError(t, err)
+		begin = time.Now()
+		_, err = first.Next()
+		require.NoError(t, err)
+		require.Equal(t, engine.DefaultStepBase+engine.DefaultSequenceCost, time.Since(begin))
+	})
+}
+
+// Guards against admission beyond the capacity, against the wrong order, and against pieces that
+// a finished or cancelled request does not give back.
+func TestAdmissionByPiecesAndPriority(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newEngine(t, engine.Config{Pieces: 2})
+		var streams []platform.TokenStream
+		for i, priority := range []int{5, 5, 1, 3} {
+			r := request(fmt.Sprint(i), 1500, 40)
+			r.Priority = priority
+			s, err := e.Generate(t.Context(), r)
+			require.NoError(t, err)
+			streams = append(streams, s)
+			synctest.Wait()
+		}
+		load, err := e.Load(t.Context())
+		require.NoError(t, err)
+		require.Equal(t, 1, load.Running)
+		require.Equal(t, 3, load.Queued)
+		require.Zero(t, load.FreePieces)
+		require.NoError(t, e.Cancel(t.Context(), "0"))
+		for _, s := range streams[1:] {
+			_, _, err := read(s, 0)
+			require.NoError(t, err)
+		}
+		require.Equal(t, []string{"0", "2", "3", "1"}, started(e))
+		load, err = e.Load(t.Context())
+		require.NoError(t, err)
+		require.Equal(t, platform.EngineLoad{FreePieces: 2, TotalPieces: 2}, load)
+		_, err = e.Generate(t.Context(), request("large", 3000, 1))
+		require.ErrorIs(t, err, platform.ErrEngineRefused)
+	})
+}
+
+// Guards against a generation that goes on after its caller has gone.
+func TestCallerLeavesCancels(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newEngine(t, engine.Config{})
+		ctx, cancel := context.WithCancel(t.Context())
+		s, err := e.Generate(ctx, request("a", 10, 1000))
+		require.NoError(t, err)
+		_, err = s.Next()
+		require.NoError(t, err)
+		cancel()
+		synctest.Wait()
+		journal := e.Journal()
+		require.Equal(t, engine.RequestCancelled, journal[len(journal)-1].Kind)
+		for err == nil {
+			_, err = s.Next()
+		}
+		require.ErrorIs(t, err, platform.ErrEngineFailed)
+	})
+}
+
+// Guards against a cache that saves nothing or never evicts, and against events that come early,
+// out of order or without gaps.
+func TestPrefixCacheAndItsEvents(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newEngine(t, engine.Config{CacheBlocks: 40, EventGap: 4})
+		long := strings.Repeat("word ", 32*engine.BlockTokens)
+		r := &platform.GenerateRequest{Model: "m", Prompt: long + "one", MaxTokens: 1}
+		elapsed := func(prompt string) time.Duration {
+			begin := time.Now()
+			r.Prompt = prompt
+			run(t, e, r)
+			return time.Since(begin)
+		}
+		cold, warm := elapsed(long+"one"), elapsed(long+"two")
+		require.Less(t, warm*10, cold)
+		events, err := e.CacheEvents(t.Context(), 0)
+		require.NoError(t, err)
+		require.Empty(t, events, "events are published late")
+		elapsed("other " + long)
+		require.Greater(t, elapsed(long+"three")*2, cold, "most blocks have been evicted")
+
+		time.Sleep(engine.DefaultEventDelay)
+		events, err = e.CacheEvents(t.Context(), 0)
+		require.NoError(t, err)
+		last := events[len(events)-1].Sequence
+		require.Greater(t, last, uint64(len(events)), "some events are lost")
+		for i := range events[1:] {
+			require.Less(t, events[i].Sequence, events[i+1].Sequence)
+		}
+		hashes := engine.PrefixHashes("m", "", long)
+		require.Len(t, hashes, 32)
+		var seen []uint64
+		for _, ev := range events {
+			seen = append(seen, ev.Prefix)
+		}
+		require.Subset(t, append(hashes, engine.PrefixHashes("m", "", "other "+long)...), seen)
+	})
+}
+
+// Guards against a transfer that is not cheaper than a prefill, or that serves another prompt.
+func TestImportedKVMakesPrefillFree(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		prefill, decode := newEngine(t, engine.Config{}), newEngine(t, engine.Config{})
+		r := request("a", 50_000, 40)
+		whole, _, _ := engine.Answer(r)
+		one := *r
+		one.MaxTokens = 1
+		head := run(t, prefill, &one)
+		data, err := prefill.ExportKV(t.Context(), "a")
+		require.NoError(t, err)
+		handle, err := decode.ImportKV(t.Context(), data)
+		require.NoError(t, err)
+		begin := time.Now()
+		rest := *r
+		rest.Offset, rest.KVHandle = 1, handle
+		require.Equal(t, whole, head+run(t, decode, &rest))
+		require.Less(t, time.Since(begin), 250*time.Millisecond, "virtual time of 39 steps")
+
+		begin = time.Now()
+		other := request("b", 50_000, 1)
+		other.KVHandle = handle
+		run(t, decode, other)
+		require.Greater(t, time.Since(begin), 500*time.Millisecond, "virtual time of 50,000 tokens")
+		_, err = decode.ImportKV(t.Context(), []byte("{"))
+		require.ErrorIs(t, err, platform.ErrEngineRefused)
+	})
+}
+
+// Guards against load reports that are fresher than the configured lag.
+func TestLoadReportLags(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newEngine(t, engine.Config{LoadLag: time.Second})
+		time.Sleep(2 * time.Second)
+		s, err := e.Generate(t.Context(), request("a", 1, 2000))
+		require.NoError(t, err)
+		defer s.Close()
+		running := func() int {
+			l, err := e.Load(t.Context())
+			require.NoError(t, err)
+			return l.Running + l.Queued
+		}
+		time.Sleep(900 * time.Millisecond)
+		require.Equal(t, 0, running())
+		time.Sleep(200 * time.Millisecond)
+		require.Equal(t, 1, running())
+	})
+}
