Decode stream events without reflection; share the HTTP client with kvhttp

Cause: encoding/json took 7 allocations per token in the engine adapter, most of the design's budget of 10 per relayed frame. kvhttp repeated the client code, and reported status 502 of a gateway as "no effect" although the write may have been made. The test of redirects and of broken connections passed with its guard removed.

Change: enginewire encodes and decodes events in the common form by hand and falls back to encoding/json for all others; a fuzz test compares both. kvhttp and standin/kv use internal/httpjson, and a 5xx answer to a write is now ErrOutcomeUnknown. The two tests now fail without their guard.

--- a/modules/backendhttp/backendhttp_test.go
+++ b/modules/backendhttp/backendhttp_test.go
@@ -28,9 +28,9 @@
 	return c
 }
 
-// closeReused answers the first request of each connection and closes the connection upon the
-// second one, which net/http then likes to resend. It counts the requests.
-func closeReused(t *testing.T) (address string, requests *atomic.Int64) {
+// closeReused answers the first request of each connection and closes or resets the connection
+// upon the second one, which net/http then likes to resend. It counts the requests.
+func closeReused(t *testing.T, reset bool) (address string, requests *atomic.Int64) {
 	t.Helper()
 	ln, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -54,6 +54,8 @@
 					requests.Add(1)
 					if i == 0 {
 						_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+					} else if reset {
+						_ = conn.(*net.TCPConn).SetLinger(0)
 					}
 				}
 			}()
@@ -63,7 +65,8 @@
 }
 
 // Guards against net/http resending a request on a broken reused connection, which it does for
-// GET and for any method with an Idempotency-Key header. It would run an action twice.
+// GET and for any method with an Idempotency-Key header, and against "not run" for a request
+// that was sent. Both would run an action twice.
 func TestReusedConnectionIsNotRetried(t *testing.T) {
 	for _, r := range []platform.PlainRequest{
 		{Method: http.MethodGet, Path: "/board"},
@@ -72,14 +75,16 @@
 		{Method: http.MethodPost, Path: "/pump", IdempotencyKey: "k", Body: []byte("x")},
 		{Method: http.MethodDelete, Path: "/pump", IdempotencyKey: "k"},
 	} {
-		address, requests := closeReused(t)
-		c := load(t, address)
-		_, err := c.Do(t.Context(), &r)
-		require.NoError(t, err)
-		_, err = c.Do(t.Context(), &r)
-		require.ErrorIs(t, err, platform.ErrEngineFailed, "%+v", r)
-		require.NotErrorIs(t, err, platform.ErrEngineRefused)
-		require.Equal(t, int64(2), requests.Load(), "%+v", r)
+		for _, reset := range []bool{false, true} {
+			address, requests := closeReused(t, reset)
+			c := load(t, address)
+			_, err := c.Do(t.Context(), &r)
+			require.NoError(t, err)
+			_, err = c.Do(t.Context(), &r)
+			require.ErrorIs(t, err, platform.ErrEngineFailed, "%+v", r)
+			require.NotErrorIs(t, err, platform.ErrEngineRefused)
+			require.Equal(t, int64(2), requests.Load(), "%+v", r)
+		}
 	}
 }
 
@@ -133,7 +138,7 @@
 	var other atomic.Int64
 	elsewhere := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { other.Add(1) }))
 	defer elsewhere.Close()
-	srv := httptest.NewServer(http.RedirectHandler(elsewhere.URL, http.StatusTemporaryRedirect))
+	srv := httptest.NewServer(http.RedirectHandler(elsewhere.URL, http.StatusFound))
 	defer srv.Close()
 	c := load(t, srv.URL)
 	host := elsewhere.Listener.Addr().String()
@@ -144,7 +149,7 @@
 	for _, path := range []string{"//" + host + "/x", "/x"} {
 		resp, err := c.Do(t.Context(), &platform.PlainRequest{Method: http.MethodPost, Path: path})
 		require.NoError(t, err)
-		require.Equal(t, http.StatusTemporaryRedirect, resp.Status)
+		require.Equal(t, http.StatusFound, resp.Status)
 	}
 	require.Zero(t, other.Load())
 }
--- a/modules/enginehttp/stream.go
+++ b/modules/enginehttp/stream.go
@@ -72,8 +72,8 @@
 		if !ok {
 			continue // a blank line or a comment
 		}
-		var ev enginewire.Event
-		if err := json.Unmarshal(data, &ev); err != nil {
+		ev, err := enginewire.DecodeEvent(data)
+		if err != nil {
 			return platform.TokenChunk{}, fmt.Errorf("%w: decode event: %w", platform.ErrEngineFailed, err)
 		}
 		if ev.Error != "" {
--- a/modules/kvhttp/kvhttp.go
+++ b/modules/kvhttp/kvhttp.go
@@ -2,17 +2,13 @@
 package kvhttp
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
-	"net/url"
 	"time"
 
+	"github.com/quetzallug/quetzallug/internal/httpjson"
 	"github.com/quetzallug/quetzallug/kernel"
 	"github.com/quetzallug/quetzallug/platform"
 	"github.com/quetzallug/quetzallug/platform/kvwire"
@@ -22,21 +18,15 @@
 const ID = "platform.kv.http"
 
 const (
-	maxResponseBytes = 64 << 20
 	// watchTimeout is above the service's own wait limit of 20 s.
-	watchTimeout    = 30 * time.Second
-	callTimeout     = 3 * time.Second
-	maxIdleConns    = 16
-	idleConnTimeout = 60 * time.Second
+	watchTimeout = 30 * time.Second
+	callTimeout  = 3 * time.Second
 )
 
 func init() { kernel.Register(&Client{}) }
 
 // Client calls the key-value service.
-type Client struct {
-	base string
-	http *http.Client
-}
+type Client struct{ httpjson.Client }
 
 var _ platform.KV = (*Client)(nil)
 
@@ -45,33 +35,6 @@
 	return kernel.ModuleInfo{ID: ID, New: func() kernel.Module { return &Client{} }}
 }
 
-// Provision reads the setting "address", an http URL.
-func (c *Client) Provision(_ context.Context, s kernel.Settings) error {
-	c.base = s["address"]
-	c.http = &http.Client{Transport: &http.Transport{
-		MaxIdleConnsPerHost: maxIdleConns,
-		IdleConnTimeout:     idleConnTimeout,
-	}}
-	return nil
-}
-
-// Validate implements kernel.Validator.
-func (c *Client) Validate() error {
-	u, err := url.Parse(c.base)
-	if err != nil || u.Scheme != "http" && u.Scheme != "https" || u.Host == "" {
-		return fmt.Errorf("key-value service address %q is not an http or https URL", c.base)
-	}
-	return nil
-}
-
-// Cleanup implements kernel.Cleaner.
-func (c *Client) Cleanup() error {
-	if c.http != nil {
-		c.http.CloseIdleConnections()
-	}
-	return nil
-}
-
 // Get implements platform.KV.
 func (c *Client) Get(ctx context.Context, key string) (platform.Entry, error) {
 	resp, err := c.call(ctx, kvwire.PathGet, kvwire.Request{Key: key}, callTimeout)
@@ -138,43 +101,20 @@
 	return err
 }
 
-func (c *Client) call(ctx context.Context, path string, r kvwire.Request, timeout time.Duration) (kvwire.Response, error) {
+func (c *Client) call(ctx context.Context, path string, r kvwire.Request, timeout time.Duration) (out kvwire.Response, err error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	body, err := json.Marshal(r)
-	if err != nil {
-		return kvwire.Response{}, fmt.Errorf("%w: encode request: %w", platform.ErrUnavailable, err)
-	}
-	// io.MultiReader hides the body's type, so the HTTP client cannot resend a write.
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.base+path, io.MultiReader(bytes.NewReader(body)))
-	if err != nil {
-		return kvwire.Response{}, fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
-	}
-	req.ContentLength = int64(len(body))
-	req.Header.Set("Content-Type", "application/json")
-	resp, err := c.http.Do(req)
-	if err != nil {
-		return kvwire.Response{}, transportError(err)
-	}
-	defer resp.Body.Close()
-	return decode(resp)
-}
-
-func decode(resp *http.Response) (kvwire.Response, error) {
-	var out kvwire.Response
-	if resp.StatusCode != http.StatusOK {
-		return out, fmt.Errorf("%w: status %d", platform.ErrUnavailable, resp.StatusCode)
-	}
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxResponseBytes)).Decode(&out); err != nil {
-		return out, fmt.Errorf("%w: %w", platform.ErrOutcomeUnknown, err)
+	if err := c.Call(ctx, http.MethodPost, path, r, &out); err != nil {
+		return kvwire.Response{}, convert(err)
 	}
 	return out, kvwire.Error(out.Error)
 }
 
-// transportError reports that a call had no effect only if no connection was made.
-func transportError(err error) error {
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
+// convert reports that a call had no effect only if it was not sent or was refused as invalid.
+func convert(err error) error {
+	var status *httpjson.StatusError
+	if errors.Is(err, httpjson.ErrNotSent) ||
+		errors.As(err, &status) && status.Status < http.StatusInternalServerError {
 		return fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
 	}
 	return fmt.Errorf("%w: %w", platform.ErrOutcomeUnknown, err)
--- /dev/null
+++ b/modules/kvhttp/kvhttp_test.go
@@ -0,0 +1,62 @@
+package kvhttp_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/quetzallug/quetzallug/kernel"
+	"github.com/quetzallug/quetzallug/modules/kvhttp"
+	"github.com/quetzallug/quetzallug/platform"
+	"github.com/quetzallug/quetzallug/standin/kv"
+)
+
+func load(t *testing.T, h http.Handler) (platform.KV, *httptest.Server) {
+	t.Helper()
+	srv := httptest.NewServer(h)
+	t.Cleanup(srv.Close)
+	c, err := kernel.Load[platform.KV](t.Context(), kvhttp.ID, kernel.Settings{"address": srv.URL})
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = kernel.Cleanup(c) })
+	return c, srv
+}
+
+// Guards against "had no effect" for a write that may have taken effect, and the reverse.
+func TestOutcomesOfWrites(t *testing.T) {
+	s := kv.NewStore(kv.Limits{})
+	c, srv := load(t, s.Handler())
+	ctx := t.Context()
+	s.Faults().Set(kv.FaultState{LoseAnswers: 1})
+	_, err := c.CompareAndSwap(ctx, "a", 0, []byte("x"), 0)
+	require.ErrorIs(t, err, platform.ErrOutcomeUnknown)
+	_, err = c.CompareAndSwap(ctx, "a", 0, []byte("y"), 0)
+	require.ErrorIs(t, err, platform.ErrConflict)
+	e, err := c.Get(ctx, "a")
+	require.NoError(t, err)
+	require.Equal(t, platform.Entry{Key: "a", Version: 1, Revision: 1, Value: []byte("x")}, e)
+	events, next, err := c.Watch(ctx, "a", 0)
+	require.NoError(t, err)
+	require.Equal(t, []platform.Event{{Entry: e}}, events)
+	require.Equal(t, uint64(1), next)
+	id, err := c.GrantLease(ctx, time.Hour)
+	require.NoError(t, err)
+	require.NoError(t, c.KeepAlive(ctx, id))
+	require.NoError(t, c.RevokeLease(ctx, id))
+	require.ErrorIs(t, c.KeepAlive(ctx, id), platform.ErrLeaseExpired)
+	s.Faults().Set(kv.FaultState{Down: true})
+	require.ErrorIs(t, c.Delete(ctx, "a", 1), platform.ErrUnavailable)
+
+	srv.Close()
+	fresh, err := kernel.Load[platform.KV](ctx, kvhttp.ID, kernel.Settings{"address": srv.URL})
+	require.NoError(t, err)
+	require.ErrorIs(t, fresh.Delete(ctx, "a", 1), platform.ErrUnavailable)
+
+	// A gateway answers 502 also if the service took the write and then broke off.
+	gateway, _ := load(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusBadGateway) }))
+	require.ErrorIs(t, gateway.Delete(ctx, "a", 1), platform.ErrOutcomeUnknown)
+	_, err = gateway.Get(ctx, "a")
+	require.ErrorIs(t, err, platform.ErrUnavailable, "a read has no effect")
+}
--- a/standin/engine/server.go
+++ b/standin/engine/server.go
@@ -119,27 +119,9 @@
 			_, _ = w.Write([]byte(enginewire.DataPrefix + `{"error":"` + code + "\"}\n\n"))
 			return
 		}
-		line = appendEvent(line[:0], chunk)
+		line = enginewire.AppendEvent(line[:0], &chunk)
 		if _, err := w.Write(line); err != nil || flush() != nil || chunk.FinishReason != "" {
 			return
 		}
 	}
 }
-
-// appendEvent encodes a chunk without allocation. Texts of this package need no escapes.
-func appendEvent(b []byte, c platform.TokenChunk) []byte {
-	b = append(b, enginewire.DataPrefix...)
-	b = append(b, `{"offset":`...)
-	b = strconv.AppendInt(b, int64(c.Offset), 10)
-	b = append(b, `,"tokens":`...)
-	b = strconv.AppendInt(b, int64(c.Tokens), 10)
-	b = append(b, `,"text":"`...)
-	b = append(b, c.Text...)
-	b = append(b, '"')
-	if c.FinishReason != "" {
-		b = append(b, `,"finish_reason":"`...)
-		b = append(b, c.FinishReason...)
-		b = append(b, '"')
-	}
-	return append(b, "}\n\n"...)
-}
--- a/standin/kv/server.go
+++ b/standin/kv/server.go
@@ -2,17 +2,15 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"net/http"
 	"time"
 
+	"github.com/quetzallug/quetzallug/internal/httpjson"
 	"github.com/quetzallug/quetzallug/platform"
 	"github.com/quetzallug/quetzallug/platform/kvwire"
 )
 
-const maxRequestBytes = 2 * MaxValueBytes
-
 // Handler serves the store over HTTP with JSON bodies.
 func (s *Store) Handler() http.Handler {
 	mux := http.NewServeMux()
@@ -45,27 +43,18 @@
 	handle(mux, kvwire.PathRevoke, func(ctx context.Context, r kvwire.Request) (kvwire.Response, error) {
 		return kvwire.Response{}, s.RevokeLease(ctx, r.Lease)
 	})
-	mux.HandleFunc("GET /calls", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.Calls()) })
-	mux.HandleFunc("POST /faults", s.serveFaults)
+	mux.HandleFunc("GET /calls", func(w http.ResponseWriter, _ *http.Request) { httpjson.Write(w, http.StatusOK, s.Calls()) })
+	httpjson.Handle(mux, "POST /faults", func(_ context.Context, f FaultState) (FaultState, error) {
+		s.faults.Set(f)
+		return f, nil
+	}, func(http.ResponseWriter, error) {})
 	return mux
 }
 
-func (s *Store) serveFaults(w http.ResponseWriter, r *http.Request) {
-	var state FaultState
-	if err := json.NewDecoder(r.Body).Decode(&state); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	s.faults.Set(state)
-	writeJSON(w, state)
-}
-
 func handle(mux *http.ServeMux, path string, do func(context.Context, kvwire.Request) (kvwire.Response, error)) {
 	mux.HandleFunc("POST "+path, func(w http.ResponseWriter, r *http.Request) {
 		var req kvwire.Request
-		body := http.MaxBytesReader(w, r.Body, maxRequestBytes)
-		if err := json.NewDecoder(body).Decode(&req); err != nil {
-			http.Error(w, err.Error(), http.StatusBadRequest)
+		if !httpjson.Read(w, r, &req) {
 			return
 		}
 		resp, err := do(r.Context(), req)
@@ -74,11 +63,6 @@
 			panic(http.ErrAbortHandler)
 		}
 		resp.Error = kvwire.Code(err)
-		writeJSON(w, resp)
+		httpjson.Write(w, http.StatusOK, resp)
 	})
 }
-
-func writeJSON(w http.ResponseWriter, v any) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(v)
-}
