Plan an engine's first step in the call that starts it; publish the prefix hash

Cause: which requests of one instant shared the engine's first step depended on the scheduling of goroutines; a test without a wait showed it. The hash by which cache events name prefixes was defined in the stand-in, which the router may not import. Two tests of the engine passed with the capacity check removed and with tokens that repeat in pairs.

Change: the first step is planned under the lock of Generate. The hash and the word count move to platform/enginewire. The command's shutdown no longer logs an empty error.

--- a/cmd/quetzallug-standin/serve.go
+++ b/cmd/quetzallug-standin/serve.go
@@ -36,11 +36,12 @@
 	// The context has ended already, so the shutdown has its own.
 	grace, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownGrace)
 	defer cancel()
-	if err := srv.Shutdown(grace); errors.Is(err, context.DeadlineExceeded) {
+	err = srv.Shutdown(grace)
+	if errors.Is(err, context.DeadlineExceeded) {
+		log.Warn("cutting requests that outlast the grace period")
 		err = srv.Close()
-		log.WithError(err).Info("stopped; running requests were cut")
-		return err
-	} else if err != nil {
+	}
+	if err != nil {
 		return fmt.Errorf("shut down: %w", err)
 	}
 	log.Info("stopped")
--- a/standin/engine/config.go
+++ b/standin/engine/config.go
@@ -56,7 +56,7 @@
 	Pieces     int
 	MaxRunning int
 	MaxQueued  int
-	// CacheBlocks bounds the prefix cache in blocks of BlockTokens tokens.
+	// CacheBlocks bounds the prefix cache in blocks of enginewire.BlockTokens tokens.
 	CacheBlocks int
 
 	// LoadLag is the age of load reports. Their granularity is LoadLag/32.
--- a/standin/engine/engine_test.go
+++ b/standin/engine/engine_test.go
@@ -14,6 +14,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/quetzallug/quetzallug/platform"
+	"github.com/quetzallug/quetzallug/platform/enginewire"
 	"github.com/quetzallug/quetzallug/standin/engine"
 )
 
@@ -99,6 +100,22 @@
 	})
 }
 
+// Guards against answers in which a lost, repeated or foreign token goes unnoticed.
+func TestAnswersTellOffsetsAndRequestsApart(t *testing.T) {
+	r := request("a", 0, 1000)
+	a, _, _ := engine.Answer(r)
+	r.Seed++
+	b, _, _ := engine.Answer(r)
+	own, other := strings.Fields(a), strings.Fields(b)
+	equal := 0
+	for i := range min(len(own), len(other)) - 1 {
+		if own[i] == own[i+1] || own[i] == other[i] {
+			equal++
+		}
+	}
+	require.Less(t, equal, 5)
+}
+
 // Guards against a step model whose speed is outside the range that the planners assume.
 func TestPrefillRateAndStepTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -132,8 +149,8 @@
 			s, err := e.Generate(t.Context(), r)
 			require.NoError(t, err)
 			streams = append(streams, s)
-			synctest.Wait()
 		}
+		time.Sleep(10 * engine.DefaultStepBase)
 		load, err := e.Load(t.Context())
 		require.NoError(t, err)
 		require.Equal(t, 1, load.Running)
@@ -178,7 +195,7 @@
 func TestPrefixCacheAndItsEvents(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		e := newEngine(t, engine.Config{CacheBlocks: 40, EventGap: 4})
-		long := strings.Repeat("word ", 32*engine.BlockTokens)
+		long := strings.Repeat("word ", 32*enginewire.BlockTokens)
 		r := &platform.GenerateRequest{Model: "m", Prompt: long + "one", MaxTokens: 1}
 		elapsed := func(prompt string) time.Duration {
 			begin := time.Now()
@@ -202,13 +219,13 @@
 		for i := range events[1:] {
 			require.Less(t, events[i].Sequence, events[i+1].Sequence)
 		}
-		hashes := engine.PrefixHashes("m", "", long)
+		hashes := enginewire.AppendPrefixHashes(nil, "m", "", long, 100)
 		require.Len(t, hashes, 32)
 		var seen []uint64
 		for _, ev := range events {
 			seen = append(seen, ev.Prefix)
 		}
-		require.Subset(t, append(hashes, engine.PrefixHashes("m", "", "other "+long)...), seen)
+		require.Subset(t, enginewire.AppendPrefixHashes(hashes, "m", "", "other "+long, 100), seen)
 	})
 }
 
--- a/standin/engine/generate.go
+++ b/standin/engine/generate.go
@@ -7,6 +7,7 @@
 	"slices"
 
 	"github.com/quetzallug/quetzallug/platform"
+	"github.com/quetzallug/quetzallug/platform/enginewire"
 )
 
 // sequence is one generation. The engine's mutex guards it, except for the fields that are set
@@ -41,12 +42,12 @@
 	s.length, s.finish = answerLength(s.key, r.MaxTokens)
 	s.prompt = r.PromptTokens
 	if s.prompt <= 0 {
-		s.prompt = CountWords(r.Prompt)
+		s.prompt = enginewire.CountWords(r.Prompt)
 	}
 	s.pieces = (s.prompt + r.MaxTokens + platform.PieceTokens - 1) / platform.PieceTokens
 	s.produced, s.delivered = r.Offset, r.Offset
 	if !e.cfg.Instant {
-		s.hashes = PrefixHashes(r.Model, r.Adapter, r.Prompt)
+		s.hashes = enginewire.AppendPrefixHashes(nil, r.Model, r.Adapter, r.Prompt, e.cfg.CacheBlocks)
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -105,9 +106,12 @@
 	e.queue = insert(e.queue, s)
 	e.recordSequence(RequestQueued, s, "")
 	if !e.stepping {
-		e.stepping = true
-		e.loop.Add(1)
-		go e.run()
+		// The first step is planned here and not in the loop, so that its requests do not depend
+		// on how goroutines are scheduled.
+		if d, ok := e.planStep(); ok {
+			e.loop.Add(1)
+			go e.run(d)
+		}
 	}
 	e.noteLoad()
 }
--- a/standin/engine/step.go
+++ b/standin/engine/step.go
@@ -4,35 +4,41 @@
 	"time"
 
 	"github.com/quetzallug/quetzallug/platform"
+	"github.com/quetzallug/quetzallug/platform/enginewire"
 )
 
-// run is the step loop. It ends when there is no work.
-func (e *Engine) run() {
+// run is the step loop. The first step has been planned and takes d. The loop ends when there is
+// no work.
+func (e *Engine) run(d time.Duration) {
 	defer e.loop.Done()
-	timer := time.NewTimer(0)
+	timer := time.NewTimer(d)
 	defer timer.Stop()
-	<-timer.C
 	for {
-		d, ok := e.beginStep()
-		if !ok {
-			return
-		}
-		timer.Reset(d)
 		select {
 		case <-timer.C:
 		case <-e.closed:
 		}
-		e.endStep()
+		var ok bool
+		if d, ok = e.step(); !ok {
+			return
+		}
+		timer.Reset(d)
 	}
 }
 
-// beginStep admits requests, plans the prefill and returns the step time.
-func (e *Engine) beginStep() (time.Duration, bool) {
+// step completes the running step and plans the next one.
+func (e *Engine) step() (time.Duration, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.completeStep()
+	return e.planStep()
+}
+
+// planStep admits requests, plans the prefill and returns the step time. It returns false if
+// there is no work.
+func (e *Engine) planStep() (time.Duration, bool) {
 	e.admit()
-	if len(e.running) == 0 {
-		e.stepping = false
+	if e.stepping = len(e.running) > 0; !e.stepping {
 		return 0, false
 	}
 	budget := e.prefillBudget()
@@ -75,18 +81,16 @@
 func (e *Engine) prefillNeeded(s *sequence) int {
 	all := s.prompt + s.req.Offset
 	have := e.kv.imported(s.req.KVHandle, s.key)
-	if words := CountWords(s.req.Prompt); words > 0 {
-		cached := e.cache.match(s.hashes) * BlockTokens
+	if words := enginewire.CountWords(s.req.Prompt); words > 0 {
+		cached := e.cache.match(s.hashes) * enginewire.BlockTokens
 		have = max(have, cached*s.prompt/words)
 	}
 	return max(1, all-have)
 }
 
-// endStep advances each running sequence by the planned prefill or by one token. A sequence
+// completeStep advances each running sequence by the planned prefill or by one token. A sequence
 // whose prefill completes gets its first token in the same step.
-func (e *Engine) endStep() {
-	e.mu.Lock()
-	defer e.mu.Unlock()
+func (e *Engine) completeStep() {
 	finished := false
 	for _, s := range e.running {
 		if s.prefill > 0 {
--- a/standin/engine/tokens.go
+++ b/standin/engine/tokens.go
@@ -5,9 +5,8 @@
 	"fmt"
 	"strings"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/quetzallug/quetzallug/platform"
+	"github.com/quetzallug/quetzallug/platform/enginewire"
 )
 
 const (
@@ -16,8 +15,6 @@
 	// Answers stop by themselves after minAnswer to minAnswer+answerSpread-1 tokens.
 	minAnswer    = 16
 	answerSpread = 2032
-	// BlockTokens is the length of a prefix cache block.
-	BlockTokens = 256
 )
 
 // Finish reasons.
@@ -36,7 +33,7 @@
 
 // answerKey identifies the answer to a model, adapter, prompt and seed.
 func answerKey(r *platform.GenerateRequest) uint64 {
-	d := prefixDigest(r.Model, r.Adapter)
+	d := enginewire.NewAnswerDigest(r.Model, r.Adapter)
 	_, _ = d.WriteString(r.Prompt)
 	var seed [8]byte
 	binary.LittleEndian.PutUint64(seed[:], r.Seed)
@@ -44,15 +41,6 @@
 	return d.Sum64()
 }
 
-func prefixDigest(model, adapter string) *xxhash.Digest {
-	d := xxhash.New()
-	_, _ = d.WriteString(model)
-	_, _ = d.WriteString("\x00")
-	_, _ = d.WriteString(adapter)
-	_, _ = d.WriteString("\x00")
-	return d
-}
-
 // mix is the finalizer of splitmix64.
 func mix(x uint64) uint64 {
 	x += 0x9e3779b97f4a7c15
@@ -95,40 +83,3 @@
 	length, finish = answerLength(key, r.MaxTokens)
 	return tokens(key, 0, length), length, finish
 }
-
-// CountWords returns the number of whitespace-separated words of a prompt.
-func CountWords(prompt string) int {
-	n, inWord := 0, false
-	for i := range len(prompt) {
-		space := isSpace(prompt[i])
-		if !space && !inWord {
-			n++
-		}
-		inWord = !space
-	}
-	return n
-}
-
-func isSpace(b byte) bool { return b == ' ' || b >= '\t' && b <= '\r' }
-
-// PrefixHashes returns a hash for each leading run of whole blocks of BlockTokens words of the
-// prompt, the shortest first: xxhash64 of model, NUL, adapter, NUL and the prompt's bytes up to
-// the end of the block's last word. Cache events name prefixes by these hashes.
-func PrefixHashes(model, adapter, prompt string) []uint64 {
-	d := prefixDigest(model, adapter)
-	var hashes []uint64
-	words, start := 0, 0
-	for i := range len(prompt) {
-		end := !isSpace(prompt[i]) && (i+1 == len(prompt) || isSpace(prompt[i+1]))
-		if !end {
-			continue
-		}
-		words++
-		if words%BlockTokens == 0 {
-			_, _ = d.WriteString(prompt[start : i+1])
-			start = i + 1
-			hashes = append(hashes, d.Sum64())
-		}
-	}
-	return hashes
-}
