--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -45,6 +45,7 @@
 	reports  map[string]*v1.LoadReport
 	reported map[string]time.Time
 	services map[string]*serviceFleet
+	routers  map[string]*routing.Router
 	probing  map[string]bool
 	tickets  map[ticketKey]load.Ticket
 }
@@ -55,7 +56,8 @@
 	request string
 }
 
-// serviceFleet is the workers of one service at one version of membership and reports.
+// serviceFleet is the workers of one service at one version of membership and reports. It is
+// replaced, never changed.
 type serviceFleet struct {
 	router  *routing.Router
 	fleet   *routing.Fleet
@@ -67,7 +69,7 @@
 	return &Fleet{
 		cluster: cluster, dataCentre: dataCentre, view: view, clients: clients,
 		tracker: load.NewTracker(load.Speed{}), router: routing.Config{Seed: seed},
-		reports: map[string]*v1.LoadReport{}, reported: map[string]time.Time{}, services: map[string]*serviceFleet{},
+		reports: map[string]*v1.LoadReport{}, reported: map[string]time.Time{}, services: map[string]*serviceFleet{}, routers: map[string]*routing.Router{},
 		probing: map[string]bool{}, tickets: map[ticketKey]load.Ticket{},
 	}
 }
@@ -86,24 +88,21 @@
 	defer f.mu.Unlock()
 	if f.version != snapshot.Version {
 		f.version = snapshot.Version
-		for _, old := range f.services {
-			old.fleet = nil
-		}
+		clear(f.services)
 	}
 	return f.buildLocked(name, snapshot)
 }
 
 func (f *Fleet) buildLocked(name string, snapshot *membership.Snapshot) *serviceFleet {
-	old := f.services[name]
-	if old != nil && old.fleet != nil {
-		return old
+	if s := f.services[name]; s != nil {
+		return s
 	}
-	s := &serviceFleet{members: map[string]membership.Member{}}
-	if old != nil {
-		s.router = old.router
-	} else {
-		s.router = routing.New(f.router)
+	r := f.routers[name]
+	if r == nil {
+		r = routing.New(f.router)
+		f.routers[name] = r
 	}
+	s := &serviceFleet{router: r, members: map[string]membership.Member{}}
 	var workers []routing.Worker
 	for _, m := range snapshot.Usable(name) {
 		s.members[m.ID] = m
@@ -235,12 +234,7 @@
 	f.reports[r.GetInstance()] = r
 	f.reported[r.GetInstance()] = now
 	if old == nil || old.GetRole() != r.GetRole() || old.GetDraining() != r.GetDraining() || !slices.Equal(old.GetModels(), r.GetModels()) {
-		for _, s := range f.services {
-			if _, ok := s.members[r.GetInstance()]; ok {
-				s.fleet = nil
-			}
-		}
-		f.version = 0
+		clear(f.services)
 	}
 }
 
--- a/entry/http.go
+++ b/entry/http.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
+	"runtime/debug"
 	"time"
 
 	"github.com/gin-gonic/gin"
@@ -14,8 +16,9 @@
 
 // Handler serves callers.
 func (e *Entry) Handler() http.Handler {
+	gin.SetMode(gin.ReleaseMode)
 	g := gin.New()
-	g.Use(gin.CustomRecovery(e.recover))
+	g.Use(gin.CustomRecoveryWithWriter(io.Discard, e.recover))
 	g.POST("/v1/completions", func(c *gin.Context) { e.serveCompletion(c, false) })
 	g.POST("/v1/chat/completions", func(c *gin.Context) { e.serveCompletion(c, true) })
 	g.GET("/v1/models", e.serveModels)
@@ -27,7 +30,7 @@
 }
 
 func (e *Entry) recover(c *gin.Context, v any) {
-	e.log.WithField("panic", v).Error("request handler failed")
+	e.log.WithFields(logrus.Fields{"panic": v, "stack": string(debug.Stack())}).Error("request handler failed")
 	c.AbortWithStatus(http.StatusInternalServerError)
 }
 
--- a/entry/newcall.go
+++ b/entry/newcall.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/gin-gonic/gin"
 	"github.com/google/uuid"
 
@@ -14,8 +13,6 @@
 )
 
 const (
-	// prefixBlockBytes is the size of a hashed prompt block, about 256 tokens.
-	prefixBlockBytes = 1024
 	// maxPrefixBlocks bounds the leading blocks that take part in routing.
 	maxPrefixBlocks = 8
 	// digestBytes of a hash are enough to tell callers apart.
@@ -60,14 +57,3 @@
 	}
 	return n
 }
-
-// prefixHashes returns the chained hashes of the prompt's leading blocks.
-func prefixHashes(prompt string) []uint64 {
-	var hashes []uint64
-	d := xxhash.New()
-	for i := 0; i+prefixBlockBytes <= len(prompt) && len(hashes) < maxPrefixBlocks; i += prefixBlockBytes {
-		_, _ = d.WriteString(prompt[i : i+prefixBlockBytes])
-		hashes = append(hashes, d.Sum64())
-	}
-	return hashes
-}
--- a/entry/parse.go
+++ b/entry/parse.go
@@ -11,6 +11,7 @@
 
 	"github.com/quetzallug/quetzallug/document"
 	v1 "github.com/quetzallug/quetzallug/gen/quetzallug/v1"
+	"github.com/quetzallug/quetzallug/platform/enginewire"
 )
 
 // Headers of callers.
@@ -114,7 +115,7 @@
 	}
 	return e.newCall(c, s, kind, r.User, func(call *call) {
 		call.model = m
-		call.prefix = prefixHashes(r.Prompt)
+		call.prefix = enginewire.AppendPrefixHashes(nil, base, adapter, r.Prompt, maxPrefixBlocks)
 	})
 }
 
--- a/internal/app/entry.go
+++ b/internal/app/entry.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"time"
@@ -189,6 +188,3 @@
 	case <-t.C:
 	}
 }
-
-// jittered returns a duration between half and one and a half of d.
-func jittered(d time.Duration) time.Duration { return d/2 + rand.N(d) }
--- a/internal/testcluster/process.go
+++ b/internal/testcluster/process.go
@@ -58,8 +58,8 @@
 // Kill ends the process at once.
 func (p *Process) Kill() {
 	_ = p.Signal(syscall.SIGKILL)
-	<-p.done
-	p.done <- nil
+	err := <-p.done
+	p.done <- err
 }
 
 // Pause stops the process from running until Resume.
--- a/sidecar/execute.go
+++ b/sidecar/execute.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"strconv"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -40,7 +41,7 @@
 func (s *Sidecar) generate(ctx context.Context, r *v1.ExecuteRequest, out Sender) *v1.Final {
 	m := r.GetModel()
 	ts, err := s.engine.Generate(ctx, &platform.GenerateRequest{
-		RequestID: r.GetRequestId(), Model: m.GetModel(), Adapter: m.GetAdapter(), Prompt: m.GetPrompt(),
+		RequestID: engineRequestID(r), Model: m.GetModel(), Adapter: m.GetAdapter(), Prompt: m.GetPrompt(),
 		PromptTokens: int(m.GetPromptTokens()), MaxTokens: int(m.GetMaxTokens()), Seed: m.GetSeed(),
 		Priority: int(r.GetPriority()), Offset: int(r.GetOffset()),
 	})
@@ -68,6 +69,12 @@
 	}
 }
 
+// engineRequestID differs between attempts, so that the end of one attempt cannot affect
+// another one at the same engine.
+func engineRequestID(r *v1.ExecuteRequest) string {
+	return r.GetRequestId() + "/" + strconv.FormatUint(uint64(r.GetAttempt()), 10)
+}
+
 // call runs a plain request and returns the final frame's content.
 func (s *Sidecar) call(ctx context.Context, r *v1.ExecuteRequest, out Sender) *v1.Final {
 	p := r.GetPlain()
--- a/sidecar/service.go
+++ b/sidecar/service.go
@@ -66,13 +66,14 @@
 	if err := s.checkTarget(m.GetPool(), m.GetEngine()); err != nil {
 		return nil, err
 	}
+	resp := &v1.NotifyOrderResponse{Accepted: true}
 	err := s.orders.NotifyOrder(ctx, order.Notice{
 		Pool: m.GetPool(), Engine: m.GetEngine(), Fence: m.GetFence(), Number: m.GetOrderNumber(),
 	})
 	if err != nil {
-		return connect.NewResponse(&v1.NotifyOrderResponse{Reason: err.Error()}), nil
+		resp.Accepted, resp.Reason = false, err.Error()
 	}
-	return connect.NewResponse(&v1.NotifyOrderResponse{Accepted: true}), nil
+	return connect.NewResponse(resp), nil
 }
 
 // checkTarget refuses a message for another engine.
--- a/test/e2e/e2e_test.go
+++ b/test/e2e/e2e_test.go
@@ -96,7 +96,7 @@
 func checkCompletion(entry string, i int) error {
 	prompt := fmt.Sprintf("caller %d asks for the next arrival at stop %d", i, i*3)
 	want, _, finish := engine.Answer(&platform.GenerateRequest{Model: model, Prompt: prompt, MaxTokens: 20, Seed: 7})
-	resp, err := http.Post("http://"+entry+"/v1/completions", "application/json", strings.NewReader(completionBody(prompt, 20, true)))
+	resp, err := send(entry, i, http.MethodPost, "/v1/completions", completionBody(prompt, 20, true))
 	if err != nil {
 		return err
 	}
@@ -111,6 +111,25 @@
 	return nil
 }
 
+// send sends a request with the caller's own credentials and requires status 200.
+func send(entry string, caller int, method, path, body string) (*http.Response, error) {
+	req, err := http.NewRequest(method, "http://"+entry+path, strings.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Authorization", fmt.Sprintf("Bearer caller-%d", caller))
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		defer resp.Body.Close()
+		b, _ := io.ReadAll(resp.Body)
+		return nil, fmt.Errorf("caller %d: %s %s: status %d: %s", caller, method, path, resp.StatusCode, b)
+	}
+	return resp, nil
+}
+
 // readEvents returns the text of a stream that has ended with [DONE].
 func readEvents(r io.Reader) (text, finish string, err error) {
 	s := bufio.NewScanner(r)
@@ -143,7 +162,7 @@
 }
 
 func checkSchedule(entry string, i int) error {
-	resp, err := http.Get(fmt.Sprintf("http://%s/svc/halte-api/schedules/%d", entry, i))
+	resp, err := send(entry, i, http.MethodGet, fmt.Sprintf("/svc/halte-api/schedules/%d", i), "")
 	if err != nil {
 		return err
 	}
