Add policybench: a virtual-time model of one pool and its baselines

The policies need a measure before they are tuned. The model has batching steps, prefill and decode cost, pieces, prefix caches, drains and role changes of 5 s, three entries that route independently, and load reports of a set age. Round robin, a threshold rule, this project's policy and the best split in hindsight see the same arrivals.

load: after Restarted, a delayed report from before the restart was taken as news because the sequence number was reset; the time now decides.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 # Generous bound: the whole suite runs in well under a minute on 10 cores.
 TEST_TIMEOUT := 8m
 
-.PHONY: build run test e2e lint fmt vet generate check-generated ci
+.PHONY: build run test e2e lint fmt vet generate check-generated ci bench-policy
 
 build:
 	go build -o bin/ ./cmd/...
@@ -20,6 +20,11 @@
 e2e:
 	go test -timeout $(TEST_TIMEOUT) -count=1 ./test/e2e/...
 
+# Compares the routing, admission and placement policies with baselines in virtual time and
+# refreshes the table's data and plots in docs/data.
+bench-policy:
+	go run ./internal/policybench/cmd/policybench -data docs/data
+
 fmt:
 	go tool gofumpt -l -w $$(git ls-files --cached --others --exclude-standard '*.go' | grep -v '^gen/')
 
--- /dev/null
+++ b/internal/policybench/project.go
@@ -0,0 +1,248 @@
+package policybench
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/quetzallug/quetzallug/admission"
+	"github.com/quetzallug/quetzallug/load"
+	"github.com/quetzallug/quetzallug/placement"
+	"github.com/quetzallug/quetzallug/platform"
+	"github.com/quetzallug/quetzallug/retry"
+	"github.com/quetzallug/quetzallug/routing"
+)
+
+// entry is one entry process: it knows its own sends and the reports, and nothing of the others.
+type entry struct {
+	tracker   *load.Tracker
+	router    *routing.Router
+	admission *admission.Controller
+	retries   *retry.Budget
+	fleet     *routing.Fleet
+	version   int
+}
+
+// project is this project's policy. A nil planner leaves the roles alone.
+type project struct {
+	w       *world
+	entries [entries]*entry
+	planner *placement.Planner
+	weights placement.Weights
+	rnd     *rand.Rand
+}
+
+// sent is what a policy remembers of a request that is under way.
+type sent struct {
+	prefill, decode load.Ticket
+	to, from        *load.Worker // decode, prefill
+	decision        admission.Decision
+	entry           *entry
+}
+
+func newProject(w *world, planner *placement.Planner, weights placement.Weights) *project {
+	p := &project{w: w, planner: planner, weights: weights, rnd: w.noise}
+	initial := load.Speed{
+		PrefillSecondsPerToken: w.fleet.prefillToken, StepSeconds: w.fleet.stepBase.Seconds(),
+		StepSecondsPerSequence: w.fleet.stepPerSequence.Seconds(), ChunkTokens: decodeChunk,
+	}
+	for i := range p.entries {
+		p.entries[i] = &entry{
+			tracker:   load.NewTracker(initial),
+			router:    routing.New(routing.Config{Seed: uint64(i + 1)}),
+			admission: admission.New(admission.Config{}),
+			retries:   retry.NewBudget(retry.Config{}),
+			version:   -1,
+		}
+	}
+	return p
+}
+
+// snapshot rebuilds the fleet of an entry after a change of membership or roles.
+func (p *project) snapshot(e *entry) *routing.Fleet {
+	if e.version == p.w.version {
+		return e.fleet
+	}
+	e.version = p.w.version
+	workers := make([]routing.Worker, 0, len(p.w.engines))
+	for _, g := range p.w.engines {
+		l := e.tracker.Worker(g.id)
+		l.SetRole(g.role)
+		workers = append(workers, routing.Worker{
+			ID: g.id, DataCentre: "dc", Role: g.role, Load: l,
+			Draining: g.state == draining || g.state == changing, Ejected: g.state == dead,
+		})
+	}
+	e.fleet = routing.NewFleet(workers)
+	return e.fleet
+}
+
+func (p *project) engine(w *routing.Worker) *engine {
+	for _, e := range p.w.engines {
+		if e.id == w.ID {
+			return e
+		}
+	}
+	return nil
+}
+
+func (p *project) choose(r *request) (prefill, decode *engine, refusal string) {
+	e, now := p.entries[r.entry], p.w.now()
+	q := routing.Request{
+		Model: "m", DataCentre: "dc", PromptTokens: r.prompt + r.produced, OutputTokens: r.kind.output, Blocks: r.blocks,
+		FirstToken: r.kind.firstToken, BetweenTokens: r.kind.betweenTokens, Exclude: r.exclude,
+	}
+	if r.attempts == 0 {
+		e.retries.Fresh(now)
+	}
+	d := e.router.Choose(&q, p.snapshot(e), now)
+	waited := p.w.at - r.arrived
+	a := admission.Request{
+		Rank: r.kind.rank + 1, Deadline: epoch.Add(r.arrived + r.kind.total), BetweenTokens: r.kind.betweenTokens, Waited: waited,
+	}
+	if !r.hasFirst {
+		a.FirstToken = r.kind.firstToken
+	}
+	ok := e.admission.Admit(&a, &admission.Expectation{
+		NoWorker: d.Prefill == nil, FirstToken: d.FirstToken, BetweenTokens: d.BetweenTokens, Total: d.Total,
+	}, now)
+	if !ok.Admitted() {
+		return nil, nil, string(ok.Reason)
+	}
+	e.router.Sent(&q, &d, now)
+	s := &sent{decision: ok, entry: e, from: e.tracker.Worker(d.Prefill.ID), to: e.tracker.Worker(d.Decode.ID)}
+	s.prefill = s.from.Sent(load.Work{PrefillTokens: d.PrefillTokens}, now)
+	s.decode = s.to.Sent(load.Work{Decode: true, Pieces: q.Pieces()}, now)
+	r.route = s
+	return p.engine(d.Prefill), p.engine(d.Decode), ""
+}
+
+// accept is the sidecar's exact check: queue bound and time to first token by its own state.
+func (p *project) accept(r *request, e *engine) string {
+	if e.queued() >= queueBound {
+		return string(admission.QueueFull)
+	}
+	if !r.hasFirst && p.w.at-r.arrived+e.expectedFirst(r) > r.kind.firstToken {
+		return string(admission.Late)
+	}
+	return ""
+}
+
+func (p *project) retry(r *request) bool {
+	return p.entries[r.entry].retries.Take(p.w.now())
+}
+
+func (p *project) firstToken(r *request) {
+	s := r.route.(*sent)
+	s.from.FirstToken(s.prefill, p.w.now())
+}
+
+func (p *project) finished(r *request) {
+	s, ok := r.route.(*sent)
+	if !ok {
+		return
+	}
+	r.route = nil
+	now := p.w.now()
+	s.from.Finished(s.prefill, now)
+	s.to.Finished(s.decode, now)
+	s.entry.admission.Release("", s.decision)
+	if r.produced >= r.output && r.output > 8 {
+		s.to.BetweenTokens(r.between(), now)
+	}
+}
+
+func (p *project) report(e *engine, sequence uint64, age time.Duration, l platform.EngineLoad) {
+	for _, n := range p.entries {
+		n.tracker.Worker(e.id).Observe(load.Report{Sequence: sequence, Age: age, Load: l}, p.w.now())
+	}
+}
+
+func (p *project) cacheEvent(e *engine, c platform.CacheEvent) {
+	for _, n := range p.entries {
+		f := p.snapshot(n)
+		for _, w := range n.router.Candidates("m", f) {
+			if w.ID == e.id {
+				n.router.CacheEvents(w, []platform.CacheEvent{c}, p.w.now())
+			}
+		}
+	}
+}
+
+func (p *project) restarted(e *engine) {
+	for _, n := range p.entries {
+		n.tracker.Worker(e.id).Restarted(p.w.now())
+	}
+}
+
+func (p *project) plan(o *offered) {
+	if p.planner == nil {
+		return
+	}
+	now := p.w.now()
+	s := placement.Snapshot{Interval: planPeriod, BetweenTokens: p.w.fleet.long.betweenTokens}
+	for _, k := range []*offeredKind{&o.long, &o.chat} {
+		s.Offered = append(s.Offered, placement.KindWork{Requests: k.requests, PromptTokens: k.prompt, OutputTokens: k.output})
+	}
+	for _, e := range p.w.engines {
+		s.Engines = append(s.Engines, p.view(e, now))
+	}
+	s.Speed = load.Speed{
+		PrefillSecondsPerToken: p.w.fleet.prefillToken, StepSeconds: p.w.fleet.stepBase.Seconds(),
+		StepSecondsPerSequence: p.w.fleet.stepPerSequence.Seconds(), ChunkTokens: decodeChunk,
+	}
+	for _, c := range p.planner.Plan(now, &s, p.weights) {
+		for _, e := range p.w.engines {
+			if e.id == c.Engine {
+				p.w.order(e, c.Config.Role)
+			}
+		}
+	}
+}
+
+// view is the planner's view of an engine, from the entry that holds the pool.
+func (p *project) view(e *engine, now time.Time) placement.Engine {
+	l := p.entries[0].tracker.Worker(e.id).Estimate(now)
+	v := placement.Engine{
+		ID: e.id, State: placement.Serving, Config: platform.EngineConfig{Role: e.role}, Since: epoch.Add(e.since),
+		Sequences: l.Sequences, PrefillTokens: l.PrefillTokens,
+	}
+	switch e.state {
+	case draining, changing:
+		v.State, v.Config.Role = placement.Changing, e.next
+	case dead:
+		v.State = placement.Crashed
+	}
+	return v
+}
+
+// hindsight routes as the project does, and sets the best split of each phase without any cost.
+type hindsight struct {
+	*project
+
+	splits func(t time.Duration, alive int) platformSplit
+	last   platformSplit
+	alive  int
+}
+
+func (p *hindsight) plan(*offered) {
+	alive := 0
+	for _, e := range p.w.engines {
+		if e.state != dead {
+			alive++
+		}
+	}
+	want := p.splits(p.w.at, alive)
+	if want == p.last && alive == p.alive {
+		return
+	}
+	p.last, p.alive = want, alive
+	i := 0
+	for _, e := range p.w.engines {
+		if e.state == dead {
+			continue
+		}
+		e.role = want.role(i)
+		i++
+	}
+	p.w.changed()
+}
--- /dev/null
+++ b/internal/policybench/world.go
@@ -0,0 +1,268 @@
+package policybench
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/quetzallug/quetzallug/platform"
+)
+
+const (
+	// entries is the number of entries that route independently of each other.
+	entries      = 3
+	reportPeriod = 250 * time.Millisecond
+	planPeriod   = time.Second
+	// cacheLag and cacheLoss make cache events late and gappy.
+	cacheLag  = 500 * time.Millisecond
+	cacheLoss = 0.1
+	// resumeDelay is the time until an entry notices a broken stream.
+	resumeDelay = 50 * time.Millisecond
+	maxAttempts = 3
+)
+
+// policy decides for the pool.
+type policy interface {
+	// choose picks the engines of a request, or refuses it with a reason.
+	choose(r *request) (prefill, decode *engine, refusal string)
+	// accept is the check at the engine; an empty reason accepts.
+	accept(r *request, e *engine) string
+	// retry tells whether a refused request may be tried elsewhere.
+	retry(r *request) bool
+	firstToken(r *request)
+	finished(r *request)
+	report(e *engine, sequence uint64, age time.Duration, l platform.EngineLoad)
+	cacheEvent(e *engine, c platform.CacheEvent)
+	restarted(e *engine)
+	plan(o *offered)
+}
+
+// offered counts the offered requests between two planning rounds.
+type offered struct {
+	long, chat offeredKind
+}
+
+type offeredKind struct{ requests, prompt, output float64 }
+
+func (k *offeredKind) add(r *request) {
+	k.requests++
+	k.prompt += float64(r.prompt)
+	k.output += float64(r.kind.output)
+}
+
+// world is one run.
+type world struct {
+	simulation
+
+	fleet   *fleet
+	load    *workload
+	lag     time.Duration
+	noise   *rand.Rand
+	engines []*engine
+	policy  policy
+	version int
+	stats   stats
+	offered offered
+	pending []offered // not yet visible to the planner
+}
+
+func newWorld(f *fleet, l *workload, lag time.Duration, seed uint64, s platformSplit) *world {
+	w := &world{fleet: f, load: l, lag: lag, noise: rand.New(rand.NewPCG(seed, 2))}
+	w.stats.refusals = make(map[string]int)
+	speeds := rand.New(rand.NewPCG(seed, 3))
+	for i := range f.engines {
+		w.engines = append(w.engines, &engine{
+			w: w, index: i, id: fmt.Sprintf("%s-%02d", f.name, i), role: s.role(i), free: enginePieces,
+			since: -time.Hour, slowness: 0.95 + 0.1*speeds.Float64(),
+		})
+	}
+	return w
+}
+
+// run plays the workload and returns the figures.
+func (w *world) run(p policy, seed uint64) *stats {
+	w.policy = p
+	for _, r := range arrivals(w.fleet, w.load, seed) {
+		w.after(r.arrived, func() { w.arrive(r) })
+	}
+	for i, e := range w.engines {
+		// Reports are spread over the period.
+		w.after(reportPeriod*time.Duration(i)/time.Duration(len(w.engines)), func() {
+			w.sendReport(e)
+			w.every(reportPeriod, func() { w.sendReport(e) })
+		})
+	}
+	w.every(planPeriod, w.planRound)
+	if w.load.loseAt > 0 {
+		w.after(w.load.loseAt, w.loseEngines)
+	}
+	const tail = 30 * time.Second
+	w.runUntil(w.load.duration + tail)
+	w.stats.duration = w.load.duration - warmUp
+	return &w.stats
+}
+
+// loseEngines crashes one engine of each dedicated role, or any two if a role is absent.
+func (w *world) loseEngines() {
+	for _, role := range []platform.Role{platform.RolePrefill, platform.RoleDecode} {
+		i := slices.IndexFunc(w.engines, func(e *engine) bool { return e.state != dead && e.role == role })
+		if i < 0 {
+			i = slices.IndexFunc(w.engines, func(e *engine) bool { return e.state != dead })
+		}
+		w.engines[i].crash()
+	}
+}
+
+func (w *world) sendReport(e *engine) {
+	if e.state == dead {
+		return
+	}
+	e.reports++
+	sequence, l, life := e.reports, e.report(), e.epoch
+	w.after(w.lag, func() {
+		if e.epoch == life {
+			w.policy.report(e, sequence, w.lag, l)
+		}
+	})
+}
+
+func (w *world) planRound() {
+	w.pending = append(w.pending, w.offered)
+	w.offered = offered{}
+	if len(w.pending) > int(w.lag/planPeriod) {
+		o := w.pending[0]
+		w.pending = w.pending[1:]
+		w.policy.plan(&o)
+	}
+}
+
+func (w *world) arrive(r *request) {
+	if r.kind == &w.fleet.long {
+		w.offered.long.add(r)
+	} else {
+		w.offered.chat.add(r)
+	}
+	w.stats.offer(r)
+	w.dispatch(r)
+}
+
+func (w *world) dispatch(r *request) {
+	p, d, refusal := w.policy.choose(r)
+	if refusal != "" {
+		w.stats.refuse(r, refusal)
+		return
+	}
+	r.prefill, r.decode = p, d
+	if d != p {
+		d.incoming++
+	}
+	w.after(networkHop, func() { w.atPrefill(r) })
+}
+
+func (w *world) atPrefill(r *request) {
+	e := r.prefill
+	reason := ""
+	if e.state != serving {
+		reason = "draining"
+	} else {
+		reason = w.policy.accept(r, e)
+	}
+	if reason == "" {
+		e.enqueue(r)
+		return
+	}
+	w.release(r)
+	w.policy.finished(r)
+	r.attempts++
+	r.exclude = append(r.exclude, e.id)
+	if r.attempts >= maxAttempts || !w.policy.retry(r) {
+		w.stats.refuse(r, reason)
+		return
+	}
+	w.after(networkHop, func() { w.dispatch(r) })
+}
+
+// release undoes the reservation at the decode engine.
+func (w *world) release(r *request) {
+	if r.decode != r.prefill {
+		r.decode.incoming--
+		r.decode.drained()
+	}
+}
+
+// prefilled delivers the first token and hands the request to its decode engine.
+func (w *world) prefilled(e *engine, r *request) {
+	if !r.hasFirst {
+		r.first, r.hasFirst = w.at, true
+		w.policy.firstToken(r)
+	}
+	r.produced++
+	if r.produced >= r.output {
+		w.release(r)
+		w.finish(r)
+		return
+	}
+	if r.decode == e {
+		e.join(r)
+		return
+	}
+	d := r.decode
+	transfer := seconds(float64(r.prompt)*kvTokenBytes/kvBandwidth) + networkHop
+	w.after(transfer, func() {
+		d.incoming--
+		if d.state == dead || d.state == changing {
+			w.resume(r)
+			return
+		}
+		d.join(r)
+	})
+}
+
+// resume sends a request again whose engine failed: its prompt and what was delivered are
+// prefilled on another engine.
+func (w *world) resume(r *request) {
+	w.policy.finished(r)
+	r.attempts++
+	if r.attempts >= maxAttempts {
+		w.stats.refuse(r, "failed")
+		return
+	}
+	r.prefillLeft, r.cacheChecked = r.prompt+r.produced, false
+	w.after(resumeDelay, func() { w.dispatch(r) })
+}
+
+func (w *world) finish(r *request) {
+	r.last = w.at
+	w.policy.finished(r)
+	w.stats.finish(r)
+}
+
+func (w *world) changed() { w.version++ }
+
+// order starts a role change.
+func (w *world) order(e *engine, role platform.Role) {
+	w.stats.changes++
+	e.change(role)
+}
+
+func (w *world) cacheEvent(e *engine, prefix int, evicted bool) {
+	for _, b := range prefixBlocks(prefix) {
+		e.events++
+		c := platform.CacheEvent{Sequence: e.events, Prefix: b, Evicted: evicted}
+		if w.noise.Float64() >= cacheLoss {
+			w.after(cacheLag, func() { w.policy.cacheEvent(e, c) })
+		}
+	}
+}
+
+// prefixBlocks are the block hashes of a shared prefix.
+func prefixBlocks(prefix int) []uint64 {
+	out := make([]uint64, prefixTokens/256)
+	for i := range out {
+		out[i] = xxhash.Sum64String(fmt.Sprint("prefix-", prefix, "-", i))
+	}
+	return out
+}
--- a/load/load.go
+++ b/load/load.go
@@ -131,7 +131,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	madeAt := now.Add(-r.Age)
-	if !w.madeAt.IsZero() && r.Sequence <= w.sequence && madeAt.Sub(w.madeAt) < sequenceReset {
+	if w.outdated(r.Sequence, madeAt) {
 		return false
 	}
 	w.sequence, w.madeAt, w.report = r.Sequence, madeAt, r.Load
@@ -150,6 +150,19 @@
 	return true
 }
 
+// outdated tells whether a report is older than the one in use. After Restarted the sequence is
+// zero and only the time can tell.
+func (w *Worker) outdated(sequence uint64, madeAt time.Time) bool {
+	switch {
+	case w.madeAt.IsZero():
+		return false
+	case w.sequence == 0:
+		return madeAt.Before(w.madeAt)
+	default:
+		return sequence <= w.sequence && madeAt.Sub(w.madeAt) < sequenceReset
+	}
+}
+
 // Sent records that this process sent a request to the worker.
 func (w *Worker) Sent(work Work, now time.Time) Ticket {
 	w.mu.Lock()
