Prove claims under faults at every step

Crosses each step of the claim protocol with each fault, single and in pairs, for two and three entries, agreeing and disagreeing ownership views, plain and time-ordered keys; random histories with rapid; and one test per guard that the matrix does not reach.

--- /dev/null
+++ b/once/fault_test.go
@@ -0,0 +1,153 @@
+package once_test
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/stretchr/testify/require"
+
+	"github.com/quetzallug/quetzallug/once"
+)
+
+// faultCase is one cell of the fault matrix.
+type faultCase struct {
+	protocol  string
+	step      string
+	faults    []fault
+	invariant string
+}
+
+// faultCases crosses each step of the claim protocol with each fault, and with the same fault twice
+// in succession.
+func faultCases() []faultCase {
+	kvFaults := []fault{killBefore, killAfter, pause, lostResponse, lostRequest, late, duplicate, refused, outage, slow}
+	steps := map[string][]fault{
+		"layout.get":   {killBefore, pause, refused, outage, slow},
+		"layout.swap":  kvFaults,
+		"open.get":     {killBefore, pause, refused, outage, slow},
+		"open.swap":    kvFaults,
+		"segment.get":  {killBefore, pause, refused, outage, slow},
+		"segment.swap": kvFaults,
+		"forward":      {killBefore, killAfter, pause, lostResponse, lostRequest, late, duplicate, refused},
+		"dispatch":     {killBefore, killAfter, pause, lostResponse, late, duplicate, refused},
+	}
+	order := []string{"layout.get", "layout.swap", "open.get", "open.swap", "segment.get", "segment.swap", "forward", "dispatch"}
+	var cases []faultCase
+	for _, step := range order {
+		for _, f := range steps[step] {
+			cases = append(cases,
+				faultCase{"once", step, []fault{f}, "I5, I6"},
+				faultCase{"once", step, []fault{f, f}, "I5, I6"},
+				faultCase{"once", step, []fault{f, lostResponse}, "I5, I6"},
+				faultCase{"once", step, []fault{lostResponse, f}, "I5, I6"},
+			)
+		}
+	}
+	return cases
+}
+
+func testSettings() once.Settings {
+	set := once.DefaultSettings()
+	set.Shards = 1
+	// Seals the open record after three claims, so that each scenario crosses a rotation.
+	set.RotateBytes = 200
+	return set
+}
+
+// Guards against a second run, or a run after "not run", under every fault at every step.
+func TestFaultMatrix(t *testing.T) {
+	keys := map[string]func() string{
+		"plain key":        func() string { return "pump-7-open" },
+		"time-ordered key": func() string { return uuidAt(time.Now(), 1) },
+	}
+	for _, fc := range faultCases() {
+		fired := 0
+		for _, entries := range []int{2, 3} {
+			for _, disagree := range []bool{false, true} {
+				for kind, key := range keys {
+					name := fmt.Sprintf("%s/%v/%d entries/disagree %v/%s", fc.step, fc.faults, entries, disagree, kind)
+					synctest.Test(t, func(t *testing.T) {
+						c := newCluster(entries, testSettings())
+						c.setDisagree(disagree)
+						runScenario(c, fc, key())
+						require.Empty(t, c.check(), "%s: invariant %s", name, fc.invariant)
+						fired += c.fired
+						requireUsable(t, c, name)
+					})
+				}
+			}
+		}
+		require.Positive(t, fired, "%s/%v: no call met the fault", fc.step, fc.faults)
+	}
+}
+
+// runScenario lets all entries serve one key at once while the first one meets the faults, fills the
+// record so that it rotates, and then repeats the calls as a caller would.
+func runScenario(c *cluster, fc faultCase, key string) {
+	// A layout that exists would hide the faults of the layout steps.
+	if fc.step[:2] != "la" {
+		for i := range 2 {
+			c.entries[1].serve(ctxFor(5*time.Second), fmt.Sprintf("filler-%d", i), 1)
+		}
+	}
+	for _, e := range c.entries {
+		e.inject(fc.step, fc.faults...)
+		if fc.step == "forward" || fc.step == "dispatch" {
+			continue
+		}
+		break
+	}
+	c.setRefusals(1)
+	c.serveAll(key)
+	for i := range 4 {
+		c.entries[len(c.entries)-1].serve(ctxFor(5*time.Second), fmt.Sprintf("more-%d", i), 1)
+	}
+	c.serveAll(key)
+	settle()
+	c.serveAll(key)
+	settle()
+}
+
+// serveAll sends the key through all entries at once.
+func (c *cluster) serveAll(key string) {
+	var wg sync.WaitGroup
+	all, _, _ := c.present()
+	for _, e := range all {
+		wg.Go(func() { c.observe(key, e.serve(ctxFor(5*time.Second), key, 7)) })
+	}
+	wg.Wait()
+}
+
+// requireUsable guards against a shard that no longer accepts claims after its faults have ended.
+func requireUsable(t *testing.T, c *cluster, name string) {
+	t.Helper()
+	c.setRefusals(0)
+	for i, e := range c.entries {
+		e.mu.Lock()
+		e.faults = map[string][]fault{}
+		e.mu.Unlock()
+		if e.isDead() {
+			continue
+		}
+		key := fmt.Sprintf("after-%d", i)
+		o := e.serve(ctxFor(10*time.Second), key, 1)
+		require.Equal(t, "answer", o.state, "%s: %s", name, e.id)
+		settle()
+		require.Equal(t, o, e.serve(ctxFor(10*time.Second), key, 1), "%s: replay", name)
+	}
+}
+
+// uuidAt returns a UUIDv7 of the given time.
+func uuidAt(at time.Time, n byte) string {
+	var id uuid.UUID
+	ms := at.UnixMilli()
+	for i := range 6 {
+		id[i] = byte(ms >> (8 * (5 - i)))
+	}
+	id[6], id[8], id[15] = 0x70, 0x80, n
+	return id.String()
+}
--- /dev/null
+++ b/once/rapid_test.go
@@ -0,0 +1,110 @@
+package once_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// action is one step of a random history.
+type action struct {
+	Kind  string
+	Entry int
+	Key   int
+	Step  string
+	Fault fault
+	Wait  time.Duration
+}
+
+func drawAction(t *rapid.T) action {
+	return action{
+		Kind: rapid.SampledFrom([]string{
+			"serve", "serve", "serve", "serve all", "fault", "fault", "wait", "replace entry",
+			"replace fleet", "replace sidecar", "toggle views", "refuse", "days",
+		}).Draw(t, "kind"),
+		Entry: rapid.IntRange(0, 2).Draw(t, "entry"),
+		Key:   rapid.IntRange(0, 5).Draw(t, "key"),
+		Step: rapid.SampledFrom([]string{
+			"layout.get", "layout.swap", "open.get", "open.swap", "open.swap", "segment.get", "segment.swap",
+			"segment.delete", "forward", "dispatch",
+		}).Draw(t, "step"),
+		Fault: rapid.SampledFrom([]fault{
+			killBefore, killAfter, pause, lostResponse, lostRequest, late, duplicate, refused, outage, slow,
+		}).Draw(t, "fault"),
+		Wait: time.Duration(rapid.IntRange(0, 4000).Draw(t, "wait")) * time.Millisecond,
+	}
+}
+
+// Guards against a second run, or a run after "not run", in random histories: several entries and
+// keys, faults at any step, replaced entries and sidecars, ownership views that change, and days that
+// pass. Odd keys are time-ordered and must never run twice. Even keys may run again after the
+// retention period, so no days pass while they are checked.
+func TestRandomHistories(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		days := rapid.Bool().Draw(rt, "days pass")
+		actions := rapid.SliceOfN(rapid.Custom(drawAction), 1, 40).Draw(rt, "actions")
+		var violations []string
+		synctest.Test(t, func(*testing.T) {
+			set := testSettings()
+			set.Shards = 2
+			c := newCluster(3, set)
+			keys := make([]string, 6)
+			for i := range keys {
+				keys[i] = uuidAt(time.Now().Add(time.Duration(i)*time.Second), byte(i))
+				if i%2 == 0 && !days {
+					keys[i] = fmt.Sprintf("order-%d", i)
+				}
+			}
+			for _, a := range actions {
+				c.apply(a, keys, days)
+			}
+			settle()
+			for _, key := range keys {
+				c.serveAll(key)
+			}
+			settle()
+			violations = c.check()
+		})
+		if len(violations) > 0 {
+			rt.Fatalf("%v", violations)
+		}
+	})
+}
+
+func (c *cluster) apply(a action, keys []string, days bool) {
+	e, key := c.entries[a.Entry], keys[a.Key]
+	switch a.Kind {
+	case "serve":
+		go func() { c.observe(key, e.serve(ctxFor(3*time.Second), key, 7)) }()
+		time.Sleep(a.Wait / 100)
+	case "serve all":
+		go c.serveAll(key)
+		time.Sleep(a.Wait / 100)
+	case "fault":
+		e.inject(a.Step, a.Fault)
+	case "wait":
+		time.Sleep(a.Wait)
+	case "replace entry":
+		c.replaceEntry(a.Entry)
+	case "replace fleet":
+		for i := range c.entries {
+			c.replaceEntry(i)
+		}
+		c.replaceSidecar()
+	case "replace sidecar":
+		c.replaceSidecar()
+	case "toggle views":
+		_, _, disagree := c.present()
+		c.setDisagree(!disagree)
+	case "refuse":
+		c.setRefusals(2)
+	case "days":
+		if days {
+			settle()
+			time.Sleep(time.Duration(a.Key+1) * 6 * time.Hour)
+		}
+	}
+}
--- /dev/null
+++ b/once/shard_test.go
@@ -0,0 +1,135 @@
+package once_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/quetzallug/quetzallug/once"
+)
+
+func drawRequest(t *rapid.T) once.Request {
+	return once.Request{
+		Service:     service,
+		Key:         rapid.SampledFrom([]string{"a", "b", uuidAt(time.UnixMilli(1e12), 1), strings.ToUpper(uuidAt(time.UnixMilli(1e12), 10)), strings.Repeat("k", once.MaxKeyBytes)}).Draw(t, "key"),
+		RequestID:   rapid.SampledFrom([]string{"r", "s", uuidAt(time.UnixMilli(1e12), 2)}).Draw(t, "id"),
+		Action:      once.Action(rapid.IntRange(1, 3).Draw(t, "action")),
+		Fingerprint: rapid.Uint64().Draw(t, "fingerprint") % 2,
+		Answer: once.Answer{
+			Status:      rapid.Uint32().Draw(t, "status"),
+			ContentType: rapid.StringN(0, 20, 200).Draw(t, "type"),
+			Body:        rapid.SliceOfN(rapid.Byte(), 0, 3000).Draw(t, "body"),
+		},
+	}
+}
+
+// Guards against records that read back differently from what was written, exceed their stated size,
+// or are accepted when a byte has changed.
+func TestRecordRoundTrip(t *testing.T) {
+	set := once.DefaultSettings()
+	rapid.Check(t, func(t *rapid.T) {
+		s, err := once.Decode(mustEncodeEmpty())
+		require.NoError(t, err)
+		now := time.UnixMilli(1e12)
+		for _, r := range rapid.SliceOfN(rapid.Custom(drawRequest), 0, 30).Draw(t, "requests") {
+			s.Apply(&r, now, &set)
+			now = now.Add(time.Duration(rapid.IntRange(-50, 500).Draw(t, "ms")) * time.Millisecond)
+		}
+		s.Sealed = []once.Segment{{Version: 3, Last: now.Truncate(time.Second)}, {Version: 900, Last: now.Truncate(time.Second).Add(time.Hour)}}
+		data := s.Encode()
+		require.LessOrEqual(t, len(data), s.Size())
+		back, err := once.Decode(data)
+		require.NoError(t, err)
+		require.Equal(t, data, back.Encode())
+		require.Equal(t, s.Len(), back.Len())
+
+		i := rapid.IntRange(0, len(data)-1).Draw(t, "position")
+		data[i] ^= 1 << rapid.IntRange(0, 7).Draw(t, "bit")
+		_, err = once.Decode(data)
+		require.ErrorIs(t, err, once.ErrRecordInvalid)
+		_, err = once.Decode(data[:i])
+		require.ErrorIs(t, err, once.ErrRecordInvalid)
+	})
+}
+
+func mustEncodeEmpty() []byte {
+	// Format 1, no sealed records, no claims, xxhash64.
+	s := &once.Shard{}
+	return s.Encode()
+}
+
+// Guards against a record that exceeds the largest value of the key-value service, and against an
+// answer above the bound that is presented as kept.
+func TestRecordBounds(t *testing.T) {
+	set := once.DefaultSettings()
+	s, err := once.Decode(mustEncodeEmpty())
+	require.NoError(t, err)
+	now := time.UnixMilli(1e12)
+	large := once.Answer{Status: 200, Body: make([]byte, set.MaxBodyBytes+1)}
+	fits := once.Answer{Status: 200, Body: make([]byte, set.MaxBodyBytes)}
+	for i := 0; ; i++ {
+		r := once.Request{Key: strings.Repeat("k", 200) + time.Duration(i).String(), RequestID: "r", Action: once.ActionClaim}
+		res, _ := s.Apply(&r, now, &set)
+		if res.State == once.StateUnavailable {
+			require.ErrorIs(t, res.Err, once.ErrRecordFull)
+			break
+		}
+		r.Action = once.ActionComplete
+		if i == 0 {
+			r.Answer = large
+			res, _ = s.Apply(&r, now, &set)
+			require.True(t, res.Answer.Omitted())
+			continue
+		}
+		if i == 1 {
+			r.Answer = fits
+			res, _ = s.Apply(&r, now, &set)
+			require.False(t, res.Answer.Omitted())
+		}
+	}
+	require.LessOrEqual(t, len(s.Encode()), once.MaxRecordBytes)
+}
+
+// Guards against a duplicate or late delivery that runs again, a refusal of a duplicate that is
+// reported as not run, and a table without bound.
+func TestExecutor(t *testing.T) {
+	now := time.UnixMilli(1e12)
+	set := once.ExecutorSettings{Capacity: 4, KeepFor: time.Minute}
+	e := once.NewExecutor("2", set)
+	a := once.Attempt{RequestID: "a", Number: 1, Incarnation: "2"}
+	stale, second := a, a
+	stale.Incarnation, second.Number = "1", 2
+
+	require.Equal(t, once.RefuseIncarnation, e.Begin(now, stale))
+	require.True(t, once.RefuseIncarnation.NotRun())
+	require.False(t, once.RefuseDuplicate.NotRun())
+	require.Equal(t, once.Run, e.Begin(now, a))
+	require.Equal(t, once.RefuseDuplicate, e.Begin(now, a))
+	require.Equal(t, once.RefuseDuplicate, e.Begin(now, second), "another attempt while the first runs")
+	e.End(now, a, false)
+	require.Equal(t, once.RefuseDuplicate, e.Begin(now, a), "the refused attempt delivered late")
+	require.Equal(t, once.Run, e.Begin(now, second))
+	e.End(now, second, true)
+	third := second
+	third.Number = 3
+	require.Equal(t, once.RefuseDuplicate, e.Begin(now, third), "an attempt after one that ran")
+
+	for i := range 10 {
+		r := once.Attempt{RequestID: time.Duration(i).String(), Number: 1, Incarnation: "2", Repeatable: true}
+		require.Equal(t, once.Run, e.Begin(now, r), "ended repeatable attempts make room")
+		e.End(now, r, true)
+		require.LessOrEqual(t, e.Len(), set.Capacity)
+	}
+	for _, id := range []string{"x", "y"} {
+		r := once.Attempt{RequestID: id, Number: 1, Incarnation: "2"}
+		require.Equal(t, once.Run, e.Begin(now, r))
+		e.End(now, r, true)
+	}
+	full := once.Attempt{RequestID: "z", Number: 1, Incarnation: "2"}
+	require.Equal(t, once.RefuseFull, e.Begin(now, full))
+	require.Equal(t, once.RefuseDuplicate, e.Begin(now.Add(set.KeepFor), a))
+	require.Equal(t, once.Run, e.Begin(now.Add(set.KeepFor+time.Second), full))
+}
