--- a/once/fault_test.go
+++ b/once/fault_test.go
@@ -24,7 +24,7 @@
 // faultCases crosses each step of the claim protocol with each fault, and with the same fault twice
 // in succession.
 func faultCases() []faultCase {
-	kvFaults := []fault{killBefore, killAfter, pause, lostResponse, lostRequest, late, duplicate, refused, outage, slow}
+	kvFaults := []fault{killBefore, killAfter, pause, lostResponse, lostRequest, late, duplicate, slowResponse, refused, outage, slow}
 	steps := map[string][]fault{
 		"layout.get":   {killBefore, pause, refused, outage, slow},
 		"layout.swap":  kvFaults,
@@ -32,8 +32,8 @@
 		"open.swap":    kvFaults,
 		"segment.get":  {killBefore, pause, refused, outage, slow},
 		"segment.swap": kvFaults,
-		"forward":      {killBefore, killAfter, pause, lostResponse, lostRequest, late, duplicate, refused},
-		"dispatch":     {killBefore, killAfter, pause, lostResponse, late, duplicate, refused},
+		"forward":      {killBefore, killAfter, pause, lostResponse, lostRequest, late, duplicate, slowResponse, refused},
+		"dispatch":     {killBefore, killAfter, pause, lostResponse, late, duplicate, slowResponse, refused},
 	}
 	order := []string{"layout.get", "layout.swap", "open.get", "open.swap", "segment.get", "segment.swap", "forward", "dispatch"}
 	var cases []faultCase
@@ -90,8 +90,8 @@
 func runScenario(c *cluster, fc faultCase, key string) {
 	// A layout that exists would hide the faults of the layout steps.
 	if fc.step[:2] != "la" {
-		for i := range 2 {
-			c.entries[1].serve(ctxFor(5*time.Second), fmt.Sprintf("filler-%d", i), 1)
+		for i, e := range c.entries {
+			e.serve(ctxFor(5*time.Second), fmt.Sprintf("filler-%d", i), 1)
 		}
 	}
 	for _, e := range c.entries {
@@ -103,8 +103,8 @@
 	}
 	c.setRefusals(1)
 	c.serveAll(key)
-	for i := range 4 {
-		c.entries[len(c.entries)-1].serve(ctxFor(5*time.Second), fmt.Sprintf("more-%d", i), 1)
+	for i := range 8 {
+		c.entries[i%len(c.entries)].serve(ctxFor(5*time.Second), fmt.Sprintf("more-%d", i), 1)
 	}
 	c.serveAll(key)
 	settle()
@@ -112,11 +112,13 @@
 	settle()
 }
 
-// serveAll sends the key through all entries at once.
+// serveAll sends the key through all entries at once. The first one, which meets the faults, is a
+// little ahead, so that its write is under way when the others read the record.
 func (c *cluster) serveAll(key string) {
 	var wg sync.WaitGroup
 	all, _, _ := c.present()
 	for _, e := range all {
+		time.Sleep(time.Millisecond)
 		wg.Go(func() { c.observe(key, e.serve(ctxFor(5*time.Second), key, 7)) })
 	}
 	wg.Wait()
--- a/once/harness_test.go
+++ b/once/harness_test.go
@@ -30,6 +30,7 @@
 	lostRequest  fault = "lost request"  // the call has no effect, which the caller cannot know
 	late         fault = "late"          // the caller gives up, the call takes effect afterwards
 	duplicate    fault = "duplicate"     // the call takes effect twice, the second time late
+	slowResponse fault = "slow response" // the call takes effect, the response arrives late
 	refused      fault = "refused"       // the call certainly has no effect
 	outage       fault = "outage"        // the key-value service is down for five seconds
 	slow         fault = "slow"          // the key-value service is slow for five seconds
@@ -222,6 +223,8 @@
 		return errUnknown
 	case f == lostResponse:
 		return errUnknown
+	case f == slowResponse:
+		time.Sleep(lateTime)
 	case e.isDead():
 		return errUnknown
 	}
--- a/once/protocol_test.go
+++ b/once/protocol_test.go
@@ -83,20 +83,37 @@
 		require.Equal(t, once.StateExpired, state(uuidAt(now.Add(-set.Retention-time.Second), 2), "a"))
 		key := uuidAt(now.Add(set.Skew), 3)
 		require.Equal(t, once.StateGranted, state(key, "a"))
-		for i := range 26 {
-			time.Sleep(time.Hour)
+		for i := range 30 {
+			for j := range 4 {
+				state(fmt.Sprint("filler", i, j), "f")
+			}
 			want := once.StateHeld
 			if time.Since(now) > set.Retention+set.Skew {
 				want = once.StateExpired
 			}
 			require.Equal(t, want, state(key, fmt.Sprint("b", i)), "after %s", time.Since(now))
-			for j := range 4 {
-				state(fmt.Sprint("filler", i, j), "f")
+			if i == 23 {
+				// The last moments of the key, when its claim is older than the retention period.
+				time.Sleep(time.Until(now.Add(set.Retention + 30*time.Second)))
+				require.Equal(t, once.StateHeld, state(key, "c"))
 			}
+			time.Sleep(time.Hour)
 		}
 	})
 }
 
+// Guards against a claim that is dropped from the open record while its key is still accepted.
+func TestOpenClaimOutlivesItsKey(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		set := testSettings()
+		c := newCluster(1, set)
+		key := uuidAt(time.Now().Add(set.Skew), 3)
+		require.Equal(t, once.StateGranted, c.entries[0].commit.Do(t.Context(), claim(key, "a")).State)
+		time.Sleep(set.Retention + set.Skew/2)
+		require.Equal(t, once.StateHeld, c.entries[0].commit.Do(t.Context(), claim(key, "b")).State)
+	})
+}
+
 // Guards against records that grow without bound and sealed records that are never deleted.
 func TestRecordsStayBoundedAndExpire(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -147,18 +164,73 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster(2, testSettings())
 		owner, other := c.entries[0].commit, c.entries[1].commit
-		c.entries[0].inject("open.swap", slow)
+		c.entries[0].inject("open.swap", slowResponse)
 		gone, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
 		defer cancel()
-		first := owner.Do(gone, claim("k", "a"))
-		require.Contains(t, []once.State{once.StateUnknown, once.StateUnavailable}, first.State)
-		settle()
+		require.Equal(t, once.StateUnknown, owner.Do(gone, claim("k", "a")).State)
 		require.Equal(t, once.StateGranted, other.Do(t.Context(), claim("k", "a")).State)
 		settle()
 		require.Equal(t, once.StateHeld, owner.Do(t.Context(), claim("k", "b")).State)
 	})
 }
 
+// Guards against "not run" for a claim that was withdrawn while its batch was being written, and
+// against "unknown" for one that was withdrawn from the queue.
+func TestWithdrawnClaim(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(1, testSettings())
+		e := c.entries[0]
+		require.Equal(t, once.StateGranted, e.commit.Do(t.Context(), claim("warm", "a")).State)
+		e.inject("open.swap", slowResponse)
+		results := make(chan once.State, 2)
+		go func() { results <- e.commit.Do(ctxFor(20*time.Millisecond), claim("k", "a")).State }()
+		time.Sleep(10 * time.Millisecond)
+		go func() { results <- e.commit.Do(ctxFor(20*time.Millisecond), claim("l", "a")).State }()
+		require.Equal(t, once.StateUnknown, <-results)
+		require.Equal(t, once.StateUnavailable, <-results)
+		settle()
+		require.Equal(t, once.StateHeld, e.commit.Do(t.Context(), claim("k", "b")).State)
+		require.Equal(t, once.StateGranted, e.commit.Do(t.Context(), claim("l", "b")).State)
+	})
+}
+
+// Guards against results that rest on a record that another process has changed.
+func TestStaleRecordIsReadAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(2, testSettings())
+		a, b := c.entries[0].commit, c.entries[1].commit
+		require.Equal(t, once.StateGranted, a.Do(t.Context(), claim("k", "a")).State)
+		require.Equal(t, once.StateNone, b.Do(t.Context(), with(claim("k", "a"), once.ActionRelease)).State)
+		require.Equal(t, once.StateGranted, b.Do(t.Context(), claim("k", "b")).State)
+		require.Equal(t, once.StateHeld, a.Do(t.Context(), claim("k", "a")).State, "a claim that was released elsewhere")
+	})
+}
+
+// Guards against an open record that is replaced before its claims are in a sealed record.
+func TestSealedBeforeReplaced(t *testing.T) {
+	for _, f := range []fault{refused, lostRequest, lostResponse, late, killBefore, killAfter} {
+		synctest.Test(t, func(t *testing.T) {
+			c := newCluster(2, testSettings())
+			c.entries[0].inject("segment.swap", f)
+			states := map[string]once.State{}
+			for i := range 8 {
+				key := fmt.Sprint("k", i)
+				states[key] = c.entries[0].commit.Do(t.Context(), claim(key, "a")).State
+			}
+			settle()
+			require.Equal(t, 1, c.fired)
+			for key, state := range states {
+				got := c.entries[1].commit.Do(t.Context(), claim(key, "b")).State
+				if state == once.StateGranted {
+					require.Equal(t, once.StateHeld, got, "%s: %s", f, key)
+				} else {
+					require.Contains(t, []once.State{once.StateGranted, once.StateHeld}, got, "%s: %s", f, key)
+				}
+			}
+		})
+	}
+}
+
 // Guards against "not run" for a claim that may be recorded: the owner records it and its response is
 // lost, and then the key-value service is down.
 func TestUnknownForwardIsNeverUnavailable(t *testing.T) {
--- a/once/rapid_test.go
+++ b/once/rapid_test.go
@@ -32,7 +32,7 @@
 			"segment.delete", "forward", "dispatch",
 		}).Draw(t, "step"),
 		Fault: rapid.SampledFrom([]fault{
-			killBefore, killAfter, pause, lostResponse, lostRequest, late, duplicate, refused, outage, slow,
+			killBefore, killAfter, pause, lostResponse, lostRequest, late, duplicate, slowResponse, refused, outage, slow,
 		}).Draw(t, "fault"),
 		Wait: time.Duration(rapid.IntRange(0, 4000).Draw(t, "wait")) * time.Millisecond,
 	}
--- a/once/shard_test.go
+++ b/once/shard_test.go
@@ -11,10 +11,15 @@
 	"github.com/quetzallug/quetzallug/once"
 )
 
+var recordKeys = []string{
+	"a", "b", strings.Repeat("k", once.MaxKeyBytes),
+	uuidAt(time.UnixMilli(1e12), 1), strings.ToUpper(uuidAt(time.UnixMilli(1e12), 10)),
+}
+
 func drawRequest(t *rapid.T) once.Request {
 	return once.Request{
 		Service:     service,
-		Key:         rapid.SampledFrom([]string{"a", "b", uuidAt(time.UnixMilli(1e12), 1), strings.ToUpper(uuidAt(time.UnixMilli(1e12), 10)), strings.Repeat("k", once.MaxKeyBytes)}).Draw(t, "key"),
+		Key:         rapid.SampledFrom(recordKeys).Draw(t, "key"),
 		RequestID:   rapid.SampledFrom([]string{"r", "s", uuidAt(time.UnixMilli(1e12), 2)}).Draw(t, "id"),
 		Action:      once.Action(rapid.IntRange(1, 3).Draw(t, "action")),
 		Fingerprint: rapid.Uint64().Draw(t, "fingerprint") % 2,
@@ -45,6 +50,9 @@
 		require.NoError(t, err)
 		require.Equal(t, data, back.Encode())
 		require.Equal(t, s.Len(), back.Len())
+		for _, key := range recordKeys {
+			require.Equal(t, s.Get(key) == nil, back.Get(key) == nil, key)
+		}
 
 		i := rapid.IntRange(0, len(data)-1).Draw(t, "position")
 		data[i] ^= 1 << rapid.IntRange(0, 7).Draw(t, "bit")
