--- a/document/decode.go
+++ b/document/decode.go
@@ -22,11 +22,21 @@
 	positions map[string]position
 }
 
-func (d *decoder) fault(tk *token.Token, field, found, allowed string) {
-	p := tokenPosition(tk)
+func (d *decoder) fault(n ast.Node, field, found, allowed string) {
+	p := nodePosition(n)
 	d.errs = append(d.errs, &Error{Line: p.line, Column: p.column, Field: field, Found: found, Allowed: allowed})
 }
 
+// nodePosition returns the start of a node. The token of a block mapping is its first colon.
+func nodePosition(n ast.Node) position {
+	if entries, ok := mapEntries(n); ok && len(entries) > 0 {
+		if m, ok := n.(*ast.MappingNode); !ok || !m.IsFlowStyle {
+			return nodePosition(entries[0].Key)
+		}
+	}
+	return tokenPosition(n.GetToken())
+}
+
 func tokenPosition(tk *token.Token) position {
 	if tk == nil || tk.Position == nil {
 		return position{1, 1}
@@ -37,13 +47,13 @@
 // value decodes one node into v.
 func (d *decoder) value(n ast.Node, field string, v reflect.Value) {
 	if tag, ok := n.(*ast.TagNode); ok {
-		d.fault(tag.GetToken(), field, "tag "+tag.GetToken().Value, "no tags")
+		d.fault(tag, field, "tag "+tag.GetToken().Value, "no tags")
 		return
 	}
 	switch n.(type) {
 	case *ast.AnchorNode, *ast.AliasNode:
 		// An alias can expand a small document to any size.
-		d.fault(n.GetToken(), field, "anchor or alias", "plain values only")
+		d.fault(n, field, "anchor or alias", "plain values only")
 		return
 	}
 	if _, ok := v.Addr().Interface().(encoding.TextUnmarshaler); ok {
@@ -64,18 +74,18 @@
 	const allowed = `a duration such as "730ms", "2s" or "5m"`
 	s, ok := stringValue(n)
 	if !ok {
-		d.fault(n.GetToken(), field, describe(n), allowed)
+		d.fault(n, field, describe(n), allowed)
 		return
 	}
 	if err := v.Addr().Interface().(encoding.TextUnmarshaler).UnmarshalText([]byte(s)); err != nil {
-		d.fault(n.GetToken(), field, strconv.Quote(s), allowed)
+		d.fault(n, field, strconv.Quote(s), allowed)
 	}
 }
 
 func (d *decoder) structure(n ast.Node, field string, v reflect.Value) {
 	entries, ok := mapEntries(n)
 	if !ok {
-		d.fault(n.GetToken(), field, describe(n), "a mapping")
+		d.fault(n, field, describe(n), "a mapping")
 		return
 	}
 	fields := structFields(v.Type())
@@ -83,13 +93,13 @@
 	for _, e := range entries {
 		name := keyName(e.Key)
 		path := join(field, name)
-		d.positions[path] = tokenPosition(e.Key.GetToken())
+		d.positions[path] = nodePosition(e.Key)
 		i := slices.Index(fields, name)
 		switch {
 		case i < 0:
-			d.fault(e.Key.GetToken(), path, "unknown field "+strconv.Quote(name), strings.Join(fields, ", "))
+			d.fault(e.Key, path, "unknown field "+strconv.Quote(name), strings.Join(fields, ", "))
 		case seen[name]:
-			d.fault(e.Key.GetToken(), path, "the field a second time", "each field once")
+			d.fault(e.Key, path, "the field a second time", "each field once")
 		default:
 			seen[name] = true
 			d.value(e.Value, path, v.Field(i))
@@ -100,13 +110,13 @@
 func (d *decoder) sequence(n ast.Node, field string, v reflect.Value) {
 	seq, ok := n.(*ast.SequenceNode)
 	if !ok {
-		d.fault(n.GetToken(), field, describe(n), "a list")
+		d.fault(n, field, describe(n), "a list")
 		return
 	}
 	v.Set(reflect.MakeSlice(v.Type(), len(seq.Values), len(seq.Values)))
 	for i, item := range seq.Values {
 		path := fmt.Sprintf("%s[%d]", field, i)
-		d.positions[path] = tokenPosition(item.GetToken())
+		d.positions[path] = nodePosition(item)
 		d.value(item, path, v.Index(i))
 	}
 }
@@ -141,7 +151,7 @@
 	default:
 		panic(fmt.Sprintf("document: field %s has unsupported type %s", field, v.Type()))
 	}
-	d.fault(n.GetToken(), field, describe(n), allowed)
+	d.fault(n, field, describe(n), allowed)
 }
 
 func stringValue(n ast.Node) (string, bool) {
--- a/document/parse.go
+++ b/document/parse.go
@@ -24,6 +24,9 @@
 	maxDepth = 16
 	// maxLineBytes bounds a line, and with it the nesting that indentation can express.
 	maxLineBytes = 1024
+	// maxTokens bounds the parser's time, which grows with the square of the number of fields
+	// in one mapping: 100,000 fields took 21 s.
+	maxTokens = 40_000
 )
 
 // Defaults of optional fields.
@@ -102,9 +105,13 @@
 	case len(roots) == 0:
 		return nil, &Error{Line: 1, Column: 1, Found: "an empty file", Allowed: "one document"}
 	case len(roots) > 1 || len(f.Docs) > 1:
-		p := tokenPosition(roots[len(roots)-1].GetToken())
+		p := nodePosition(roots[len(roots)-1])
 		return nil, &Error{Line: p.line, Column: p.column, Found: "a second document", Allowed: "one document in a file"}
 	}
+	if _, ok := mapEntries(roots[0]); !ok {
+		p := nodePosition(roots[0])
+		return nil, &Error{Line: p.line, Column: p.column, Found: describe(roots[0]), Allowed: "a mapping"}
+	}
 	return roots[0], nil
 }
 
@@ -139,8 +146,12 @@
 	if !utf8.Valid(body) {
 		return &Error{Line: 1, Column: 1, Found: "invalid UTF-8", Allowed: "UTF-8"}
 	}
+	tokens := lexer.Tokenize(string(body))
+	if len(tokens) > maxTokens {
+		return &Error{Line: 1, Column: 1, Found: fmt.Sprintf("%d tokens", len(tokens)), Allowed: fmt.Sprintf("at most %d tokens", maxTokens)}
+	}
 	depth := 0
-	for _, tk := range lexer.Tokenize(string(body)) {
+	for _, tk := range tokens {
 		switch tk.Type {
 		case token.MappingStartType, token.SequenceStartType:
 			depth++
--- a/document/validate.go
+++ b/document/validate.go
@@ -238,7 +238,7 @@
 	number(v, at+".roles.prefill", r.Prefill, 0, MaxWorkers)
 	number(v, at+".roles.decode", r.Decode, 0, MaxWorkers)
 	number(v, at+".roles.mixed", r.Mixed, 0, MaxWorkers)
-	if sum := r.Prefill + r.Decode + r.Mixed; (sum != 0 || v.present(at+".roles")) && sum != p.Workers {
+	if sum := r.Prefill + r.Decode + r.Mixed; min(r.Prefill, r.Decode, r.Mixed) >= 0 && (sum != 0 || v.present(at+".roles")) && sum != p.Workers {
 		v.fault(at+".roles", fmt.Sprintf("a sum of %d", sum), fmt.Sprintf("a sum of %d, the number of workers", p.Workers))
 	}
 }
--- a/document/validate_kinds.go
+++ b/document/validate_kinds.go
@@ -78,7 +78,9 @@
 	if d == 0 && !v.present(field) {
 		return
 	}
-	if d <= 0 || d > total {
+	switch {
+	case total <= 0: // has its own fault
+	case d <= 0 || d > total:
 		v.fault(field, d.String(), "above 0s and at most the total of "+total.String())
 	}
 }
