Add operators' tool

The base revision travels as a comment on the first line of a fetched file; it is not stored. Exit codes are part of the interface.

--- /dev/null
+++ b/cmd/quetzallug/main.go
@@ -0,0 +1,20 @@
+// Command quetzallug is the operators' tool. See docs/operators.md.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/quetzallug/quetzallug/internal/cli"
+
+	_ "github.com/quetzallug/quetzallug/modules/kvhttp" // registers platform.kv.http
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := cli.Run(ctx, os.Args[1:], cli.Streams{In: os.Stdin, Out: os.Stdout, Err: os.Stderr})
+	stop()
+	os.Exit(code)
+}
--- /dev/null
+++ b/internal/cli/get.go
@@ -0,0 +1,104 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/spf13/cobra"
+
+	"github.com/quetzallug/quetzallug/document/registry"
+	"github.com/quetzallug/quetzallug/platform"
+)
+
+// recordView is a record as JSON and YAML output shows it.
+type recordView struct {
+	Service  string `json:"service"`
+	Revision uint64 `json:"revision"`
+	Deleted  bool   `json:"deleted"`
+	Author   string `json:"author"`
+	Time     string `json:"time"`
+	WriteID  string `json:"write_id"`
+	Document string `json:"document,omitempty"`
+}
+
+func newRecordView(r *registry.Record) recordView {
+	return recordView{r.Service, r.Revision, r.Deleted, r.Author, formatTime(r.Time), r.WriteID, string(r.Body)}
+}
+
+func (a *app) getCommand() *cobra.Command {
+	var revision uint64
+	cmd := &cobra.Command{
+		Use:   "get SERVICE",
+		Short: "Print the accepted document of a service",
+		Long: `get prints the accepted document. The first line is a comment with the revision, from which
+'apply' takes the base revision. With --revision it prints one of the last 20 revisions; that
+comment names the old revision, so give --base to apply such a file.`,
+		Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			return a.withKV(cmd, func(ctx context.Context, kv platform.KV) error {
+				return a.get(ctx, kv, args[0], revision)
+			})
+		},
+	}
+	cmd.Flags().Uint64Var(&revision, "revision", 0, "revision from the history instead of the accepted one")
+	return cmd
+}
+
+func (a *app) get(ctx context.Context, kv platform.KV, service string, revision uint64) error {
+	r, err := find(ctx, kv, service, revision)
+	if err != nil {
+		return err
+	}
+	if a.output() != "table" {
+		return a.emit(newRecordView(&r), nil)
+	}
+	if r.Deleted {
+		a.note("service %s is deleted since revision %d by %s", r.Service, r.Revision, r.Author)
+		return nil
+	}
+	return a.print(revisionComment(&r) + string(r.Body))
+}
+
+func find(ctx context.Context, kv platform.KV, service string, revision uint64) (registry.Record, error) {
+	if revision == 0 {
+		return registry.Get(ctx, kv, service)
+	}
+	past, err := registry.History(ctx, kv, service)
+	if err != nil {
+		return registry.Record{}, err
+	}
+	for _, r := range past {
+		if r.Revision == revision {
+			return r, nil
+		}
+	}
+	return registry.Record{}, fmt.Errorf("%w: revision %d of %q is not in the history", registry.ErrNotFound, revision, service)
+}
+
+func (a *app) historyCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "history SERVICE",
+		Short: "List the last revisions of a service, newest first",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			return a.withKV(cmd, func(ctx context.Context, kv platform.KV) error {
+				return a.history(ctx, kv, args[0])
+			})
+		},
+	}
+}
+
+func (a *app) history(ctx context.Context, kv platform.KV, service string) error {
+	past, err := registry.History(ctx, kv, service)
+	if err != nil {
+		return err
+	}
+	if len(past) == 0 {
+		return fmt.Errorf("%w: %q has no history", registry.ErrNotFound, service)
+	}
+	views := make([]recordView, len(past))
+	for i := range past {
+		views[i] = newRecordView(&past[i])
+	}
+	return a.emit(views, recordTable(past...))
+}
--- /dev/null
+++ b/internal/cli/status.go
@@ -0,0 +1,167 @@
+package cli
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/spf13/cobra"
+
+	quetzallugv1 "github.com/quetzallug/quetzallug/gen/quetzallug/v1"
+)
+
+type documentView struct {
+	Service      string `json:"service"`
+	Revision     uint64 `json:"revision"`
+	Deleted      bool   `json:"deleted"`
+	InForceSince string `json:"in_force_since"`
+}
+
+type statusView struct {
+	Entry       string         `json:"entry"`
+	Instance    string         `json:"instance"`
+	DataCentre  string         `json:"data_centre"`
+	Incarnation string         `json:"incarnation"`
+	Confirmed   bool           `json:"confirmed"`
+	PoolsHeld   []string       `json:"pools_held"`
+	Workers     int            `json:"workers"`
+	Documents   []documentView `json:"documents"`
+}
+
+func (a *app) statusCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "status",
+		Short: "Show the entries and the revisions that they have in force",
+		Long: `status asks each entry for the documents in force. An entry that is not confirmed has not yet
+reached the key-value service since its start, directly or through a peer. An entry that does
+not answer is reported on the standard error; the exit code is 5 only if none answers.`,
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			ctx, cancel := a.withTimeout(cmd.Context())
+			defer cancel()
+			answers, err := a.askStatus(ctx)
+			if err != nil {
+				return err
+			}
+			t := &table{header: []string{"INSTANCE", "DATA CENTRE", "CONFIRMED", "POOLS HELD", "SERVICE", "REVISION", "DELETED", "IN FORCE SINCE"}}
+			var views []statusView
+			for _, an := range answers {
+				v := newStatusView(an.address, an.value)
+				views = append(views, v)
+				addStatusRows(t, &v)
+			}
+			return a.emit(views, t)
+		},
+	}
+}
+
+func newStatusView(address string, s *quetzallugv1.StatusResponse) statusView {
+	v := statusView{
+		Entry: address, Instance: s.GetInstance(), DataCentre: s.GetDataCentre(), Incarnation: s.GetIncarnation(),
+		Confirmed: s.GetConfirmed(), PoolsHeld: append([]string{}, s.GetPoolsHeld()...), Workers: len(s.GetWorkers()),
+		Documents: []documentView{},
+	}
+	for _, d := range s.GetDocuments() {
+		v.Documents = append(v.Documents, documentView{
+			d.GetService(), d.GetRevision(), d.GetDeleted(), formatTime(fromUnixMS(d.GetInForceSinceUnixMs())),
+		})
+	}
+	return v
+}
+
+func addStatusRows(t *table, v *statusView) {
+	row := []string{v.Instance, v.DataCentre, strconv.FormatBool(v.Confirmed), strings.Join(v.PoolsHeld, ",")}
+	if len(v.Documents) == 0 {
+		t.add(append(row, "", "", "", "")...)
+	}
+	for _, d := range v.Documents {
+		t.add(append(slices.Clone(row), d.Service, strconv.FormatUint(d.Revision, 10), strconv.FormatBool(d.Deleted), d.InForceSince)...)
+	}
+}
+
+type engineView struct {
+	Instance      string   `json:"instance"`
+	Address       string   `json:"address"`
+	Service       string   `json:"service"`
+	DataCentre    string   `json:"data_centre"`
+	State         string   `json:"state"`
+	Role          string   `json:"role"`
+	Models        []string `json:"models"`
+	Draining      bool     `json:"draining"`
+	Running       uint32   `json:"running"`
+	Queued        uint32   `json:"queued"`
+	PrefillTokens uint64   `json:"prefill_tokens"`
+	DecodeTokens  uint64   `json:"decode_tokens"`
+	FreePieces    uint32   `json:"free_pieces"`
+	TotalPieces   uint32   `json:"total_pieces"`
+	ReportAgeMS   uint32   `json:"report_age_ms"`
+	// Entry is the address of the entry that has this view.
+	Entry string `json:"entry"`
+}
+
+func (a *app) enginesCommand() *cobra.Command {
+	var service string
+	cmd := &cobra.Command{
+		Use:   "engines",
+		Short: "Show the workers of all services as the entries see them",
+		Long: `engines shows each worker once, by the youngest load report that any of the given entries has.
+Free and total are pieces of 1,024 tokens.`,
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			ctx, cancel := a.withTimeout(cmd.Context())
+			defer cancel()
+			answers, err := a.askStatus(ctx)
+			if err != nil {
+				return err
+			}
+			views := mergeEngines(answers)
+			views = slices.DeleteFunc(views, func(v engineView) bool { return service != "" && v.Service != service })
+			return a.emit(views, engineTable(views))
+		},
+	}
+	cmd.Flags().StringVar(&service, "service", "", "only workers of this service")
+	return cmd
+}
+
+// mergeEngines keeps the view with the youngest load report of each worker.
+func mergeEngines(answers []answer[*quetzallugv1.StatusResponse]) []engineView {
+	best := map[string]engineView{}
+	for _, an := range answers {
+		for _, w := range an.value.GetWorkers() {
+			v := newEngineView(an.address, w)
+			if old, ok := best[v.Instance]; !ok || v.ReportAgeMS < old.ReportAgeMS {
+				best[v.Instance] = v
+			}
+		}
+	}
+	return slices.SortedFunc(maps.Values(best), func(x, y engineView) int {
+		return cmp.Or(cmp.Compare(x.Service, y.Service), cmp.Compare(x.DataCentre, y.DataCentre), cmp.Compare(x.Instance, y.Instance))
+	})
+}
+
+func newEngineView(entry string, w *quetzallugv1.WorkerStatus) engineView {
+	l := w.GetLoad()
+	return engineView{
+		Instance: w.GetInstance(), Address: w.GetAddress(), Service: w.GetService(), DataCentre: w.GetDataCentre(),
+		State: w.GetState(), Role: l.GetRole(), Models: append([]string{}, l.GetModels()...), Draining: l.GetDraining(),
+		Running: l.GetRunning(), Queued: l.GetQueued(), PrefillTokens: l.GetPrefillTokens(), DecodeTokens: l.GetDecodeTokens(),
+		FreePieces: l.GetFreePieces(), TotalPieces: l.GetTotalPieces(), ReportAgeMS: l.GetAgeMs(), Entry: entry,
+	}
+}
+
+func engineTable(views []engineView) *table {
+	t := &table{header: []string{"INSTANCE", "SERVICE", "DATA CENTRE", "STATE", "ROLE", "MODELS", "RUNNING", "QUEUED", "FREE", "TOTAL", "REPORT AGE"}}
+	for _, v := range views {
+		state := v.State
+		if v.Draining && !strings.Contains(state, "drain") {
+			state += ",draining"
+		}
+		t.add(v.Instance, v.Service, v.DataCentre, state, v.Role, strings.Join(v.Models, ","),
+			decimal(v.Running), decimal(v.Queued), decimal(v.FreePieces), decimal(v.TotalPieces), decimal(v.ReportAgeMS)+"ms")
+	}
+	return t
+}
+
+func decimal(n uint32) string { return strconv.FormatUint(uint64(n), 10) }
