--- a/cmd/quetzallugd/main.go
+++ b/cmd/quetzallugd/main.go
@@ -1,5 +1,5 @@
-// Command quetzallugd is the daemon. Its roles are entry, which serves callers, and sidecar,
-// which runs beside one backend server.
+// Command quetzallugd is the daemon. Its roles are entry, which serves callers, sidecar,
+// which runs beside one backend server, and dev, which runs an example in one process.
 package main
 
 import (
@@ -25,7 +25,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(entryCommand(), sidecarCommand(), settingsCommand())
+	root.AddCommand(entryCommand(), sidecarCommand(), devCommand(), settingsCommand())
 	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "quetzallugd:", err)
 		os.Exit(1)
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -122,7 +122,8 @@
 		w.Draining = true
 		return w
 	}
-	w.Draining = r.GetDraining()
+	// The router takes an empty list of models as any model.
+	w.Draining = r.GetDraining() || !r.GetPlain() && len(r.GetModels()) == 0
 	w.Models = r.GetModels()
 	if r.GetRole() != "" {
 		w.Role = platform.Role(r.GetRole())
--- a/entry/refresh.go
+++ b/entry/refresh.go
@@ -60,7 +60,7 @@
 		}
 		r := f.reports[m.ID]
 		limit := refreshReady
-		if r == nil || r.GetDraining() || r.GetRole() != "" && len(r.GetModels()) == 0 {
+		if r == nil || r.GetDraining() || !r.GetPlain() && len(r.GetModels()) == 0 {
 			limit = refreshUnready
 		}
 		if over := now.Sub(f.reported[m.ID]) - limit; over >= 0 {
--- a/internal/app/common.go
+++ b/internal/app/common.go
@@ -100,12 +100,14 @@
 	traffic *rpc.Traffic
 }
 
-func newControl(c *settings.Common, m *telemetry.Metrics, log logrus.FieldLogger) (*control, error) {
+func newControl(lc fx.Lifecycle, c *settings.Common, m *telemetry.Metrics, log logrus.FieldLogger) (*control, error) {
 	t := &rpc.Traffic{}
 	err := errors.Join(
 		m.Observe("quetzallug_control_bytes_in", "Control bytes received.", t.In.Load),
 		m.Observe("quetzallug_control_bytes_out", "Control bytes sent.", t.Out.Load))
-	return &control{clients: rpc.NewClients(t, newAuth(c, log)), traffic: t}, err
+	clients := rpc.NewClients(t, newAuth(c, log))
+	lc.Append(fx.StopHook(clients.Close))
+	return &control{clients: clients, traffic: t}, err
 }
 
 func newAuth(c *settings.Common, log logrus.FieldLogger) connect.Interceptor {
--- a/internal/app/entry.go
+++ b/internal/app/entry.go
@@ -119,12 +119,14 @@
 	background(lc, p.Run)
 }
 
-func newEntry(s *settings.Entry, cfg entry.Config, store *dissemination.Store, agent *dissemination.Agent, f *entry.Fleet, claims *once.Router, m *telemetry.Metrics, d *entry.DecisionLog, log logrus.FieldLogger) *entry.Entry {
+func newEntry(lc fx.Lifecycle, s *settings.Entry, cfg entry.Config, store *dissemination.Store, agent *dissemination.Agent, f *entry.Fleet, claims *once.Router, m *telemetry.Metrics, d *entry.DecisionLog, log logrus.FieldLogger) *entry.Entry {
+	// Answers travel on their own connections, so that control traffic can be counted.
+	clients := rpc.NewClients(nil, newAuth(&s.Common, log))
+	lc.Append(fx.StopHook(clients.Close))
 	return entry.New(cfg, entry.Options{
 		Documents: &entry.DocumentsInForce{Store: store, Agent: agent},
 		Picker:    f,
-		// Answers travel on their own connections, so that control traffic can be counted.
-		Clients:   rpc.NewClients(nil, newAuth(&s.Common, log)),
+		Clients:   clients,
 		Admitter:  entry.NewAdmission(f),
 		Budget:    retry.NewBudget(retry.Config{Share: s.RetryShare}),
 		Claims:    claims,
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -141,6 +141,15 @@
 
 // ReadSidecar reads and checks the settings of a sidecar.
 func ReadSidecar(cmd *cobra.Command) (*Sidecar, error) {
+	s, err := SidecarValues(cmd)
+	if err != nil {
+		return nil, err
+	}
+	return s, s.Validate()
+}
+
+// SidecarValues reads the settings of a sidecar without checking them.
+func SidecarValues(cmd *cobra.Command) (*Sidecar, error) {
 	var s Sidecar
 	if err := read(cmd, &s); err != nil {
 		return nil, err
@@ -148,7 +157,7 @@
 	if s.BackendModule == "" {
 		s.BackendModule = map[string]string{BackendEngine: "engine.http", BackendPlain: "backend.http"}[s.Backend]
 	}
-	return &s, s.Validate()
+	return &s, nil
 }
 
 func (c *Common) validate() []error {
--- a/sidecar/execute.go
+++ b/sidecar/execute.go
@@ -137,6 +137,7 @@
 func (s *Sidecar) Report(_ context.Context) *v1.LoadReport {
 	r := &v1.LoadReport{
 		Instance: s.cfg.Instance, Incarnation: s.cfg.Incarnation, Sequence: s.sequence.Add(1),
+		Plain: s.backend != nil,
 	}
 	s.mu.Lock()
 	r.Draining = s.leaving || s.ordered
