Prefill on one engine and decode on another through their sidecars

The decode sidecar asks the prefill sidecar for the prompt's KV cache, imports it and generates. If that fails in any way the decode engine prefills the prompt itself, so a pair is never less safe than one engine. The entry offers pairs for repeatable requests only and reports the time to the first token to the worker that prefilled, so that its speed is learned.

--- a/entry/call.go
+++ b/entry/call.go
@@ -26,14 +26,17 @@
 }
 
 // request returns one attempt's message.
-func (c *call) request(cluster, incarnation string, attempt uint32, offset uint64, now time.Time) *v1.ExecuteRequest {
+func (c *call) request(cluster string, w Worker, attempt uint32, offset uint64, now time.Time) *v1.ExecuteRequest {
 	remaining := c.deadline.Sub(now).Milliseconds()
 	r := &v1.ExecuteRequest{
 		Cluster: cluster, RequestId: c.id, Attempt: attempt, Offset: offset,
 		Service: c.service.Service, Kind: c.kind.Name, ConfigRevision: c.revision,
-		Incarnation: incarnation, RemainingMs: uint32(max(0, remaining)), Priority: uint32(c.priority),
+		Incarnation: w.Incarnation, RemainingMs: uint32(max(0, remaining)), Priority: uint32(c.priority),
 		Repeatable: c.kind.Repeatable, Interruptible: c.kind.Interruptible, IdempotencyKey: c.key,
 	}
+	if w.Prefill != nil {
+		r.Prefill = &v1.PrefillSource{Instance: w.Prefill.Instance, Address: w.Prefill.Address}
+	}
 	if c.model != nil {
 		r.Request = &v1.ExecuteRequest_Model{Model: c.model}
 	} else {
@@ -45,7 +48,7 @@
 // pickRequest describes the call to the picker.
 func (c *call) pickRequest() PickRequest {
 	p := PickRequest{
-		RequestID: c.id, Service: c.service.Service, Prefix: c.prefix,
+		RequestID: c.id, Service: c.service.Service, Prefix: c.prefix, Repeatable: c.kind.Repeatable,
 		FirstToken: c.kind.Deadlines.FirstToken.Std(), BetweenTokens: c.kind.Deadlines.BetweenTokens.Std(),
 	}
 	if c.model != nil {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -40,6 +40,8 @@
 	Instance    string
 	Address     string
 	Incarnation string
+	// Prefill is the worker that prefills the prompt, nil if this one does.
+	Prefill *Worker
 }
 
 // Picker chooses workers and learns from what happens to attempts.
@@ -60,6 +62,7 @@
 	Prefix       []uint64
 	PromptTokens int
 	MaxTokens    int
+	Repeatable   bool
 	// FirstToken and BetweenTokens are the latency targets, zero for none.
 	FirstToken    time.Duration
 	BetweenTokens time.Duration
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -140,13 +140,19 @@
 	if d.Decode == nil {
 		return Worker{}, "", fmt.Errorf("%w: %d considered", errNoWorker, d.Considered)
 	}
-	// A pair is used only with a transfer of the KV cache between sidecars.
-	chosen := d.Decode
-	m := s.members[chosen.ID]
 	s.router.Sent(&q, &d, time.Now())
-	reason := fmt.Sprintf("%s; %d considered, expected first token %s, total %s",
-		d.Reason, d.Considered, d.FirstToken.Round(time.Millisecond), d.Total.Round(time.Millisecond))
-	return Worker{Instance: m.ID, Address: m.Address, Incarnation: m.Incarnation}, reason, nil
+	w := s.worker(d.Decode)
+	if !d.Single() && p.Repeatable {
+		prefill := s.worker(d.Prefill)
+		w.Prefill = &prefill
+	}
+	return w, fmt.Sprintf("%s; %d considered, expected first token %s, total %s",
+		d.Reason, d.Considered, d.FirstToken.Round(time.Millisecond), d.Total.Round(time.Millisecond)), nil
+}
+
+func (s *serviceFleet) worker(w *routing.Worker) Worker {
+	m := s.members[w.ID]
+	return Worker{Instance: m.ID, Address: m.Address, Incarnation: m.Incarnation}
 }
 
 // Expect returns what the best worker would deliver, for admission.
@@ -163,34 +169,56 @@
 	}
 }
 
-func work(p PickRequest) load.Work {
-	tokens := p.PromptTokens + p.MaxTokens
-	return load.Work{
-		PrefillTokens: p.PromptTokens, Decode: true,
-		Pieces: (tokens + platform.PieceTokens - 1) / platform.PieceTokens,
+// work returns what an attempt adds to the worker that decodes, and to the one that prefills if
+// that is another one.
+func work(w Worker, p PickRequest) (decode, prefill load.Work) {
+	pieces := func(tokens int) int { return (tokens + platform.PieceTokens - 1) / platform.PieceTokens }
+	decode = load.Work{PrefillTokens: p.PromptTokens, Decode: true, Pieces: pieces(p.PromptTokens + p.MaxTokens)}
+	if w.Prefill != nil {
+		prefill = load.Work{PrefillTokens: p.PromptTokens, Pieces: pieces(p.PromptTokens)}
+		decode.PrefillTokens = 0
 	}
+	return decode, prefill
 }
 
 // Sent implements Picker.
 func (f *Fleet) Sent(w Worker, p PickRequest) {
-	t := f.tracker.Worker(w.Instance).Sent(work(p), time.Now())
+	now := time.Now()
+	decode, prefill := work(w, p)
+	t := f.tracker.Worker(w.Instance).Sent(decode, now)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.tickets[ticketKey{w.Instance, p.RequestID}] = t
+	if w.Prefill != nil {
+		f.tickets[ticketKey{w.Prefill.Instance, p.RequestID}] = f.tracker.Worker(w.Prefill.Instance).Sent(prefill, now)
+	}
 }
 
-// Done implements Picker.
-func (f *Fleet) Done(w Worker, p PickRequest, r Result) {
-	now := time.Now()
+// takeTicket returns and forgets the ticket of an attempt.
+func (f *Fleet) takeTicket(worker, request string) load.Ticket {
 	f.mu.Lock()
-	key := ticketKey{w.Instance, p.RequestID}
+	defer f.mu.Unlock()
+	key := ticketKey{worker, request}
 	t := f.tickets[key]
 	delete(f.tickets, key)
-	f.mu.Unlock()
+	return t
+}
+
+// Done implements Picker.
+func (f *Fleet) Done(w Worker, p PickRequest, r Result) {
+	now := time.Now()
 	worker := f.tracker.Worker(w.Instance)
-	worker.Finished(t, now)
+	ticket := f.takeTicket(w.Instance, p.RequestID)
+	worker.Finished(ticket, now)
+	if w.Prefill != nil {
+		worker, ticket = f.tracker.Worker(w.Prefill.Instance), f.takeTicket(w.Prefill.Instance, p.RequestID)
+		worker.Finished(ticket, now)
+	}
+	if r.Tokens > 0 {
+		worker.FirstToken(ticket, now.Add(r.FirstToken-r.Elapsed))
+	}
 	if r.Tokens > 1 && r.FirstToken > 0 {
-		worker.BetweenTokens((r.Elapsed-r.FirstToken)/time.Duration(r.Tokens-1), now)
+		f.tracker.Worker(w.Instance).BetweenTokens((r.Elapsed-r.FirstToken)/time.Duration(r.Tokens-1), now)
 	}
 	if r.Load != nil {
 		f.Report(r.Load, now)
--- a/entry/run.go
+++ b/entry/run.go
@@ -111,9 +111,13 @@
 }
 
 func (r *runner) logChoice(attempt uint32, offset uint64, w Worker, reason string) {
+	prefill := ""
+	if w.Prefill != nil {
+		prefill = w.Prefill.Instance
+	}
 	r.log.WithFields(logrus.Fields{
 		"request_id": r.call.id, "service": r.call.service.Service, "kind": r.call.kind.Name,
-		"attempt": attempt, "offset": offset, "worker": w.Instance, "reason": reason,
+		"attempt": attempt, "offset": offset, "worker": w.Instance, "prefill": prefill, "reason": reason,
 	}).Info("routed")
 	r.decisions.Add(r.call.id, w.Instance, reason, slices.Clone(r.tried))
 }
@@ -126,7 +130,7 @@
 	first, between := r.stallTimes()
 	timer := time.AfterFunc(first, func() { cancel(errStalled) })
 	defer timer.Stop()
-	req := r.call.request(r.cfg.Cluster, w.Incarnation, attempt, offset, started)
+	req := r.call.request(r.cfg.Cluster, w, attempt, offset, started)
 	s, err := r.clients.Worker(w.Address).Execute(ctx, connect.NewRequest(req))
 	if err != nil {
 		return nil, failed(ctx, err, started)
--- a/gen/quetzallug/v1/quetzallugv1connect/worker.connect.go
+++ b/gen/quetzallug/v1/quetzallugv1connect/worker.connect.go
@@ -35,6 +35,8 @@
 const (
 	// WorkerServiceExecuteProcedure is the fully-qualified name of the WorkerService's Execute RPC.
 	WorkerServiceExecuteProcedure = "/quetzallug.v1.WorkerService/Execute"
+	// WorkerServicePrefillProcedure is the fully-qualified name of the WorkerService's Prefill RPC.
+	WorkerServicePrefillProcedure = "/quetzallug.v1.WorkerService/Prefill"
 	// WorkerServiceCancelProcedure is the fully-qualified name of the WorkerService's Cancel RPC.
 	WorkerServiceCancelProcedure = "/quetzallug.v1.WorkerService/Cancel"
 	// WorkerServiceSealProcedure is the fully-qualified name of the WorkerService's Seal RPC.
@@ -52,6 +54,8 @@
 type WorkerServiceClient interface {
 	// Execute runs one attempt of a request and streams its answer.
 	Execute(context.Context, *connect.Request[v1.ExecuteRequest]) (*connect.ServerStreamForClient[v1.Frame], error)
+	// Prefill computes the KV cache of a prompt and streams it, for an engine that decodes.
+	Prefill(context.Context, *connect.Request[v1.PrefillRequest]) (*connect.ServerStreamForClient[v1.PrefillChunk], error)
 	// Cancel ends an attempt whose caller has left.
 	Cancel(context.Context, *connect.Request[v1.CancelRequest]) (*connect.Response[v1.CancelResponse], error)
 	// Seal makes the sidecar refuse orders with a lower fence number than the given one.
@@ -81,6 +85,12 @@
 			connect.WithSchema(workerServiceMethods.ByName("Execute")),
 			connect.WithClientOptions(opts...),
 		),
+		prefill: connect.NewClient[v1.PrefillRequest, v1.PrefillChunk](
+			httpClient,
+			baseURL+WorkerServicePrefillProcedure,
+			connect.WithSchema(workerServiceMethods.ByName("Prefill")),
+			connect.WithClientOptions(opts...),
+		),
 		cancel: connect.NewClient[v1.CancelRequest, v1.CancelResponse](
 			httpClient,
 			baseURL+WorkerServiceCancelProcedure,
@@ -117,6 +127,7 @@
 // workerServiceClient implements WorkerServiceClient.
 type workerServiceClient struct {
 	execute     *connect.Client[v1.ExecuteRequest, v1.Frame]
+	prefill     *connect.Client[v1.PrefillRequest, v1.PrefillChunk]
 	cancel      *connect.Client[v1.CancelRequest, v1.CancelResponse]
 	seal        *connect.Client[v1.SealRequest, v1.SealResponse]
 	notifyOrder *connect.Client[v1.NotifyOrderRequest, v1.NotifyOrderResponse]
@@ -129,6 +140,11 @@
 	return c.execute.CallServerStream(ctx, req)
 }
 
+// Prefill calls quetzallug.v1.WorkerService.Prefill.
+func (c *workerServiceClient) Prefill(ctx context.Context, req *connect.Request[v1.PrefillRequest]) (*connect.ServerStreamForClient[v1.PrefillChunk], error) {
+	return c.prefill.CallServerStream(ctx, req)
+}
+
 // Cancel calls quetzallug.v1.WorkerService.Cancel.
 func (c *workerServiceClient) Cancel(ctx context.Context, req *connect.Request[v1.CancelRequest]) (*connect.Response[v1.CancelResponse], error) {
 	return c.cancel.CallUnary(ctx, req)
@@ -158,6 +174,8 @@
 type WorkerServiceHandler interface {
 	// Execute runs one attempt of a request and streams its answer.
 	Execute(context.Context, *connect.Request[v1.ExecuteRequest], *connect.ServerStream[v1.Frame]) error
+	// Prefill computes the KV cache of a prompt and streams it, for an engine that decodes.
+	Prefill(context.Context, *connect.Request[v1.PrefillRequest], *connect.ServerStream[v1.PrefillChunk]) error
 	// Cancel ends an attempt whose caller has left.
 	Cancel(context.Context, *connect.Request[v1.CancelRequest]) (*connect.Response[v1.CancelResponse], error)
 	// Seal makes the sidecar refuse orders with a lower fence number than the given one.
@@ -183,6 +201,12 @@
 		connect.WithSchema(workerServiceMethods.ByName("Execute")),
 		connect.WithHandlerOptions(opts...),
 	)
+	workerServicePrefillHandler := connect.NewServerStreamHandler(
+		WorkerServicePrefillProcedure,
+		svc.Prefill,
+		connect.WithSchema(workerServiceMethods.ByName("Prefill")),
+		connect.WithHandlerOptions(opts...),
+	)
 	workerServiceCancelHandler := connect.NewUnaryHandler(
 		WorkerServiceCancelProcedure,
 		svc.Cancel,
@@ -217,6 +241,8 @@
 		switch r.URL.Path {
 		case WorkerServiceExecuteProcedure:
 			workerServiceExecuteHandler.ServeHTTP(w, r)
+		case WorkerServicePrefillProcedure:
+			workerServicePrefillHandler.ServeHTTP(w, r)
 		case WorkerServiceCancelProcedure:
 			workerServiceCancelHandler.ServeHTTP(w, r)
 		case WorkerServiceSealProcedure:
@@ -240,6 +266,10 @@
 	return connect.NewError(connect.CodeUnimplemented, errors.New("quetzallug.v1.WorkerService.Execute is not implemented"))
 }
 
+func (UnimplementedWorkerServiceHandler) Prefill(context.Context, *connect.Request[v1.PrefillRequest], *connect.ServerStream[v1.PrefillChunk]) error {
+	return connect.NewError(connect.CodeUnimplemented, errors.New("quetzallug.v1.WorkerService.Prefill is not implemented"))
+}
+
 func (UnimplementedWorkerServiceHandler) Cancel(context.Context, *connect.Request[v1.CancelRequest]) (*connect.Response[v1.CancelResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("quetzallug.v1.WorkerService.Cancel is not implemented"))
 }
--- a/internal/app/sidecar.go
+++ b/internal/app/sidecar.go
@@ -80,8 +80,11 @@
 	return &backends{engine: e}, err
 }
 
-func newSidecar(s *settings.Sidecar, id identity, b *backends, store *dissemination.Store, agent *dissemination.Agent, m *telemetry.Metrics, log logrus.FieldLogger) (*sidecar.Sidecar, error) {
+func newSidecar(lc fx.Lifecycle, s *settings.Sidecar, id identity, b *backends, store *dissemination.Store, agent *dissemination.Agent, m *telemetry.Metrics, log logrus.FieldLogger) (*sidecar.Sidecar, error) {
+	peers := rpc.NewClients(nil, newAuth(&s.Common, log))
+	lc.Append(fx.StopHook(peers.Close))
 	return sidecar.New(sidecar.Config{
+		Peers:   peers,
 		Cluster: s.Cluster, Instance: s.Instance, Service: s.Service, Incarnation: id.incarnation,
 		MaxInFlight: s.MaxInFlight, Attempts: attemptLogSize,
 	}, b.engine, b.plain, &entry.DocumentsInForce{Store: store, Agent: agent}, m, log)
--- a/sidecar/execute.go
+++ b/sidecar/execute.go
@@ -39,12 +39,9 @@
 
 // generate streams an engine's answer and returns the final frame's content.
 func (s *Sidecar) generate(ctx context.Context, r *v1.ExecuteRequest, out Sender) *v1.Final {
-	m := r.GetModel()
-	ts, err := s.engine.Generate(ctx, &platform.GenerateRequest{
-		RequestID: engineRequestID(r), Model: m.GetModel(), Adapter: m.GetAdapter(), Prompt: m.GetPrompt(),
-		PromptTokens: int(m.GetPromptTokens()), MaxTokens: int(m.GetMaxTokens()), Seed: m.GetSeed(),
-		Priority: int(r.GetPriority()), Offset: int(r.GetOffset()),
-	})
+	q := generateRequest(r)
+	q.KVHandle = s.importPrompt(ctx, r)
+	ts, err := s.engine.Generate(ctx, q)
 	if err != nil {
 		return s.failure(ctx, err)
 	}
--- a/sidecar/service.go
+++ b/sidecar/service.go
@@ -35,6 +35,11 @@
 	return s.sidecar.Execute(ctx, r.Msg, out)
 }
 
+// Prefill implements WorkerService.
+func (s *Service) Prefill(ctx context.Context, r *connect.Request[v1.PrefillRequest], out *connect.ServerStream[v1.PrefillChunk]) error {
+	return s.sidecar.Prefill(ctx, r.Msg.GetAttempt(), out)
+}
+
 // Cancel implements WorkerService.
 func (s *Service) Cancel(_ context.Context, r *connect.Request[v1.CancelRequest]) (*connect.Response[v1.CancelResponse], error) {
 	s.sidecar.Cancel(r.Msg.GetRequestId(), r.Msg.GetAttempt())
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -14,6 +14,7 @@
 	"google.golang.org/protobuf/proto"
 
 	v1 "github.com/quetzallug/quetzallug/gen/quetzallug/v1"
+	"github.com/quetzallug/quetzallug/internal/rpc"
 	"github.com/quetzallug/quetzallug/platform"
 )
 
@@ -32,6 +33,8 @@
 	Service  string
 	// Incarnation is unique for each start of the process.
 	Incarnation string
+	// Peers calls other sidecars for KV cache.
+	Peers *rpc.Clients
 	// MaxInFlight bounds the attempts handed to the backend server or waiting in it.
 	MaxInFlight int
 	// Attempts bounds the memory of attempts seen.
--- /dev/null
+++ b/sidecar/sidecar_test.go
@@ -0,0 +1,207 @@
+package sidecar_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	v1 "github.com/quetzallug/quetzallug/gen/quetzallug/v1"
+	"github.com/quetzallug/quetzallug/gen/quetzallug/v1/quetzallugv1connect"
+	"github.com/quetzallug/quetzallug/internal/rpc"
+	"github.com/quetzallug/quetzallug/platform"
+	"github.com/quetzallug/quetzallug/sidecar"
+	"github.com/quetzallug/quetzallug/standin/backend"
+	"github.com/quetzallug/quetzallug/standin/engine"
+)
+
+const (
+	cluster     = "c"
+	service     = "halte-llm"
+	incarnation = "i1"
+	model       = "m"
+)
+
+type noDocuments struct{}
+
+func (noDocuments) Revision(string) uint64  { return 1 }
+func (noDocuments) Observe(string, uint64) {}
+
+type noMetrics struct{}
+
+func (noMetrics) Attempt(v1.Outcome, v1.Reason) {}
+func (noMetrics) InFlight(int)                  {}
+
+// frames collects what a sidecar sends.
+type frames struct {
+	mu   sync.Mutex
+	list []*v1.Frame
+}
+
+func (f *frames) Send(m *v1.Frame) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.list = append(f.list, &v1.Frame{Offset: m.GetOffset(), Tokens: m.GetTokens(), Data: m.GetData(), Final: m.GetFinal()})
+	return nil
+}
+
+func (f *frames) final() *v1.Final { return f.list[len(f.list)-1].GetFinal() }
+
+func (f *frames) text() string {
+	var b strings.Builder
+	for _, m := range f.list {
+		b.Write(m.GetData())
+	}
+	return b.String()
+}
+
+func newSidecar(t *testing.T, e platform.Engine, b platform.Backend) *sidecar.Sidecar {
+	t.Helper()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	s, err := sidecar.New(sidecar.Config{
+		Cluster: cluster, Instance: "w", Service: service, Incarnation: incarnation, MaxInFlight: 2, Attempts: 100,
+		Peers: rpc.NewClients(nil),
+	}, e, b, noDocuments{}, noMetrics{}, log)
+	require.NoError(t, err)
+	require.NoError(t, s.RefreshState(t.Context()))
+	return s
+}
+
+func newEngine(t *testing.T) *engine.Engine {
+	t.Helper()
+	e := engine.New(engine.Config{Initial: platform.EngineConfig{
+		Role: platform.RoleMixed, Models: []platform.ModelVersion{{Name: model, Version: "1"}},
+	}})
+	t.Cleanup(func() { _ = e.Close() })
+	return e
+}
+
+func modelRequest(id string) *v1.ExecuteRequest {
+	return &v1.ExecuteRequest{
+		Cluster: cluster, RequestId: id, Attempt: 1, Service: service, Incarnation: incarnation, RemainingMs: 60_000,
+		Repeatable: true, Request: &v1.ExecuteRequest_Model{Model: &v1.ModelRequest{Model: model, Prompt: "next arrival", MaxTokens: 12}},
+	}
+}
+
+func plainRequest(id string) *v1.ExecuteRequest {
+	r := modelRequest(id)
+	r.Repeatable = false
+	r.Request = &v1.ExecuteRequest_Plain{Plain: &v1.PlainRequest{Method: http.MethodPost, Path: "/pumps/1"}}
+	return r
+}
+
+// Guards against a refusal that is not "not run", and against a refused request that reaches
+// the backend server.
+func TestRefusalsDoNotRun(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(*v1.ExecuteRequest)
+		reason v1.Reason
+	}{
+		{"other cluster", func(r *v1.ExecuteRequest) { r.Cluster = "other" }, v1.Reason_REASON_INVALID},
+		{"no request ID", func(r *v1.ExecuteRequest) { r.RequestId = "" }, v1.Reason_REASON_INVALID},
+		{"no attempt", func(r *v1.ExecuteRequest) { r.Attempt = 0 }, v1.Reason_REASON_INVALID},
+		{"other service", func(r *v1.ExecuteRequest) { r.Service = "banco" }, v1.Reason_REASON_WRONG_SERVICE},
+		{"other incarnation", func(r *v1.ExecuteRequest) { r.Incarnation = "i0" }, v1.Reason_REASON_WRONG_INCARNATION},
+		{"unrepeatable without incarnation", func(r *v1.ExecuteRequest) { r.Incarnation = "" }, v1.Reason_REASON_WRONG_INCARNATION},
+		{"no time left", func(r *v1.ExecuteRequest) { r.RemainingMs = 0 }, v1.Reason_REASON_DEADLINE},
+		{"model request", func(r *v1.ExecuteRequest) { r.Request = modelRequest("x").Request }, v1.Reason_REASON_INVALID},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := backend.New(backend.Config{})
+			s := newSidecar(t, nil, b)
+			r := plainRequest("r")
+			tt.change(r)
+			out := &frames{}
+			require.NoError(t, s.Execute(t.Context(), r, out))
+			require.Equal(t, v1.Outcome_OUTCOME_NOT_RUN, out.final().GetOutcome())
+			require.Equal(t, tt.reason, out.final().GetReason())
+			require.Empty(t, b.Journal())
+		})
+	}
+}
+
+// Guards against a duplicate delivery that runs twice, or that is reported as not run although
+// its first copy ran.
+func TestDuplicateDoesNotRunAgain(t *testing.T) {
+	b := backend.New(backend.Config{})
+	s := newSidecar(t, nil, b)
+	first, second := &frames{}, &frames{}
+	require.NoError(t, s.Execute(t.Context(), plainRequest("r"), first))
+	require.NoError(t, s.Execute(t.Context(), plainRequest("r"), second))
+	require.Equal(t, v1.Outcome_OUTCOME_COMPLETE, first.final().GetOutcome())
+	require.Equal(t, v1.Outcome_OUTCOME_UNKNOWN, second.final().GetOutcome())
+	require.Equal(t, 1, b.Executions("r"))
+}
+
+// Guards against a drain that cuts an answer in flight, or that lets new work in.
+func TestDrainWaitsForAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSidecar(t, newEngine(t), nil)
+		out := &frames{}
+		done := make(chan error, 1)
+		go func() { done <- s.Execute(t.Context(), modelRequest("r1"), out) }()
+		time.Sleep(20 * time.Millisecond)
+		require.Equal(t, 1, s.InFlight())
+		require.NoError(t, s.BeginDrain(t.Context()))
+		refused := &frames{}
+		require.NoError(t, s.Execute(t.Context(), modelRequest("r2"), refused))
+		require.Equal(t, v1.Reason_REASON_DRAINING, refused.final().GetReason())
+		require.NoError(t, s.Wait(t.Context()))
+		require.NoError(t, <-done)
+		require.Equal(t, v1.Outcome_OUTCOME_COMPLETE, out.final().GetOutcome())
+		s.EndDrain()
+		again := &frames{}
+		require.NoError(t, s.Execute(t.Context(), modelRequest("r3"), again))
+		require.Equal(t, v1.Outcome_OUTCOME_COMPLETE, again.final().GetOutcome())
+	})
+}
+
+// serveWorker serves a sidecar on loopback.
+func serveWorker(t *testing.T, s *sidecar.Sidecar) string {
+	t.Helper()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	mux := http.NewServeMux()
+	mux.Handle(quetzallugv1connect.NewWorkerServiceHandler(sidecar.NewService(s, nil, "p", log)))
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	srv := rpc.NewServer(mux)
+	go func() { _ = srv.Serve(l) }()
+	t.Cleanup(func() { _ = srv.Close() })
+	return l.Addr().String()
+}
+
+// Guards against an answer that differs when another engine prefills the prompt, and against a
+// lost prefill engine that fails the request.
+func TestPrefillOnAnotherEngine(t *testing.T) {
+	prefill, decode := newEngine(t), newEngine(t)
+	address := serveWorker(t, newSidecar(t, prefill, nil))
+	s := newSidecar(t, decode, nil)
+	want, _, _ := engine.Answer(&platform.GenerateRequest{Model: model, Prompt: "next arrival", MaxTokens: 12})
+	for _, tt := range []struct{ id, address string }{{"r1", address}, {"r2", "127.0.0.1:1"}} {
+		r := modelRequest(tt.id)
+		r.Prefill = &v1.PrefillSource{Instance: "p", Address: tt.address}
+		out := &frames{}
+		require.NoError(t, s.Execute(context.Background(), r, out))
+		require.Equal(t, v1.Outcome_OUTCOME_COMPLETE, out.final().GetOutcome())
+		require.Equal(t, want, out.text())
+	}
+	var runs []string
+	for _, r := range prefill.Journal() {
+		if r.Kind == engine.RequestFinished {
+			runs = append(runs, r.RequestID)
+		}
+	}
+	require.Equal(t, []string{"r1/1"}, runs)
+}
