--- /dev/null
+++ b/entry/run_test.go
@@ -0,0 +1,253 @@
+package entry_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"github.com/quetzallug/quetzallug/document"
+	"github.com/quetzallug/quetzallug/entry"
+	v1 "github.com/quetzallug/quetzallug/gen/quetzallug/v1"
+	"github.com/quetzallug/quetzallug/gen/quetzallug/v1/quetzallugv1connect"
+	"github.com/quetzallug/quetzallug/internal/rpc"
+)
+
+// script is what a worker does with one attempt.
+type script func(r *v1.ExecuteRequest, send func(*v1.Frame))
+
+// scripted serves attempts by scripts, in order over all workers.
+type scripted struct {
+	quetzallugv1connect.UnimplementedWorkerServiceHandler
+
+	mu       sync.Mutex
+	scripts  []script
+	requests []*v1.ExecuteRequest
+}
+
+func (s *scripted) Execute(_ context.Context, r *connect.Request[v1.ExecuteRequest], out *connect.ServerStream[v1.Frame]) error {
+	s.mu.Lock()
+	next := s.scripts[min(len(s.requests), len(s.scripts)-1)]
+	s.requests = append(s.requests, r.Msg)
+	s.mu.Unlock()
+	next(r.Msg, func(f *v1.Frame) { _ = out.Send(f) })
+	return nil
+}
+
+func data(r *v1.ExecuteRequest, offset uint64, text string) *v1.Frame {
+	return &v1.Frame{RequestId: r.GetRequestId(), Attempt: r.GetAttempt(), Offset: offset, Tokens: 1, Data: []byte(text)}
+}
+
+func end(r *v1.ExecuteRequest, o v1.Outcome, total uint64) *v1.Frame {
+	return &v1.Frame{RequestId: r.GetRequestId(), Attempt: r.GetAttempt(), Final: &v1.Final{
+		Outcome: o, Total: total, Status: http.StatusOK, ContentType: "text/plain", FinishReason: "stop",
+	}}
+}
+
+func whole(r *v1.ExecuteRequest, send func(*v1.Frame)) {
+	for i, text := range []string{"a", "b", "c"}[r.GetOffset():] {
+		send(data(r, r.GetOffset()+uint64(i), text))
+	}
+	send(end(r, v1.Outcome_OUTCOME_COMPLETE, 3))
+}
+
+// cut sends the first part of the answer and no final frame.
+func cut(r *v1.ExecuteRequest, send func(*v1.Frame)) { send(data(r, r.GetOffset(), "a")) }
+
+func refuse(r *v1.ExecuteRequest, send func(*v1.Frame)) {
+	send(end(r, v1.Outcome_OUTCOME_NOT_RUN, 0))
+}
+
+func foreign(r *v1.ExecuteRequest, send func(*v1.Frame)) {
+	f := data(r, 0, "x")
+	f.RequestId = "other"
+	send(f)
+	whole(r, send)
+}
+
+func late(r *v1.ExecuteRequest, send func(*v1.Frame)) {
+	f := data(r, 0, "x")
+	f.Attempt = r.GetAttempt() + 1
+	send(f)
+	whole(r, send)
+}
+
+func short(r *v1.ExecuteRequest, send func(*v1.Frame)) {
+	send(data(r, r.GetOffset(), "a"))
+	send(end(r, v1.Outcome_OUTCOME_COMPLETE, 3))
+}
+
+// picker offers one worker.
+type picker struct{ worker entry.Worker }
+
+func (p *picker) Pick(entry.PickRequest) (entry.Worker, string, error) {
+	if p.worker.Address == "" {
+		return entry.Worker{}, "", errors.New("no worker")
+	}
+	return p.worker, "only one", nil
+}
+func (p *picker) Sent(entry.Worker, entry.PickRequest)               {}
+func (p *picker) Done(entry.Worker, entry.PickRequest, entry.Result) {}
+
+type documents struct{ services []*document.Service }
+
+func (d documents) Lookup(name string) (*document.Service, uint64) {
+	for _, s := range d.services {
+		if s.Service == name {
+			return s, 1
+		}
+	}
+	return nil, 0
+}
+func (d documents) Services() []*document.Service { return d.services }
+func (d documents) Observe(string, uint64)        {}
+
+type admitAll struct{}
+
+func (admitAll) Admit(entry.AdmitRequest) (func(), int, *entry.Error) { return func() {}, 1, nil }
+
+// unlimited lets the tests reach the bound on attempts.
+type unlimited struct{}
+
+func (unlimited) Fresh(time.Time)     {}
+func (unlimited) Take(time.Time) bool { return true }
+
+type noMetrics struct{}
+
+func (noMetrics) Request(string, string, string, entry.Reason, bool, time.Duration) {}
+func (noMetrics) FirstToken(string, string, time.Duration)                          {}
+func (noMetrics) BetweenTokens(string, string, time.Duration)                       {}
+func (noMetrics) Retry(string, v1.Reason)                                           {}
+
+func newEntry(t *testing.T, s *scripted) http.Handler {
+	t.Helper()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	mux := http.NewServeMux()
+	mux.Handle(quetzallugv1connect.NewWorkerServiceHandler(s))
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	srv := rpc.NewServer(mux)
+	go func() { _ = srv.Serve(l) }()
+	t.Cleanup(func() { _ = srv.Close() })
+	kind := func(name string, repeatable bool) document.Kind {
+		return document.Kind{
+			Name: name, Rank: 1, Repeatable: repeatable, Match: document.Match{Kind: name},
+			Deadlines: document.Deadlines{Total: document.Duration(20 * time.Second)},
+		}
+	}
+	kinds := []document.Kind{kind("again", true), kind("once", false)}
+	e := entry.New(entry.Config{Cluster: "c", MaxBodyBytes: 1 << 10, WriteTimeout: time.Second}, entry.Options{
+		Documents: documents{[]*document.Service{
+			{Service: "m", Type: document.TypeModel, Models: []document.Model{{Name: "m"}}, Kinds: kinds},
+			{Service: "p", Type: document.TypePlain, Kinds: kinds},
+		}},
+		Picker:  &picker{entry.Worker{Instance: "w", Address: l.Addr().String(), Incarnation: "i"}},
+		Clients: rpc.NewClients(nil), Admitter: admitAll{}, Metrics: noMetrics{}, Log: log,
+		Budget: unlimited{}, Decisions: entry.NewDecisionLog(8),
+	})
+	return e.Handler()
+}
+
+// Guards against an answer that is cut, repeated or mixed and shown as whole, against a retry
+// of a request that may have run and may not be repeated, and against "not run" for a request
+// that may have run.
+func TestAttempts(t *testing.T) {
+	tests := []struct {
+		name     string
+		kind     string
+		scripts  []script
+		attempts int
+		outcome  string // empty: whole
+	}{
+		{"whole", "once", []script{whole}, 1, ""},
+		{"resumed at the offset", "again", []script{cut, whole}, 2, ""},
+		{"cut, not repeatable", "once", []script{cut, whole}, 1, "unknown"},
+		{"not run, then whole", "once", []script{refuse, whole}, 2, ""},
+		{"never run", "once", []script{refuse}, 6, "not_run"},
+		{"cut, then never run", "again", []script{cut, refuse}, 6, "unknown"},
+		{"frame of another request", "once", []script{foreign}, 1, "unknown"},
+		{"frame of another request, repeated", "again", []script{foreign, whole}, 2, ""},
+		{"frame of another attempt", "once", []script{late}, 1, ""},
+		{"final frame before the end", "once", []script{short}, 1, "unknown"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := &scripted{scripts: tt.scripts}
+			h := newEntry(t, s)
+			status, body := request(h, tt.kind, false)
+			require.Len(t, s.requests, tt.attempts)
+			if tt.outcome == "" {
+				require.Equal(t, http.StatusOK, status, body)
+				require.Contains(t, body, `"text":"abc"`)
+				return
+			}
+			var e struct {
+				Error struct{ Type string } `json:"error"`
+			}
+			require.NoError(t, json.Unmarshal([]byte(body), &e))
+			require.Equal(t, tt.outcome, e.Error.Type)
+		})
+	}
+}
+
+// Guards against a stream that ends with [DONE] although the answer is not whole.
+func TestStreamEndsWithError(t *testing.T) {
+	status, body := request(newEntry(t, &scripted{scripts: []script{cut}}), "once", true)
+	require.Equal(t, http.StatusOK, status)
+	require.Contains(t, body, "event: error")
+	require.Contains(t, body, `"type":"unknown"`)
+	require.NotContains(t, body, "[DONE]")
+}
+
+func request(h http.Handler, kind string, stream bool) (int, string) {
+	body := `{"model": "m", "prompt": "next arrival", "max_tokens": 3, "stream": ` + map[bool]string{true: "true", false: "false"}[stream] + `}`
+	r := httptest.NewRequest(http.MethodPost, "/v1/completions", strings.NewReader(body))
+	r.Header.Set("X-Quetzallug-Kind", kind)
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, r)
+	return w.Code, w.Body.String()
+}
+
+// Guards against bad input that is accepted, or refused without a typed error.
+func TestBadInput(t *testing.T) {
+	tests := []struct {
+		name, path, kind, body string
+		status                 int
+		code                   string
+	}{
+		{"not JSON", "/v1/completions", "once", "{", http.StatusBadRequest, "invalid_request"},
+		{"no model", "/v1/completions", "once", `{"prompt": "a"}`, http.StatusBadRequest, "invalid_request"},
+		{"no prompt", "/v1/completions", "once", `{"model": "m"}`, http.StatusBadRequest, "invalid_request"},
+		{"negative tokens", "/v1/completions", "once", `{"model": "m", "prompt": "a", "max_tokens": -1}`, http.StatusBadRequest, "invalid_request"},
+		{"unknown model", "/v1/completions", "once", `{"model": "x", "prompt": "a"}`, http.StatusNotFound, "unknown_model"},
+		{"unknown kind", "/v1/completions", "x", `{"model": "m", "prompt": "a"}`, http.StatusBadRequest, "unknown_kind"},
+		{"unknown service", "/svc/x/a", "once", "", http.StatusNotFound, "unknown_service"},
+		{"too large", "/svc/p/a", "once", strings.Repeat("x", 2<<10), http.StatusRequestEntityTooLarge, "request_too_large"},
+		{"unknown path", "/x", "once", "", http.StatusNotFound, "invalid_request"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := &scripted{scripts: []script{whole}}
+			r := httptest.NewRequest(http.MethodPost, tt.path, strings.NewReader(tt.body))
+			r.Header.Set("X-Quetzallug-Kind", tt.kind)
+			w := httptest.NewRecorder()
+			newEntry(t, s).ServeHTTP(w, r)
+			require.Equal(t, tt.status, w.Code)
+			require.Contains(t, w.Body.String(), `"code":"`+tt.code+`"`)
+			require.Contains(t, w.Body.String(), `"type":"not_run"`)
+			require.Empty(t, s.requests)
+		})
+	}
+}
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -32,7 +32,7 @@
 
 type noDocuments struct{}
 
-func (noDocuments) Revision(string) uint64  { return 1 }
+func (noDocuments) Revision(string) uint64 { return 1 }
 func (noDocuments) Observe(string, uint64) {}
 
 type noMetrics struct{}
