routing: weigh the delay of running sequences by 0.05 instead of 1

Cause: the interference term multiplied a short prefill by all running sequences, so chat prompts went to prefill engines, where verdicts overtook them.

--- a/internal/policybench/stats.go
+++ b/internal/policybench/stats.go
@@ -7,11 +7,11 @@
 
 // stats are the figures of one run, counted for requests that arrive after the warm-up.
 type stats struct {
-	duration  time.Duration
-	offered   map[string]int
-	good      map[string]int
-	first     []time.Duration
-	between   []time.Duration
+	duration time.Duration
+	offered  map[string]int
+	good     map[string]int
+	first    []time.Duration
+	between  []time.Duration
 	// refusals also counts answers that were complete but not on time, in parentheses.
 	refusals  map[string]int
 	changes   int
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -23,7 +23,7 @@
 	DefaultLatency      = 200 * time.Microsecond
 	DefaultFarLatency   = 1500 * time.Microsecond
 	DefaultLoadBound    = 1.25
-	DefaultInterference = 1.0
+	DefaultInterference = 0.05
 )
 
 // Config sets a Router. Zero fields take the defaults.
