admission: recheck a waiting request before its engine starts it

Change: Controller.Recheck, asked by the sidecar when the engine is ready; a request that cannot be on time any more is refused as not run.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -182,6 +182,16 @@
 	return Decision{Priority: Priority(rank), Guaranteed: guaranteed, shared: shared}
 }
 
+// Recheck tells whether a request that waits for its engine can still be on time. It is asked
+// before the engine starts the request, and counts nothing. A request that fails it did not run.
+func (c *Controller) Recheck(r *Request, e *Expectation, now time.Time) Decision {
+	if !r.Deadline.IsZero() && !now.Before(r.Deadline) {
+		return Decision{Reason: Expired}
+	}
+	d, _ := c.onTime(r, e, now)
+	return d
+}
+
 // Release ends a request of the caller that the given decision admitted.
 func (c *Controller) Release(caller string, d Decision) { c.callers.giveBack(caller, d.shared, 0) }
 
--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -38,6 +38,12 @@
 			c.edit(&r, &e)
 			d := admission.New(admission.Config{}).Admit(&r, &e, start)
 			assert.Equal(t, c.want, d.Reason)
+			again := admission.New(admission.Config{}).Recheck(&r, &e, start).Reason
+			if c.want == admission.Late || c.want == admission.Expired {
+				assert.Equal(t, c.want, again)
+			} else {
+				assert.Equal(t, admission.Admitted, again)
+			}
 			if c.want != admission.Admitted && c.want != admission.Expired {
 				assert.Positive(t, d.RetryAfter)
 			}
--- a/internal/policybench/baselines.go
+++ b/internal/policybench/baselines.go
@@ -20,6 +20,8 @@
 	return ""
 }
 
+func (b *base) hopeless(*request, *engine) bool { return false }
+
 func (b *base) retry(*request) bool                                        { return true }
 func (b *base) firstToken(*request)                                        {}
 func (b *base) finished(*request)                                          {}
--- a/internal/policybench/engine.go
+++ b/internal/policybench/engine.go
@@ -150,6 +150,12 @@
 	for rank := range e.queue {
 		for len(e.queue[rank]) > 0 && used < budget {
 			r := e.queue[rank][0]
+			if !r.started && e.w.policy.hopeless(r, e) {
+				e.queue[rank] = e.queue[rank][1:]
+				e.w.drop(r)
+				continue
+			}
+			r.started = true
 			n := min(r.prefillLeft, budget-used)
 			r.prefillLeft -= n
 			used += n
--- a/internal/policybench/project.go
+++ b/internal/policybench/project.go
@@ -121,10 +121,22 @@
 	if e.queued() >= queueBound {
 		return string(admission.QueueFull)
 	}
-	if !r.hasFirst && p.w.at-r.arrived+e.expectedFirst(r) > r.kind.firstToken {
-		return string(admission.Late)
+	return p.recheck(r, e.expectedFirst(r))
+}
+
+// hopeless is the sidecar's second check, when the engine is ready to take the request: one that
+// cannot be on time any more is refused as not run instead of delaying the others.
+func (p *project) hopeless(r *request, e *engine) bool {
+	return p.recheck(r, seconds(float64(r.prefillLeft)*p.w.fleet.prefillToken*e.slowness)) != ""
+}
+
+func (p *project) recheck(r *request, first time.Duration) string {
+	a := admission.Request{Waited: p.w.at - r.arrived}
+	if !r.hasFirst {
+		a.FirstToken = r.kind.firstToken
 	}
-	return ""
+	d := p.entries[r.entry].admission.Recheck(&a, &admission.Expectation{FirstToken: first}, p.w.now())
+	return string(d.Reason)
 }
 
 func (p *project) retry(r *request) bool {
--- a/internal/policybench/workload.go
+++ b/internal/policybench/workload.go
@@ -205,6 +205,7 @@
 
 	prefillLeft  int
 	cacheChecked bool
+	started      bool // the engine has begun to prefill
 	prefill      *engine
 	decode       *engine
 	produced     int
--- a/internal/policybench/world.go
+++ b/internal/policybench/world.go
@@ -30,6 +30,8 @@
 	choose(r *request) (prefill, decode *engine, refusal string)
 	// accept is the check at the engine; an empty reason accepts.
 	accept(r *request, e *engine) string
+	// hopeless tells whether a queued request should be dropped before the engine starts it.
+	hopeless(r *request, e *engine) bool
 	// retry tells whether a refused request may be tried elsewhere.
 	retry(r *request) bool
 	firstToken(r *request)
@@ -230,10 +232,17 @@
 		w.stats.refuse(r, "failed")
 		return
 	}
-	r.prefillLeft, r.cacheChecked = r.prompt+r.produced, false
+	r.prefillLeft, r.cacheChecked, r.started = r.prompt+r.produced, false, false
 	w.after(resumeDelay, func() { w.dispatch(r) })
 }
 
+// drop refuses a queued request that the engine has not started.
+func (w *world) drop(r *request) {
+	w.release(r)
+	w.policy.finished(r)
+	w.stats.refuse(r, "late")
+}
+
 func (w *world) finish(r *request) {
 	r.last = w.at
 	w.policy.finished(r)
