Do not refuse requests for an idle worker as late; bound slow request bodies

Cause: the speed of a worker that has not been observed is taken as 10,000 prompt tokens per second, so a prompt of more than 7,300 tokens was refused against a target of 730 ms although the engine was faster. As every such request was refused, the speed was never learned. Change: admission ignores the expected times of a worker that has nothing to do. Before: TestIdleWorkerIsNotTooLate refuses the first request. After: it admits the first and refuses the second, while the first runs.

Also: a caller has 15 s to send its body, and a stopping sidecar refuses for the lame-duck time before it closes its listener.

--- a/cmd/quetzallugd/dev.go
+++ b/cmd/quetzallugd/dev.go
@@ -79,6 +79,7 @@
 	if err != nil {
 		return nil, err
 	}
+	sidecar.LameDuck = 0
 	log, err := logging.New(cmd.ErrOrStderr(), entry.LogLevel, entry.LogFormat)
 	if err != nil {
 		return nil, err
--- a/entry/admit.go
+++ b/entry/admit.go
@@ -3,9 +3,11 @@
 import (
 	"net/http"
 	"sync"
+	"time"
 
 	"github.com/quetzallug/quetzallug/admission"
 	"github.com/quetzallug/quetzallug/document"
+	"github.com/quetzallug/quetzallug/routing"
 )
 
 // Admission admits requests by the load of the workers and the limits of each service's
@@ -54,7 +56,9 @@
 	c := a.controller(r.Service)
 	expected := a.fleet.Expect(r.Pick)
 	e := &admission.Expectation{NoWorker: expected.Decode == nil}
-	if !e.NoWorker {
+	// An idle worker serves as early as any can, and only traffic corrects a wrong estimate of
+	// its speed. Refusing there would keep a worker idle for ever.
+	if !e.NoWorker && !idle(&expected, r.Now) {
 		e.FirstToken, e.BetweenTokens, e.Total = expected.FirstToken, expected.BetweenTokens, expected.Total
 	}
 	q := &admission.Request{
@@ -69,6 +73,16 @@
 	return func() { c.Release(r.Caller, d) }, r.Kind.Rank, nil
 }
 
+// idle reports whether the chosen workers have nothing to do.
+func idle(d *routing.Decision, now time.Time) bool {
+	for _, w := range []*routing.Worker{d.Prefill, d.Decode} {
+		if l := w.Load.Estimate(now); l.Sequences > 0 || l.PrefillTokens > 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // refused converts a refusal of admission, which always means that the request did not run.
 func refused(d admission.Decision) *Error {
 	reason, status := ReasonOverload, http.StatusServiceUnavailable
--- /dev/null
+++ b/entry/admit_test.go
@@ -0,0 +1,59 @@
+package entry_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/quetzallug/quetzallug/document"
+	"github.com/quetzallug/quetzallug/entry"
+	v1 "github.com/quetzallug/quetzallug/gen/quetzallug/v1"
+	"github.com/quetzallug/quetzallug/internal/rpc"
+	"github.com/quetzallug/quetzallug/membership"
+	"github.com/quetzallug/quetzallug/platform"
+)
+
+// newFleet returns a fleet with one engine that has model m loaded.
+func newFleet(t *testing.T) *entry.Fleet {
+	t.Helper()
+	view, err := membership.NewView(membership.DefaultSettings(), rand.New(rand.NewPCG(1, 1)))
+	require.NoError(t, err)
+	now := time.Now()
+	view.ApplyList(now, platform.InstanceSnapshot{Version: 1, Instances: []platform.Instance{{
+		ID: "w", Role: platform.RoleSidecar, Service: "m", DataCentre: "d", Address: "127.0.0.1:1", State: platform.InstanceLive,
+	}}})
+	f := entry.NewFleet("c", "d", view, rpc.NewClients(nil), 1)
+	f.Report(&v1.LoadReport{
+		Instance: "w", Incarnation: "i", Sequence: 1, Role: "mixed", Models: []string{"m"}, FreePieces: 512, TotalPieces: 512,
+	}, now)
+	return f
+}
+
+// Guards against a wrong estimate of a worker's speed that refuses all requests, so that the
+// worker stays idle and the estimate is never corrected.
+func TestIdleWorkerIsNotTooLate(t *testing.T) {
+	f := newFleet(t)
+	a := entry.NewAdmission(f)
+	now := time.Now()
+	r := entry.AdmitRequest{
+		Caller: "c", Service: &document.Service{Service: "m", Limits: document.Limits{Queue: 10}},
+		Kind: &document.Kind{Rank: 1, Deadlines: document.Deadlines{
+			FirstToken: document.Duration(730 * time.Millisecond), Total: document.Duration(time.Minute),
+		}},
+		Deadline: now.Add(time.Minute), Now: now,
+		// 20,000 tokens take 2 s at the default speed, far above the target.
+		Pick: entry.PickRequest{RequestID: "r", Service: "m", Model: "m", PromptTokens: 20_000, MaxTokens: 10},
+	}
+	release, _, err := a.Admit(r)
+	require.Nil(t, err)
+	defer release()
+	w, _, pickErr := f.Pick(r.Pick)
+	require.NoError(t, pickErr)
+	f.Sent(w, r.Pick)
+	_, _, err = a.Admit(r)
+	require.NotNil(t, err)
+	require.Equal(t, entry.ReasonDeadline, err.Reason)
+	require.Equal(t, entry.OutcomeNotRun, err.Outcome)
+}
--- a/entry/parse.go
+++ b/entry/parse.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/gin-gonic/gin"
 
@@ -46,8 +47,15 @@
 	Content string `json:"content"`
 }
 
+// bodyTimeout bounds the time in which a caller must send its body.
+const bodyTimeout = 15 * time.Second
+
 // readBody reads a bounded body.
 func readBody(c *gin.Context, limit int64) ([]byte, *Error) {
+	// Not all writers support deadlines; the server's connections do.
+	rc := http.NewResponseController(c.Writer)
+	_ = rc.SetReadDeadline(time.Now().Add(bodyTimeout))
+	defer func() { _ = rc.SetReadDeadline(time.Time{}) }()
 	body, err := io.ReadAll(http.MaxBytesReader(c.Writer, c.Request.Body, limit))
 	var tooLarge *http.MaxBytesError
 	switch {
--- a/internal/app/sidecar.go
+++ b/internal/app/sidecar.go
@@ -38,7 +38,7 @@
 func Sidecar(s *settings.Sidecar, log *logrus.Logger) *fx.App {
 	return fx.New(
 		fx.WithLogger(func() fxevent.Logger { return fxLogger(log) }),
-		fx.StopTimeout(s.DrainTimeout+stopSlack),
+		fx.StopTimeout(s.LameDuck+s.DrainTimeout+stopSlack),
 		fx.Supply(s, &s.Common, log),
 		fx.Provide(
 			func(l *logrus.Logger) logrus.FieldLogger { return l.WithField("instance", s.Instance) },
@@ -201,6 +201,8 @@
 	stop := func(ctx context.Context) {
 		h.stopping.Store(true)
 		sc.Leave()
+		// Entries learn of the stop from refusals, while connections still work.
+		sleep(ctx, s.LameDuck)
 		ctx, cancel := context.WithTimeout(ctx, s.DrainTimeout)
 		defer cancel()
 		if err := sc.Wait(ctx); err != nil {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -42,6 +42,7 @@
 	LogLevel         string        `mapstructure:"log-level"`
 	LogFormat        string        `mapstructure:"log-format"`
 	DrainTimeout     time.Duration `mapstructure:"drain-timeout"`
+	LameDuck         time.Duration `mapstructure:"lame-duck"`
 }
 
 // Entry are the settings of an entry.
@@ -50,7 +51,6 @@
 	PeerListen    string        `mapstructure:"peer-listen"`
 	MaxBodyKiB    int           `mapstructure:"max-body"`
 	WriteTimeout  time.Duration `mapstructure:"write-timeout"`
-	LameDuck      time.Duration `mapstructure:"lame-duck"`
 	RetryShare    float64       `mapstructure:"retry-share"`
 	LeaseTTL      time.Duration `mapstructure:"lease-ttl"`
 	MaxPools      int           `mapstructure:"max-pools"`
@@ -86,6 +86,7 @@
 	f.Duration("instances-poll", 2*time.Second, "time between reads of the instance list")
 	f.String("log-level", "info", "least level logged: debug, info, warning or error")
 	f.String("log-format", logging.FormatText, "format of log lines: text or json")
+	f.Duration("lame-duck", 3*time.Second, "time between failing the readiness check and closing the listener at a stop")
 	f.Duration("drain-timeout", 60*time.Second, "bound on a graceful shutdown")
 }
 
@@ -95,7 +96,6 @@
 	f.String("peer-listen", "127.0.0.1:8081", "IP address and port for the system's other processes and the operators' tool")
 	f.Int("max-body", 8192, "largest request body in KiB, before a service's own limit")
 	f.Duration("write-timeout", 10*time.Second, "bound on one write to a slow reader")
-	f.Duration("lame-duck", 3*time.Second, "time between failing the readiness check and closing the listener")
 	f.Float64("retry-share", 0.1, "retries as a share of fresh requests")
 	f.Duration("lease-ttl", 6*time.Second, "time to live of a pool lease")
 	f.Int("max-pools", 8, "largest number of pools that this entry plans for")
--- a/internal/testcluster/cluster.go
+++ b/internal/testcluster/cluster.go
@@ -179,7 +179,7 @@
 		"sidecar", "--cluster", cluster, "--instance", id, "--data-centre", p.DataCentre, "--listen", w.Address,
 		"--service", p.Service, "--backend", map[bool]string{true: "plain", false: "engine"}[p.Plain],
 		"--backend-address", w.BackendAddress, "--weights-address", c.weights,
-		"--kv-address", c.kv, "--instances-address", c.instances,
+		"--kv-address", c.kv, "--instances-address", c.instances, "--lame-duck", "500ms",
 	}, c.cfg.SidecarArgs...)
 	if w.Sidecar, err = c.run(id, "quetzallugd", sidecar); err != nil {
 		return err
