--- a/cmd/quetzallugd/settings.go
+++ b/cmd/quetzallugd/settings.go
@@ -7,7 +7,7 @@
 	"github.com/quetzallug/quetzallug/internal/settings"
 )
 
-// hiddenValue replaces the shared key in printed settings.
+// hiddenValue replaces secrets in printed settings.
 const hiddenValue = "(hidden)"
 
 func settingsCommand() *cobra.Command {
@@ -44,8 +44,10 @@
 }
 
 func hide(c *settings.Common) {
-	if c.Key != "" {
-		c.Key = hiddenValue
+	for _, secret := range []*string{&c.Key, &c.TLSKey} {
+		if *secret != "" {
+			*secret = hiddenValue
+		}
 	}
 }
 
--- a/entry/admit_test.go
+++ b/entry/admit_test.go
@@ -24,7 +24,7 @@
 	view.ApplyList(now, platform.InstanceSnapshot{Version: 1, Instances: []platform.Instance{{
 		ID: "w", Role: platform.RoleSidecar, Service: "m", DataCentre: "d", Address: "127.0.0.1:1", State: platform.InstanceLive,
 	}}})
-	f := entry.NewFleet("c", "d", view, rpc.NewClients(nil), 1)
+	f := entry.NewFleet("c", "d", view, rpc.NewClients(rpc.ClientConfig{}), 1)
 	f.Report(&v1.LoadReport{
 		Instance: "w", Incarnation: "i", Sequence: 1, Role: "mixed", Models: []string{"m"}, FreePieces: 512, TotalPieces: 512,
 	}, now)
--- a/entry/parse.go
+++ b/entry/parse.go
@@ -27,7 +27,7 @@
 	defaultMaxTokens = 256
 	maxMaxTokens     = 1 << 20
 	// maxKeyBytes bounds an idempotency key.
-	maxKeyBytes = 256
+	maxKeyBytes = 255
 )
 
 // completionRequest is the body of POST /v1/completions and /v1/chat/completions. Fields that
--- a/entry/run_test.go
+++ b/entry/run_test.go
@@ -154,7 +154,7 @@
 			{Service: "p", Type: document.TypePlain, Kinds: kinds},
 		}},
 		Picker:  &picker{entry.Worker{Instance: "w", Address: l.Addr().String(), Incarnation: "i"}},
-		Clients: rpc.NewClients(nil), Admitter: admitAll{}, Metrics: noMetrics{}, Log: log,
+		Clients: rpc.NewClients(rpc.ClientConfig{}), Admitter: admitAll{}, Metrics: noMetrics{}, Log: log,
 		Budget: unlimited{}, Decisions: entry.NewDecisionLog(8),
 	})
 	return e.Handler()
--- a/internal/app/common.go
+++ b/internal/app/common.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"math/rand/v2"
 	"net"
@@ -105,11 +106,22 @@
 	err := errors.Join(
 		m.Observe("quetzallug_control_bytes_in", "Control bytes received.", t.In.Load),
 		m.Observe("quetzallug_control_bytes_out", "Control bytes sent.", t.Out.Load))
-	clients := rpc.NewClients(t, newAuth(c, log))
-	lc.Append(fx.StopHook(clients.Close))
+	clients, clientsErr := newClients(lc, c, t, log)
+	err = errors.Join(err, clientsErr)
 	return &control{clients: clients, traffic: t}, err
 }
 
+// newClients returns clients of the cluster's other processes that end with this process.
+func newClients(lc fx.Lifecycle, c *settings.Common, t *rpc.Traffic, log logrus.FieldLogger) (*rpc.Clients, error) {
+	tlsConfig, err := c.TLS().Load()
+	if err != nil {
+		return nil, err
+	}
+	clients := rpc.NewClients(rpc.ClientConfig{Traffic: t, TLS: tlsConfig, Interceptors: []connect.Interceptor{newAuth(c, log)}})
+	lc.Append(fx.StopHook(clients.Close))
+	return clients, nil
+}
+
 func newAuth(c *settings.Common, log logrus.FieldLogger) connect.Interceptor {
 	return peerauth.NewInterceptor(peerauth.Credentials{Cluster: c.Cluster, Key: c.Key}, log)
 }
@@ -201,7 +213,7 @@
 }
 
 // serve listens at start and stops gracefully within the stop context.
-func serve(lc fx.Lifecycle, sd fx.Shutdowner, log logrus.FieldLogger, srv *http.Server, address string, wrap func(net.Listener) net.Listener, before func(context.Context)) {
+func serve(lc fx.Lifecycle, sd fx.Shutdowner, log logrus.FieldLogger, srv *http.Server, address string, tlsConfig *tls.Config, wrap func(net.Listener) net.Listener, before func(context.Context)) {
 	lc.Append(fx.Hook{
 		OnStart: func(ctx context.Context) error {
 			var lcfg net.ListenConfig
@@ -211,7 +223,7 @@
 			}
 			log.WithField("address", l.Addr().String()).Info("listening")
 			go func() {
-				if err := srv.Serve(wrap(l)); !errors.Is(err, http.ErrServerClosed) {
+				if err := rpc.Serve(srv, wrap(l), tlsConfig); !errors.Is(err, http.ErrServerClosed) {
 					log.WithError(err).Error("server stopped")
 					_ = sd.Shutdown(fx.ExitCode(1))
 				}
--- a/internal/app/entry.go
+++ b/internal/app/entry.go
@@ -119,10 +119,12 @@
 	background(lc, p.Run)
 }
 
-func newEntry(lc fx.Lifecycle, s *settings.Entry, cfg entry.Config, store *dissemination.Store, agent *dissemination.Agent, f *entry.Fleet, claims *once.Router, m *telemetry.Metrics, d *entry.DecisionLog, log logrus.FieldLogger) *entry.Entry {
+func newEntry(lc fx.Lifecycle, s *settings.Entry, cfg entry.Config, store *dissemination.Store, agent *dissemination.Agent, f *entry.Fleet, claims *once.Router, m *telemetry.Metrics, d *entry.DecisionLog, log logrus.FieldLogger) (*entry.Entry, error) {
 	// Answers travel on their own connections, so that control traffic can be counted.
-	clients := rpc.NewClients(nil, newAuth(&s.Common, log))
-	lc.Append(fx.StopHook(clients.Close))
+	clients, err := newClients(lc, &s.Common, nil, log)
+	if err != nil {
+		return nil, err
+	}
 	return entry.New(cfg, entry.Options{
 		Documents: &entry.DocumentsInForce{Store: store, Agent: agent},
 		Picker:    f,
@@ -133,7 +135,7 @@
 		Metrics:   m,
 		Log:       log,
 		Decisions: d,
-	})
+	}), nil
 }
 
 func newPeer(cfg entry.Config, store *dissemination.Store, c *once.Committer, f *entry.Fleet, leases *lease.Manager, d *entry.DecisionLog) *entry.Peer {
@@ -149,7 +151,11 @@
 	})
 }
 
-func serveEntry(lc fx.Lifecycle, sd fx.Shutdowner, s *settings.Entry, e *entry.Entry, p *entry.Peer, store *dissemination.Store, ctl *control, m *telemetry.Metrics, log logrus.FieldLogger) {
+func serveEntry(lc fx.Lifecycle, sd fx.Shutdowner, s *settings.Entry, e *entry.Entry, p *entry.Peer, store *dissemination.Store, ctl *control, m *telemetry.Metrics, log logrus.FieldLogger) error {
+	tlsConfig, err := s.TLS().Load()
+	if err != nil {
+		return err
+	}
 	peers := http.NewServeMux()
 	peers.Handle(quetzallugv1connect.NewPeerServiceHandler(p,
 		connect.WithInterceptors(newAuth(&s.Common, log)), connect.WithReadMaxBytes(rpc.MaxMessageBytes)))
@@ -158,19 +164,20 @@
 	peerServer := rpc.NewServer(peers)
 	count := func(l net.Listener) net.Listener { return rpc.CountListener(l, ctl.traffic) }
 	// Hooks stop in reverse order: callers are drained before peers are cut off.
-	serve(lc, sd, log, peerServer, s.PeerListen, count, func(context.Context) {})
+	serve(lc, sd, log, peerServer, s.PeerListen, tlsConfig, count, func(context.Context) {})
 
 	callers := http.NewServeMux()
 	h.register(callers, m)
 	callers.Handle("/", e.Handler())
 	srv := rpc.NewServer(callers)
-	serve(lc, sd, log, srv, s.Listen, plainListener, func(ctx context.Context) {
+	serve(lc, sd, log, srv, s.Listen, nil, plainListener, func(ctx context.Context) {
 		h.stopping.Store(true)
 		// Each response now closes its connection, while the balancer learns of the stop.
 		srv.SetKeepAlivesEnabled(false)
 		log.WithField("for", s.LameDuck.String()).Info("stopping: the readiness check fails, requests are still served")
 		sleep(ctx, s.LameDuck)
 	})
+	return nil
 }
 
 func hasDocuments(store *dissemination.Store) bool {
--- a/internal/app/sidecar.go
+++ b/internal/app/sidecar.go
@@ -81,8 +81,10 @@
 }
 
 func newSidecar(lc fx.Lifecycle, s *settings.Sidecar, id identity, b *backends, store *dissemination.Store, agent *dissemination.Agent, m *telemetry.Metrics, log logrus.FieldLogger) (*sidecar.Sidecar, error) {
-	peers := rpc.NewClients(nil, newAuth(&s.Common, log))
-	lc.Append(fx.StopHook(peers.Close))
+	peers, err := newClients(lc, &s.Common, nil, log)
+	if err != nil {
+		return nil, err
+	}
 	return sidecar.New(sidecar.Config{
 		Peers:   peers,
 		Cluster: s.Cluster, Instance: s.Instance, Service: s.Service, Incarnation: id.incarnation,
@@ -187,7 +189,7 @@
 	})
 }
 
-func serveSidecar(lc fx.Lifecycle, sd fx.Shutdowner, s *settings.Sidecar, sc *sidecar.Sidecar, e *order.Executor, m *telemetry.Metrics, log logrus.FieldLogger) {
+func serveSidecar(lc fx.Lifecycle, sd fx.Shutdowner, s *settings.Sidecar, sc *sidecar.Sidecar, e *order.Executor, m *telemetry.Metrics, log logrus.FieldLogger) error {
 	var orders order.Sidecar
 	if e != nil {
 		orders = e
@@ -209,5 +211,10 @@
 			log.WithError(eris.Wrap(err, "drain")).WithField("in_flight", sc.InFlight()).Warn("drain ended at its bound")
 		}
 	}
-	serve(lc, sd, log, rpc.NewServer(mux), s.Listen, plainListener, stop)
+	tlsConfig, err := s.TLS().Load()
+	if err != nil {
+		return err
+	}
+	serve(lc, sd, log, rpc.NewServer(mux), s.Listen, tlsConfig, plainListener, stop)
+	return nil
 }
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"sync"
@@ -41,6 +42,18 @@
 	}
 }
 
+// Serve serves connections of l, over TLS if a configuration is given.
+func Serve(srv *http.Server, l net.Listener, c *tls.Config) error {
+	if c == nil {
+		return srv.Serve(l)
+	}
+	var p http.Protocols
+	p.SetHTTP1(true)
+	p.SetHTTP2(true)
+	srv.Protocols, srv.TLSConfig = &p, c
+	return srv.ServeTLS(l, "", "")
+}
+
 // Traffic counts bytes on connections.
 type Traffic struct {
 	In, Out atomic.Int64
@@ -49,6 +62,7 @@
 // Clients holds one client per address and kind of service.
 type Clients struct {
 	http    *http.Client
+	scheme  string
 	options []connect.ClientOption
 
 	mu      sync.RWMutex
@@ -56,28 +70,45 @@
 	peers   map[string]quetzallugv1connect.PeerServiceClient
 }
 
-// NewClients returns clients that count the bytes they move in t, which may be nil.
-func NewClients(t *Traffic, interceptors ...connect.Interceptor) *Clients {
+// ClientConfig configures Clients.
+type ClientConfig struct {
+	// Traffic counts the bytes on the clients' connections, if it is set.
+	Traffic *Traffic
+	// TLS is nil for cleartext.
+	TLS          *tls.Config
+	Interceptors []connect.Interceptor
+}
+
+// NewClients returns clients with connections of their own.
+func NewClients(cfg ClientConfig) *Clients {
 	var p http.Protocols
-	p.SetUnencryptedHTTP2(true)
+	scheme := "http://"
+	if cfg.TLS != nil {
+		p.SetHTTP2(true)
+		scheme = "https://"
+	} else {
+		p.SetUnencryptedHTTP2(true)
+	}
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	transport := &http.Transport{
-		Protocols: &p,
+		Protocols:       &p,
+		TLSClientConfig: cfg.TLS,
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			conn, err := dialer.DialContext(ctx, network, addr)
-			if err != nil || t == nil {
+			if err != nil || cfg.Traffic == nil {
 				return conn, err
 			}
-			return &countedConn{Conn: conn, traffic: t}, nil
+			return &countedConn{Conn: conn, traffic: cfg.Traffic}, nil
 		},
 		IdleConnTimeout: idleTimeout,
 		HTTP2:           &http.HTTP2Config{SendPingTimeout: pingInterval, PingTimeout: pingTimeout},
 	}
 	return &Clients{
-		http: &http.Client{Transport: transport},
+		http:   &http.Client{Transport: transport},
+		scheme: scheme,
 		options: []connect.ClientOption{
 			connect.WithGRPC(),
-			connect.WithInterceptors(interceptors...),
+			connect.WithInterceptors(cfg.Interceptors...),
 			connect.WithReadMaxBytes(MaxMessageBytes),
 		},
 		workers: map[string]quetzallugv1connect.WorkerServiceClient{},
@@ -88,14 +119,14 @@
 // Worker returns the client of the sidecar at an address, such as 127.0.0.1:8000.
 func (c *Clients) Worker(address string) quetzallugv1connect.WorkerServiceClient {
 	return lookup(c, c.workers, address, func() quetzallugv1connect.WorkerServiceClient {
-		return quetzallugv1connect.NewWorkerServiceClient(c.http, "http://"+address, c.options...)
+		return quetzallugv1connect.NewWorkerServiceClient(c.http, c.scheme+address, c.options...)
 	})
 }
 
 // Peer returns the client of the entry at a peer address.
 func (c *Clients) Peer(address string) quetzallugv1connect.PeerServiceClient {
 	return lookup(c, c.peers, address, func() quetzallugv1connect.PeerServiceClient {
-		return quetzallugv1connect.NewPeerServiceClient(c.http, "http://"+address, c.options...)
+		return quetzallugv1connect.NewPeerServiceClient(c.http, c.scheme+address, c.options...)
 	})
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -15,6 +15,7 @@
 	"github.com/spf13/viper"
 
 	"github.com/quetzallug/quetzallug/internal/logging"
+	"github.com/quetzallug/quetzallug/internal/rpc"
 )
 
 // EnvPrefix starts the environment variable of each setting: --kv-address is
@@ -34,6 +35,9 @@
 	DataCentre       string        `mapstructure:"data-centre"`
 	Listen           string        `mapstructure:"listen"`
 	Key              string        `mapstructure:"key"`
+	TLSCert          string        `mapstructure:"tls-cert"`
+	TLSKey           string        `mapstructure:"tls-key"`
+	TLSCA            string        `mapstructure:"tls-ca"`
 	KVModule         string        `mapstructure:"kv-module"`
 	KVAddress        string        `mapstructure:"kv-address"`
 	InstancesModule  string        `mapstructure:"instances-module"`
@@ -79,6 +83,9 @@
 	f.String("data-centre", "", "data centre of this instance")
 	f.String("listen", "127.0.0.1:8080", "IP address and port to serve on")
 	f.String("key", "", "shared key of the cluster's processes (better set as QUETZALLUG_KEY)")
+	f.String("tls-cert", "", "certificate for connections between processes, as PEM text or file; empty for cleartext")
+	f.String("tls-key", "", "key of the certificate, as PEM text or file")
+	f.String("tls-ca", "", "authority that signs the cluster's certificates, as PEM text or file")
 	f.String("kv-module", "platform.kv.http", "module that reaches the key-value service")
 	f.String("kv-address", "http://127.0.0.1:7000", "URL of the key-value service")
 	f.String("instances-module", "platform.instances.http", "module that reaches the instance list")
@@ -160,14 +167,18 @@
 	return &s, nil
 }
 
+// TLS returns the settings of TLS between processes.
+func (c *Common) TLS() rpc.TLSFiles { return rpc.TLSFiles{Cert: c.TLSCert, Key: c.TLSKey, CA: c.TLSCA} }
+
 func (c *Common) validate() []error {
 	errs := []error{
 		required("cluster", c.Cluster), required("instance", c.Instance), required("data-centre", c.DataCentre),
 		required("key", c.Key), address("listen", c.Listen),
 		positive("instances-poll", c.InstancesPoll), positive("drain-timeout", c.DrainTimeout),
 	}
-	_, err := logging.New(nil, c.LogLevel, c.LogFormat)
-	return append(errs, err)
+	_, logErr := logging.New(nil, c.LogLevel, c.LogFormat)
+	_, tlsErr := c.TLS().Load()
+	return append(errs, logErr, tlsErr)
 }
 
 // Validate returns all errors at once.
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -69,7 +69,7 @@
 	log.SetOutput(io.Discard)
 	s, err := sidecar.New(sidecar.Config{
 		Cluster: cluster, Instance: "w", Service: service, Incarnation: incarnation, MaxInFlight: 2, Attempts: 100,
-		Peers: rpc.NewClients(nil),
+		Peers: rpc.NewClients(rpc.ClientConfig{}),
 	}, e, b, noDocuments{}, noMetrics{}, log)
 	require.NoError(t, err)
 	require.NoError(t, s.RefreshState(t.Context()))
