--- a/sidecar/execute.go
+++ b/sidecar/execute.go
@@ -26,8 +26,7 @@
 	defer stop()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	_, ref := s.admit(r, cancel)
-	if ref != nil {
+	if ref := s.admit(r, cancel); ref != nil {
 		return s.finish(ctx, r, out, &v1.Final{Outcome: ref.outcome, Reason: ref.reason, Detail: ref.detail})
 	}
 	defer s.release(r)
--- a/sidecar/prefill.go
+++ b/sidecar/prefill.go
@@ -41,7 +41,7 @@
 	defer stop()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	if _, ref := s.admit(r, cancel); ref != nil {
+	if ref := s.admit(r, cancel); ref != nil {
 		return connect.NewError(connect.CodeUnavailable, fmt.Errorf("prefill refused: %s: %s", ref.reason, ref.detail))
 	}
 	defer s.release(r)
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -112,33 +112,32 @@
 	return &refusal{outcome: v1.Outcome_OUTCOME_NOT_RUN, reason: r, detail: detail}
 }
 
-// admit registers an attempt, or returns why it is refused. A refused attempt has had no
+// admit registers an attempt and returns nil, or returns why it is refused. A refused attempt has had no
 // effect on the backend server. A duplicate is unknown, because its first copy may have run.
-func (s *Sidecar) admit(r *v1.ExecuteRequest, cancel context.CancelCauseFunc) (*attempt, *refusal) {
+func (s *Sidecar) admit(r *v1.ExecuteRequest, cancel context.CancelCauseFunc) *refusal {
 	if ref := s.validate(r); ref != nil {
-		return nil, ref
+		return ref
 	}
 	key := attemptKey{r.GetRequestId(), r.GetAttempt()}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.seen.has(key) {
-		return nil, &refusal{v1.Outcome_OUTCOME_UNKNOWN, v1.Reason_REASON_DUPLICATE_ATTEMPT, "attempt was received before"}
+		return &refusal{v1.Outcome_OUTCOME_UNKNOWN, v1.Reason_REASON_DUPLICATE_ATTEMPT, "attempt was received before"}
 	}
 	if s.leaving || s.ordered {
-		return nil, notRun(v1.Reason_REASON_DRAINING, "backend server takes no new work")
+		return notRun(v1.Reason_REASON_DRAINING, "backend server takes no new work")
 	}
 	if len(s.inFlight) >= s.cfg.MaxInFlight {
-		return nil, notRun(v1.Reason_REASON_QUEUE_FULL, "too many requests in flight")
+		return notRun(v1.Reason_REASON_QUEUE_FULL, "too many requests in flight")
 	}
 	s.seen.add(key)
 	s.countWork(r)
-	a := &attempt{
+	s.inFlight[key] = &attempt{
 		cancel: cancel, interruptible: r.GetInterruptible(),
 		promptTokens: int(r.GetModel().GetPromptTokens()), maxTokens: int(r.GetModel().GetMaxTokens()),
 	}
-	s.inFlight[key] = a
 	s.metrics.InFlight(len(s.inFlight))
-	return a, nil
+	return nil
 }
 
 func (s *Sidecar) validate(r *v1.ExecuteRequest) *refusal {
