placement: smooth loss model, rank weights and least relief

Cause: the planner took work as lost only beyond 80% use and believed in mixed engines for long prompts. So it moved prefill engines away on swings. Work is counted after cache hits.

--- a/placement/demand.go
+++ b/placement/demand.go
@@ -26,31 +26,59 @@
 
 // measure converts the offered tokens to engines.
 func (p *Planner) measure(s *Snapshot) demand {
-	var d demand
+	var d, ranked demand
 	seconds := s.Interval.Seconds()
 	if seconds <= 0 {
 		return d
 	}
-	perPrefillToken := s.Speed.PrefillSecondsPerToken / p.cfg.PrefillUse
-	perDecodeToken := p.decodeTokenSeconds(s)
+	perDecodeToken := decodeTokenSeconds(s)
+	slack, weight := 0.0, 0.0
 	for _, k := range s.Offered {
-		prefill := k.PromptTokens / seconds * perPrefillToken
+		prefill := k.PromptTokens / seconds * s.Speed.PrefillSecondsPerToken
+		decode := k.OutputTokens / seconds * perDecodeToken
+		d.decode += decode
+		ranked.decode += decode * rankWeight(k.Rank)
 		if k.PromptTokens <= k.Requests*float64(p.cfg.ShortPrefill) {
 			d.short += prefill
-		} else {
-			d.long += prefill
+			ranked.short += prefill * rankWeight(k.Rank)
+			continue
 		}
-		d.decode += k.OutputTokens / seconds * perDecodeToken
+		d.long += prefill
+		ranked.long += prefill * rankWeight(k.Rank)
+		own := k.PromptTokens / k.Requests * s.Speed.PrefillSecondsPerToken
+		if target := k.FirstToken.Seconds(); target > own {
+			slack += prefill * (target - own) / own
+			weight += prefill
+		}
+	}
+	p.weights = p.weights.blend(demand{
+		long:   ratio(ranked.long, d.long, p.weights.long),
+		short:  ratio(ranked.short, d.short, p.weights.short),
+		decode: ratio(ranked.decode, d.decode, p.weights.decode),
+	}, slackRate)
+	if weight > 0 {
+		p.slack += slackRate * (slack/weight - p.slack)
 	}
 	return d
 }
 
+// rankWeight makes lost work of higher ranks count more, so that an overloaded pool does not give
+// up its most important kind because another one is cheaper to serve.
+func rankWeight(rank int) float64 { return 0.75 + 0.5/float64(max(rank, 1)) }
+
+func ratio(a, b, otherwise float64) float64 {
+	if b <= 0 {
+		return otherwise
+	}
+	return a / b
+}
+
 // unboundedBatch is the batch size assumed if no latency target and no KV bound is known.
 const unboundedBatch = 64
 
 // decodeTokenSeconds is the engine time per output token of a decode engine that holds as many
 // sequences as its latency target and its KV cache allow.
-func (p *Planner) decodeTokenSeconds(s *Snapshot) float64 {
+func decodeTokenSeconds(s *Snapshot) float64 {
 	batch := float64(unboundedBatch)
 	if target := s.BetweenTokens.Seconds(); target > 0 && s.Speed.StepSecondsPerSequence > 0 {
 		batch = max(1, (target-s.Speed.StepSeconds)/s.Speed.StepSecondsPerSequence)
@@ -58,7 +86,7 @@
 	if s.SequencePieces > 0 && s.EnginePieces > 0 {
 		batch = max(1, min(batch, s.EnginePieces/s.SequencePieces))
 	}
-	return s.Speed.Step(int(batch)) / batch / p.cfg.DecodeUse
+	return s.Speed.Step(int(batch)) / batch
 }
 
 // follow updates the averages and the history.
@@ -104,11 +132,11 @@
 }
 
 const (
-	historySamples = 60
-	historyPeriod  = 20 * time.Second
+	historySamples = 30
+	historyPeriod  = 40 * time.Second
 )
 
-// history keeps the mean work of the last 60 periods of 20 s.
+// history keeps the mean work of the last 30 periods of 40 s.
 type history struct {
 	samples [historySamples]demand
 	count   int
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -29,9 +29,8 @@
 	DefaultWarmUp       = 10 * time.Second
 	DefaultChange       = 5 * time.Second
 	DefaultShortPrefill = 512
-	DefaultPrefillUse   = 0.80
-	DefaultDecodeUse    = 0.85
-	DefaultMixedUse     = 0.75
+	DefaultMixedUse     = 0.3
+	DefaultMinRelief    = 0.15
 )
 
 // Config sets a Planner. Zero fields take the defaults.
@@ -47,6 +46,9 @@
 	Trend float64
 	// Margin is the share by which a gain must exceed the cost of the changes.
 	Margin float64
+	// MinRelief is the share of the expected loss that changes must remove. In a pool that is
+	// overloaded whatever its split, it keeps small differences from moving engines.
+	MinRelief float64
 	// Dwell is the least time that an engine keeps a role.
 	Dwell time.Duration
 	// ShareInChange bounds the share of the pool in change at a time. One is always allowed.
@@ -57,9 +59,8 @@
 	Change time.Duration
 	// ShortPrefill is the most prompt tokens that a decode engine prefills itself.
 	ShortPrefill int
-	// PrefillUse and DecodeUse are the use of an engine up to which requests are on time. MixedUse
-	// is the further loss on an engine that does both.
-	PrefillUse, DecodeUse, MixedUse float64
+	// MixedUse is the part of a mixed engine that long prompts can use while it decodes.
+	MixedUse float64
 }
 
 func (c Config) withDefaults() Config {
@@ -86,9 +87,8 @@
 		{&c.Trend, DefaultTrend},
 		{&c.Margin, DefaultMargin},
 		{&c.ShareInChange, DefaultShareChange},
-		{&c.PrefillUse, DefaultPrefillUse},
-		{&c.DecodeUse, DefaultDecodeUse},
 		{&c.MixedUse, DefaultMixedUse},
+		{&c.MinRelief, DefaultMinRelief},
 	} {
 		if *f.v <= 0 {
 			*f.v = f.d
@@ -128,9 +128,14 @@
 // KindWork is the work of one kind of request that was offered since the last round, including
 // what was refused.
 type KindWork struct {
-	Requests     float64
+	// Rank is the kind's rank in the document; 1 is the most important.
+	Rank     int
+	Requests float64
+	// PromptTokens are the tokens to prefill after the expected cache hits.
 	PromptTokens float64
 	OutputTokens float64
+	// FirstToken is the kind's latency target; zero means none.
+	FirstToken time.Duration
 }
 
 // Snapshot is what the planner sees of the pool.
@@ -178,10 +183,17 @@
 	slow     demand
 	history  history
 	decision string
+	// slack is the time that long prompts can wait, relative to their own prefill time.
+	slack float64
+	// weights are the mean rank weights of long prompts, short prompts and answers.
+	weights demand
+	tables  losses
 }
 
 // New returns a planner.
-func New(cfg Config) *Planner { return &Planner{cfg: cfg.withDefaults()} }
+func New(cfg Config) *Planner {
+	return &Planner{cfg: cfg.withDefaults(), slack: initialSlack, weights: demand{1, 1, 1}}
+}
 
 // Explain says what the last round decided and why.
 func (p *Planner) Explain() string { return p.decision }
--- a/placement/split.go
+++ b/placement/split.go
@@ -72,19 +72,6 @@
 	return p
 }
 
-// lost is the work, in engines, that a split cannot serve on time. Mixed engines and decode
-// engines with room for short prompts take over what dedicated engines cannot.
-func (p *Planner) lost(d demand, s split) float64 {
-	prefill := max(0, d.long+d.short-float64(s.prefill))
-	decode := d.decode - float64(s.decode)
-	if spill := min(prefill, d.short); spill > 0 && decode < 0 {
-		spill = min(spill, -decode*p.cfg.MixedUse)
-		prefill -= spill
-		decode += spill / p.cfg.MixedUse
-	}
-	return max(0, prefill+max(0, decode)-float64(s.mixed)*p.cfg.MixedUse)
-}
-
 // drainSeconds bounds the time that an engine takes to finish its work before a change. It is
 // derived from the engine's own sequences below this bound.
 const drainSeconds = 15.0
@@ -98,19 +85,6 @@
 	return p.cfg.Change.Seconds() + drainSeconds/2
 }
 
-// value is the weighted loss of a split over the horizon and over the remembered mixes.
-func (p *Planner) value(f demand, s split, w Weights) float64 {
-	v := p.cfg.Horizon.Seconds() * p.lost(f, s)
-	if n := p.history.count; n > 0 {
-		sum := 0.0
-		for i := range n {
-			sum += p.lost(p.history.samples[i], s)
-		}
-		v += p.cfg.Memory.Seconds() * sum / float64(n)
-	}
-	return v * w.Goodput
-}
-
 func (p *Planner) moveCost(from, to split, w Weights) float64 {
 	cost := 0.0
 	for _, r := range roles {
@@ -128,7 +102,8 @@
 // roleChanges compares all splits and returns the first steps towards the best one.
 func (p *Planner) roleChanges(s *Snapshot, pool *pool, w Weights, budget int) []Change {
 	f := p.forecast(p.cfg.Change)
-	stay := p.value(f, pool.current, w)
+	l := p.losses(f, pool.size)
+	stay := l.value(pool.current) * w.Goodput
 	best, bestTotal, bestCost := pool.current, stay, 0.0
 	for prefill := 0; prefill <= pool.size; prefill++ {
 		for mixed := 0; mixed <= pool.size-prefill; mixed++ {
@@ -140,11 +115,14 @@
 			if cost >= bestTotal {
 				continue
 			}
-			if total := p.value(f, to, w) + cost + tieSeconds*float64(mixed); total < bestTotal {
+			if total := l.value(to)*w.Goodput + cost + tieSeconds*float64(mixed); total < bestTotal {
 				best, bestTotal, bestCost = to, total, cost
 			}
 		}
 	}
+	if stay-(bestTotal-bestCost) < p.cfg.MinRelief*stay {
+		best = pool.current
+	}
 	if best == pool.current {
 		p.decision = fmt.Sprintf("keep %s: no change gains more than it costs, expected loss %.1f", best, stay)
 		return nil
