load: expect other routers to act on a report as this one does

Three entries each filled the gap that an old report showed, so an engine got three times the sequences that it had room for. Change: Tracker.SetRouters scales a process's own corrections by the number of routers that send to the same workers.

--- a/internal/policybench/project.go
+++ b/internal/policybench/project.go
@@ -56,6 +56,7 @@
 			retries:   retry.NewBudget(retry.Config{}),
 			version:   -1,
 		}
+		p.entries[i].tracker.SetRouters(entries)
 	}
 	return p
 }
--- a/load/load.go
+++ b/load/load.go
@@ -6,7 +6,9 @@
 package load
 
 import (
+	"math"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/quetzallug/quetzallug/platform"
@@ -65,13 +67,21 @@
 	mu      sync.RWMutex
 	workers map[string]*Worker
 	speed   Speed
+	scale   atomic.Uint64 // bits of a float64
 }
 
 // NewTracker returns a tracker whose workers start with the given speed.
 func NewTracker(initial Speed) *Tracker {
-	return &Tracker{workers: make(map[string]*Worker), speed: initial.withDefaults()}
+	t := &Tracker{workers: make(map[string]*Worker), speed: initial.withDefaults()}
+	t.SetRouters(1)
+	return t
 }
 
+// SetRouters tells how many routers send to the same workers. The others are expected to send
+// and finish as much as this one since a report, because they act on the same report. Without
+// this, each router alone fills the gap that an old report shows.
+func (t *Tracker) SetRouters(n float64) { t.scale.Store(math.Float64bits(max(1, n))) }
+
 // Worker returns the worker with the given ID and creates it if needed.
 func (t *Tracker) Worker(id string) *Worker {
 	t.mu.RLock()
@@ -83,7 +93,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if w = t.workers[id]; w == nil {
-		w = &Worker{learner: newLearner(t.speed), role: platform.RoleMixed}
+		w = &Worker{learner: newLearner(t.speed), role: platform.RoleMixed, scale: &t.scale}
 		t.workers[id] = w
 	}
 	return w
@@ -105,6 +115,7 @@
 
 // Worker is the load of one worker. It is safe for concurrent use.
 type Worker struct {
+	scale    *atomic.Uint64
 	mu       sync.Mutex
 	role     platform.Role
 	sequence uint64
@@ -228,7 +239,7 @@
 func (w *Worker) apply(e event) {
 	w.sequences += e.sequences
 	w.pieces += e.pieces
-	w.prefill = w.queuedPrefill(e.at) + e.prefill
+	w.prefill = w.queuedPrefill(e.at) + e.prefill*w.routers()
 	w.prefillAt = e.at
 }
 
@@ -244,8 +255,10 @@
 	return max(0, w.prefill-elapsed/w.learner.speed.prefillTokenSeconds(w.decoding()))
 }
 
+func (w *Worker) routers() float64 { return math.Float64frombits(w.scale.Load()) }
+
 func (w *Worker) decoding() int {
-	n := w.report.Running + w.sequences
+	n := w.report.Running + int(float64(w.sequences)*w.routers())
 	if w.role != platform.RolePrefill {
 		n += w.report.Queued
 	}
@@ -258,7 +271,7 @@
 	e := Estimate{
 		PrefillTokens: w.queuedPrefill(now),
 		Sequences:     w.decoding(),
-		FreePieces:    max(0, w.report.FreePieces+w.pieces),
+		FreePieces:    max(0, w.report.FreePieces+int(float64(w.pieces)*w.routers())),
 		TotalPieces:   w.report.TotalPieces,
 		Speed:         w.learner.speed,
 		Known:         !w.madeAt.IsZero(),
--- a/load/load_test.go
+++ b/load/load_test.go
@@ -68,6 +68,20 @@
 	assert.InDelta(t, 0.318, e.FirstToken(2000), 0.001)
 }
 
+// Guards against several routers that each fill the gap which an old report shows.
+func TestOtherRoutersAreExpectedToAct(t *testing.T) {
+	tracker := load.NewTracker(load.Speed{})
+	tracker.SetRouters(3)
+	w := tracker.Worker("w")
+	w.Observe(report(1, 0, 0, 5, 50), at(0))
+	ticket := w.Sent(load.Work{Decode: true, Pieces: 2}, at(time.Second))
+	e := w.Estimate(at(time.Second))
+	assert.Equal(t, 8, e.Sequences)
+	assert.Equal(t, 44, e.FreePieces)
+	w.Finished(ticket, at(2*time.Second))
+	assert.Equal(t, 5, w.Estimate(at(2*time.Second)).Sequences)
+}
+
 // Guards against speeds that do not follow the engine, or that one absurd value spoils.
 func TestSpeedIsLearned(t *testing.T) {
 	w := load.NewTracker(load.Speed{PrefillSecondsPerToken: 1e-4}).Worker("w")
