--- a/Makefile
+++ b/Makefile
@@ -14,8 +14,9 @@
 run: build
 	./bin/quetzallugd dev
 
+# -count=1: the end-to-end tests build the programs, which the test cache does not notice.
 test:
-	go test -timeout $(TEST_TIMEOUT) ./...
+	go test -timeout $(TEST_TIMEOUT) -count=1 ./...
 
 e2e:
 	go test -timeout $(TEST_TIMEOUT) -count=1 ./test/e2e/...
