Carry cache events and exact remaining work in load reports

A report counted a request's prompt as queued prefill until its answer ended, so engines looked busier than they were. The sidecar now counts the prompt until the first token, and takes the capacity from the engine. The latest 16 cache events travel with each report (about 200 bytes) instead of in messages of their own.

--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -44,10 +44,12 @@
 	version  uint64
 	reports  map[string]*v1.LoadReport
 	reported map[string]time.Time
-	services map[string]*serviceFleet
-	routers  map[string]*routing.Router
-	probing  map[string]bool
-	tickets  map[ticketKey]load.Ticket
+	// cacheSeen is the sequence of the last cache event taken, by worker.
+	cacheSeen map[string]uint64
+	services  map[string]*serviceFleet
+	routers   map[string]*routing.Router
+	probing   map[string]bool
+	tickets   map[ticketKey]load.Ticket
 }
 
 // ticketKey names an attempt in flight: a request goes to one worker at a time.
@@ -69,7 +71,7 @@
 	return &Fleet{
 		cluster: cluster, dataCentre: dataCentre, view: view, clients: clients,
 		tracker: load.NewTracker(load.Speed{}), router: routing.Config{Seed: seed},
-		reports: map[string]*v1.LoadReport{}, reported: map[string]time.Time{}, services: map[string]*serviceFleet{}, routers: map[string]*routing.Router{},
+		reports: map[string]*v1.LoadReport{}, reported: map[string]time.Time{}, cacheSeen: map[string]uint64{}, services: map[string]*serviceFleet{}, routers: map[string]*routing.Router{},
 		probing: map[string]bool{}, tickets: map[ticketKey]load.Ticket{},
 	}
 }
@@ -260,6 +262,7 @@
 	if old.GetIncarnation() == r.GetIncarnation() && r.GetSequence() < old.GetSequence() {
 		return
 	}
+	f.takeCacheEvents(r, now)
 	f.reports[r.GetInstance()] = r
 	f.reported[r.GetInstance()] = now
 	if old == nil || old.GetRole() != r.GetRole() || old.GetDraining() != r.GetDraining() || !slices.Equal(old.GetModels(), r.GetModels()) {
@@ -267,6 +270,35 @@
 	}
 }
 
+// takeCacheEvents passes the cache events that are new to the routers. The caller holds mu.
+func (f *Fleet) takeCacheEvents(r *v1.LoadReport, now time.Time) {
+	all := r.GetCacheEvents()
+	if len(all) == 0 {
+		return
+	}
+	seen := f.cacheSeen[r.GetInstance()]
+	last := all[len(all)-1].GetSequence()
+	if last < seen {
+		// A restarted engine numbers its events anew.
+		seen = 0
+	}
+	var fresh []platform.CacheEvent
+	for _, e := range all {
+		if e.GetSequence() > seen {
+			fresh = append(fresh, platform.CacheEvent{Sequence: e.GetSequence(), Prefix: e.GetPrefix(), Evicted: e.GetEvicted()})
+		}
+	}
+	f.cacheSeen[r.GetInstance()] = last
+	if len(fresh) == 0 {
+		return
+	}
+	for _, s := range f.services {
+		if w := s.fleet.Worker(r.GetInstance()); w != nil {
+			s.router.CacheEvents(w, fresh, now)
+		}
+	}
+}
+
 // probeOld asks the workers whose reports are old for fresh ones, in the background.
 func (f *Fleet) probeOld(s *serviceFleet, d *routing.Decision) {
 	for _, w := range d.Probe {
--- a/internal/app/sidecar.go
+++ b/internal/app/sidecar.go
@@ -161,6 +161,9 @@
 			if err := sc.RefreshState(call); err != nil {
 				log.WithError(err).Debug("backend server does not report its state")
 			}
+			if err := sc.RefreshCacheEvents(call); err != nil {
+				log.WithError(err).Debug("engine does not report its cache events")
+			}
 			cancel()
 			select {
 			case <-ctx.Done():
--- a/routing/fleet.go
+++ b/routing/fleet.go
@@ -67,6 +67,16 @@
 	return f
 }
 
+// Worker returns the worker with an ID, or nil.
+func (f *Fleet) Worker(id string) *Worker {
+	for i := range f.workers {
+		if f.workers[i].ID == id {
+			return &f.workers[i]
+		}
+	}
+	return nil
+}
+
 // Len returns the number of workers in the snapshot.
 func (f *Fleet) Len() int { return len(f.workers) }
 
--- a/sidecar/execute.go
+++ b/sidecar/execute.go
@@ -58,6 +58,7 @@
 				return &v1.Final{Outcome: v1.Outcome_OUTCOME_UNKNOWN, Reason: v1.Reason_REASON_CANCELLED, Detail: err.Error()}
 			}
 			next = frame.Offset + uint64(frame.Tokens)
+			s.progress(r, c.Tokens)
 		}
 		if c.FinishReason != "" {
 			return &v1.Final{Outcome: v1.Outcome_OUTCOME_COMPLETE, Total: next, FinishReason: c.FinishReason}
@@ -138,21 +139,22 @@
 	s.mu.Lock()
 	r.Draining = s.leaving || s.ordered
 	r.Running = uint32(len(s.inFlight))
+	r.CacheEvents = s.cacheEvents
 	pieces := 0
 	for _, a := range s.inFlight {
-		r.PrefillTokens += uint64(a.promptTokens)
-		r.DecodeTokens += uint64(a.maxTokens)
-		pieces += (a.promptTokens + a.maxTokens + platform.PieceTokens - 1) / platform.PieceTokens
+		r.PrefillTokens += uint64(a.prefillTokens)
+		r.DecodeTokens += uint64(a.decodeTokens)
+		pieces += a.pieces
 	}
 	s.mu.Unlock()
-	r.TotalPieces = uint32(s.cfg.MaxInFlight)
 	if v := s.state.Load(); v != nil {
+		r.TotalPieces = uint32(v.totalPieces)
 		r.Role = string(v.state.Config.Role)
 		for _, m := range v.state.Config.Models {
 			r.Models = append(r.Models, m.Name)
 		}
 	}
-	r.FreePieces = uint32(max(0, int(r.TotalPieces)-pieces))
+	r.FreePieces = uint32(max(0, int(r.GetTotalPieces())-pieces))
 	return r
 }
 
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -6,9 +6,9 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"github.com/sirupsen/logrus"
 	"google.golang.org/protobuf/proto"
@@ -58,9 +58,11 @@
 	inFlight map[attemptKey]*attempt
 	seen     *attemptLog
 	work     map[string]*v1.KindWork
-	leaving  bool
-	ordered  bool
-	idle     chan struct{}
+	// cacheEvents is replaced, never changed, so that reports can share it.
+	cacheEvents []*v1.CacheEvent
+	leaving     bool
+	ordered     bool
+	idle        chan struct{}
 }
 
 type attemptKey struct {
@@ -71,14 +73,16 @@
 type attempt struct {
 	cancel        context.CancelCauseFunc
 	interruptible bool
-	promptTokens  int
-	maxTokens     int
+	// prefillTokens are those still to prefill, decodeTokens those still to generate at most.
+	prefillTokens int
+	decodeTokens  int
+	pieces        int
 }
 
 // engineView is the engine's configuration as last read.
 type engineView struct {
-	state platform.EngineState
-	at    time.Time
+	state       platform.EngineState
+	totalPieces int
 }
 
 // Metrics receives counts from the sidecar.
@@ -132,9 +136,10 @@
 	}
 	s.seen.add(key)
 	s.countWork(r)
+	prompt, answer := int(r.GetModel().GetPromptTokens()), int(r.GetModel().GetMaxTokens())
 	s.inFlight[key] = &attempt{
-		cancel: cancel, interruptible: r.GetInterruptible(),
-		promptTokens: int(r.GetModel().GetPromptTokens()), maxTokens: int(r.GetModel().GetMaxTokens()),
+		cancel: cancel, interruptible: r.GetInterruptible(), prefillTokens: prompt, decodeTokens: answer,
+		pieces: (prompt + answer + platform.PieceTokens - 1) / platform.PieceTokens,
 	}
 	s.metrics.InFlight(len(s.inFlight))
 	return nil
@@ -204,6 +209,16 @@
 	return all
 }
 
+// progress records that an attempt has generated tokens, so that its prompt is prefilled.
+func (s *Sidecar) progress(r *v1.ExecuteRequest, tokens int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if a := s.inFlight[attemptKey{r.GetRequestId(), r.GetAttempt()}]; a != nil {
+		a.prefillTokens = 0
+		a.decodeTokens = max(0, a.decodeTokens-tokens)
+	}
+}
+
 // release removes an attempt that has ended.
 func (s *Sidecar) release(r *v1.ExecuteRequest) {
 	s.mu.Lock()
@@ -214,7 +229,40 @@
 	s.idle = make(chan struct{})
 }
 
-// RefreshState reads the engine's configuration.
+// reportedCacheEvents is the number of cache events in a report. 16 events are about 200 bytes; a
+// router sees all of them unless an engine's cache changes more than 16 times between reports.
+const reportedCacheEvents = 16
+
+// RefreshCacheEvents reads the engine's cache events since the last read. They travel with the
+// next reports.
+func (s *Sidecar) RefreshCacheEvents(ctx context.Context) error {
+	if s.engine == nil {
+		return nil
+	}
+	s.mu.Lock()
+	old := s.cacheEvents
+	s.mu.Unlock()
+	after := uint64(0)
+	if len(old) > 0 {
+		after = old[len(old)-1].GetSequence()
+	}
+	events, err := s.engine.CacheEvents(ctx, after)
+	if err != nil || len(events) == 0 {
+		return err
+	}
+	list := slices.Clone(old)
+	for _, e := range events {
+		list = append(list, &v1.CacheEvent{Sequence: e.Sequence, Prefix: e.Prefix, Evicted: e.Evicted})
+	}
+	list = list[max(0, len(list)-reportedCacheEvents):]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cacheEvents = list
+	return nil
+}
+
+// RefreshState reads the engine's configuration. After a restart of the engine its cache is
+// empty and its events are numbered anew.
 func (s *Sidecar) RefreshState(ctx context.Context) error {
 	if s.engine == nil {
 		return nil
@@ -225,6 +273,17 @@
 		s.state.Store(nil)
 		return err
 	}
-	s.state.Store(&engineView{state: st, at: time.Now()})
+	// The engine's load lags; only its capacity is taken from it.
+	l, err := s.engine.Load(ctx)
+	if err != nil {
+		s.state.Store(nil)
+		return err
+	}
+	old := s.state.Swap(&engineView{state: st, totalPieces: l.TotalPieces})
+	if old != nil && old.state.StartID != st.StartID {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.cacheEvents = nil
+	}
 	return nil
 }
