--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -357,6 +357,27 @@
 	return err
 }
 
+// MeanSpeed returns the mean learned speed of the given workers.
+func (f *Fleet) MeanSpeed(instances []string) load.Speed {
+	if len(instances) == 0 {
+		return load.DefaultSpeed()
+	}
+	var sum load.Speed
+	now := time.Now()
+	for _, id := range instances {
+		s := f.tracker.Worker(id).Estimate(now).Speed
+		sum.PrefillSecondsPerToken += s.PrefillSecondsPerToken
+		sum.StepSeconds += s.StepSeconds
+		sum.StepSecondsPerSequence += s.StepSecondsPerSequence
+		sum.ChunkTokens += s.ChunkTokens
+	}
+	n := float64(len(instances))
+	return load.Speed{
+		PrefillSecondsPerToken: sum.PrefillSecondsPerToken / n, StepSeconds: sum.StepSeconds / n,
+		StepSecondsPerSequence: sum.StepSecondsPerSequence / n, ChunkTokens: sum.ChunkTokens / n,
+	}
+}
+
 // Status lists the workers for operators.
 func (f *Fleet) Status() []*v1.WorkerStatus {
 	snapshot := f.view.Snapshot()
--- a/internal/app/entry.go
+++ b/internal/app/entry.go
@@ -107,6 +107,7 @@
 		Documents:  &entry.DocumentsInForce{Store: store},
 		Confirmed:  store.Confirmed,
 		Workers:    f.Status,
+		Speed:      f.MeanSpeed,
 		Dial:       planning.DialRPC(ctl.clients, s.Cluster, func(id string) (membership.Member, bool) { return view.Snapshot().Member(id) }),
 		RoleChange: m.RoleChange,
 		Decided:    d.Add,
--- a/planning/planning.go
+++ b/planning/planning.go
@@ -16,6 +16,7 @@
 	"github.com/quetzallug/quetzallug/document"
 	v1 "github.com/quetzallug/quetzallug/gen/quetzallug/v1"
 	"github.com/quetzallug/quetzallug/lease"
+	"github.com/quetzallug/quetzallug/load"
 	"github.com/quetzallug/quetzallug/order"
 	"github.com/quetzallug/quetzallug/placement"
 	"github.com/quetzallug/quetzallug/platform"
@@ -37,6 +38,8 @@
 	Confirmed func() bool
 	// Workers lists the sidecars that are known.
 	Workers func() []*v1.WorkerStatus
+	// Speed returns the mean speed of engines.
+	Speed func(engines []string) load.Speed
 	// Dial returns the sidecar of an engine.
 	Dial func(pool, engine string) (Worker, error)
 	// RoleChange and Decided report what was ordered.
@@ -184,7 +187,7 @@
 		return
 	}
 	weights := placement.Weights{Goodput: doc.Weights.Goodput, RoleChanges: doc.Weights.RoleChanges}
-	for _, c := range p.planner.Plan(time.Now(), p.snapshot(doc, spec), weights) {
+	for _, c := range p.planner.Plan(time.Now(), p.snapshot(doc, spec, l.cfg.Speed), weights) {
 		if e := p.engine(c.Engine); e != nil && e.owned && e.settled() {
 			l.issue(ctx, a, p, e, c.Config, c.Reason)
 		}
--- a/planning/pool.go
+++ b/planning/pool.go
@@ -177,15 +177,18 @@
 }
 
 // snapshot describes the pool to the planner.
-func (p *pool) snapshot(doc *document.Service, spec *document.Pool) *placement.Snapshot {
+func (p *pool) snapshot(doc *document.Service, spec *document.Pool, speed func([]string) load.Speed) *placement.Snapshot {
 	models, adapters := wantedModels(doc, spec)
 	s := &placement.Snapshot{
-		Interval: p.interval, Speed: load.DefaultSpeed(), FixedRoles: spec.FixedRoles,
+		Interval: p.interval, FixedRoles: spec.FixedRoles,
 		Models: models, Adapters: adapters, BetweenTokens: strictestBetweenTokens(doc),
 	}
+	var ids []string
 	for _, e := range p.engines {
 		s.Engines = append(s.Engines, e.placement())
+		ids = append(ids, e.id)
 	}
+	s.Speed = speed(ids)
 	kinds := make([]string, 0, len(p.offered))
 	for k := range p.offered {
 		kinds = append(kinds, k)
