Let the operators' tool identify itself to peers; run it in the end-to-end tests

The tool sent the shared key but not the cluster name, so each entry refused it; its tests used a server of their own that checked the key only. The tool now uses the same clients and credentials as the daemon, TLS included, and its tests use the daemon's interceptor.

--- a/cmd/quetzallugd/dev.go
+++ b/cmd/quetzallugd/dev.go
@@ -109,6 +109,13 @@
   curl -N http://%[1]s/v1/completions -H 'X-Quetzallug-Kind: %[2]s' \
     -d '{"model": "%[3]s", "prompt": "when is the next arrival?", "max_tokens": 20, "stream": true}'
 
+Watch and edit it with the operators' tool:
+
+  export QUETZALLUG_KEY=%[4]s QUETZALLUG_ENTRY=%[5]s QUETZALLUG_KV_ADDRESS=%[6]s
+  bin/quetzallug status
+  bin/quetzallug engines
+  bin/quetzallug get %[7]s
+
 Ctrl-C stops.
-`, cfg.Entry.Listen, s.Kinds[0].Name, s.Models[0].Name)
+`, cfg.Entry.Listen, s.Kinds[0].Name, s.Models[0].Name, dev.Key, cfg.Entry.PeerListen, d.KVAddress(), s.Service)
 }
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/quetzallug/quetzallug/document"
 	v1 "github.com/quetzallug/quetzallug/gen/quetzallug/v1"
@@ -388,10 +389,14 @@
 		if m.Role != platform.RoleSidecar {
 			continue
 		}
-		all = append(all, &v1.WorkerStatus{
-			Instance: m.ID, Address: m.Address, Service: m.Service, DataCentre: m.DataCentre,
-			State: string(m.View), Load: f.reports[m.ID],
-		})
+		w := &v1.WorkerStatus{
+			Instance: m.ID, Address: m.Address, Service: m.Service, DataCentre: m.DataCentre, State: string(m.View),
+		}
+		if r := f.reports[m.ID]; r != nil {
+			w.Load = proto.CloneOf(r)
+			w.Load.AgeMs += uint32(time.Since(f.reported[m.ID]).Milliseconds())
+		}
+		all = append(all, w)
 	}
 	return all
 }
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -12,10 +14,13 @@
 	"testing"
 
 	"connectrpc.com/connect"
+	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
 	quetzallugv1 "github.com/quetzallug/quetzallug/gen/quetzallug/v1"
 	"github.com/quetzallug/quetzallug/gen/quetzallug/v1/quetzallugv1connect"
+	"github.com/quetzallug/quetzallug/internal/peerauth"
+	"github.com/quetzallug/quetzallug/internal/rpc"
 	_ "github.com/quetzallug/quetzallug/modules/kvhttp"
 	"github.com/quetzallug/quetzallug/standin/kv"
 )
@@ -161,17 +166,17 @@
 func startPeer(t *testing.T, p *peerServer) *peerServer {
 	t.Helper()
 	mux := http.NewServeMux()
-	mux.Handle(quetzallugv1connect.NewPeerServiceHandler(p))
-	mux.Handle(quetzallugv1connect.NewWorkerServiceHandler(p))
-	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.Header.Get(KeyHeader) != "secret" {
-			http.Error(w, "wrong key", http.StatusUnauthorized)
-			return
-		}
-		mux.ServeHTTP(w, r)
-	}))
-	t.Cleanup(srv.Close)
-	p.address = strings.TrimPrefix(srv.URL, "http://")
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	auth := connect.WithInterceptors(peerauth.NewInterceptor(peerauth.Credentials{Cluster: defaultCluster, Key: "secret"}, log))
+	mux.Handle(quetzallugv1connect.NewPeerServiceHandler(p, auth))
+	mux.Handle(quetzallugv1connect.NewWorkerServiceHandler(p, auth))
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	srv := rpc.NewServer(mux)
+	go func() { _ = srv.Serve(l) }()
+	t.Cleanup(func() { _ = srv.Close() })
+	p.address = l.Addr().String()
 	return p
 }
 
--- a/internal/cli/drain.go
+++ b/internal/cli/drain.go
@@ -52,8 +52,13 @@
 	if err != nil {
 		return err
 	}
+	clients, err := a.connectPeers()
+	if err != nil {
+		return err
+	}
+	defer clients.Close()
 	for {
-		r, err := a.worker(address).Drain(ctx, connect.NewRequest(&quetzallugv1.DrainRequest{
+		r, err := clients.Worker(address).Drain(ctx, connect.NewRequest(&quetzallugv1.DrainRequest{
 			Cluster: a.cluster(), Instance: instance, Undo: f.undo,
 		}))
 		if err != nil {
--- a/internal/cli/peers.go
+++ b/internal/cli/peers.go
@@ -4,50 +4,30 @@
 	"context"
 	"errors"
 	"fmt"
-	"net/http"
-	"strings"
+	"io"
 	"sync"
 
 	"connectrpc.com/connect"
+	"github.com/sirupsen/logrus"
 
 	quetzallugv1 "github.com/quetzallug/quetzallug/gen/quetzallug/v1"
 	"github.com/quetzallug/quetzallug/gen/quetzallug/v1/quetzallugv1connect"
+	"github.com/quetzallug/quetzallug/internal/peerauth"
+	"github.com/quetzallug/quetzallug/internal/rpc"
 )
 
-// KeyHeader carries the shared key of the peers.
-const KeyHeader = "X-Quetzallug-Key"
-
-// maxPeerResponseBytes bounds a response, so that a wrong address cannot fill the memory.
-const maxPeerResponseBytes = 64 << 20
-
-func (a *app) clientOptions() []connect.ClientOption {
-	key := a.v.GetString(settingKey)
-	return []connect.ClientOption{
-		connect.WithReadMaxBytes(maxPeerResponseBytes),
-		connect.WithInterceptors(connect.UnaryInterceptorFunc(func(next connect.UnaryFunc) connect.UnaryFunc {
-			return func(ctx context.Context, r connect.AnyRequest) (connect.AnyResponse, error) {
-				if key != "" {
-					r.Header().Set(KeyHeader, key)
-				}
-				return next(ctx, r)
-			}
-		})),
-	}
-}
-
-func baseURL(address string) string {
-	if strings.Contains(address, "://") {
-		return address
+// connectPeers returns clients that identify the tool to the cluster's processes.
+func (a *app) connectPeers() (*rpc.Clients, error) {
+	tlsConfig, err := rpc.TLSFiles{
+		Cert: a.v.GetString(settingTLSCert), Key: a.v.GetString(settingTLSKey), CA: a.v.GetString(settingTLSCA),
+	}.Load()
+	if err != nil {
+		return nil, &usageError{err}
 	}
-	return "http://" + address
-}
-
-func (a *app) peer(address string) quetzallugv1connect.PeerServiceClient {
-	return quetzallugv1connect.NewPeerServiceClient(http.DefaultClient, baseURL(address), a.clientOptions()...)
-}
-
-func (a *app) worker(address string) quetzallugv1connect.WorkerServiceClient {
-	return quetzallugv1connect.NewWorkerServiceClient(http.DefaultClient, baseURL(address), a.clientOptions()...)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	auth := peerauth.NewInterceptor(peerauth.Credentials{Cluster: a.cluster(), Key: a.v.GetString(settingKey)}, log)
+	return rpc.NewClients(rpc.ClientConfig{TLS: tlsConfig, Interceptors: []connect.Interceptor{auth}}), nil
 }
 
 func (a *app) cluster() string { return a.v.GetString(settingCluster) }
@@ -66,11 +46,16 @@
 	if err != nil {
 		return nil, err
 	}
+	clients, err := a.connectPeers()
+	if err != nil {
+		return nil, err
+	}
+	defer clients.Close()
 	answers := make([]answer[T], len(addresses))
 	var wg sync.WaitGroup
 	for i, address := range addresses {
 		wg.Go(func() {
-			v, err := call(ctx, a.peer(address))
+			v, err := call(ctx, clients.Peer(address))
 			answers[i] = answer[T]{address, v, err}
 		})
 	}
--- a/internal/cli/settings.go
+++ b/internal/cli/settings.go
@@ -25,6 +25,9 @@
 	settingEntry     = "entry"
 	settingKey       = "key"
 	settingCluster   = "cluster"
+	settingTLSCert   = "tls-cert"
+	settingTLSKey    = "tls-key"
+	settingTLSCA     = "tls-ca"
 	settingAuthor    = "author"
 	settingTimeout   = "timeout"
 	settingOutput    = "output"
@@ -53,6 +56,9 @@
 	fs.StringSlice(settingEntry, nil, "host:port of an entry; may be given several times")
 	fs.String(settingKey, "", "shared key of the peers; prefer QUETZALLUG_KEY, since a flag shows in the process list")
 	fs.String(settingCluster, defaultCluster, "name of the cluster")
+	fs.String(settingTLSCert, "", "certificate for the entries, as PEM text or file; empty for cleartext")
+	fs.String(settingTLSKey, "", "key of the certificate, as PEM text or file")
+	fs.String(settingTLSCA, "", "authority that signs the cluster's certificates, as PEM text or file")
 	fs.String(settingAuthor, defaultAuthor(), "author of a change, as the history shows it")
 	fs.Duration(settingTimeout, defaultTimeout, "longest time of a command")
 	fs.StringP(settingOutput, "o", "table", "output: "+strings.Join(outputs, ", "))
--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -31,8 +31,8 @@
 )
 
 const (
-	// key is the shared key of the processes within dev, which listen on loopback only.
-	key = "dev"
+	// Key is the shared key of the processes within dev, which listen on loopback only.
+	Key = "dev"
 	// registration outlives any run of dev.
 	registration = 365 * 24 * time.Hour
 	// weightRate and orderTime make the first loads of the engines take about a second.
@@ -145,7 +145,7 @@
 	set := d.cfg.Sidecar
 	set.Common = d.cfg.Entry.Common
 	set.Instance = fmt.Sprintf("%s-%s-%d", s.Service, p.DataCentre, i)
-	set.DataCentre, set.Service, set.Key = p.DataCentre, s.Service, key
+	set.DataCentre, set.Service, set.Key = p.DataCentre, s.Service, Key
 	set.WeightsAddress = weightsAddress
 	set.Backend, set.BackendModule = settings.BackendEngine, "engine.http"
 	h := d.backend(&set, s, p, uint64(i+1))
@@ -174,7 +174,7 @@
 
 func (d *Deployment) startEntry(ctx context.Context) error {
 	set := d.cfg.Entry
-	set.Instance, set.DataCentre, set.Key = "entry-0", d.services[0].DataCentres[0], key
+	set.Instance, set.DataCentre, set.Key = "entry-0", d.services[0].DataCentres[0], Key
 	return d.startApp(ctx, app.Entry(&set, d.cfg.Log), platform.Instance{
 		ID: set.Instance, Role: platform.RoleEntry, DataCentre: set.DataCentre, Address: set.PeerListen,
 	})
@@ -210,6 +210,9 @@
 	return errors.Join(errs...)
 }
 
+// KVAddress returns the URL of the key-value service's stand-in.
+func (d *Deployment) KVAddress() string { return d.cfg.Entry.KVAddress }
+
 func stopAll(ctx context.Context, apps []*fx.App) error {
 	var wg sync.WaitGroup
 	errs := make([]error, len(apps))
--- a/internal/testcluster/cluster.go
+++ b/internal/testcluster/cluster.go
@@ -9,6 +9,7 @@
 	"io"
 	"net/http"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"strconv"
 	"sync"
@@ -239,25 +240,37 @@
 	return kernel.Load[platform.KV](ctx, kvhttp.ID, kernel.Settings{"address": c.kv})
 }
 
-// Apply accepts a document file as the next revision.
+// Apply accepts a document file as the next revision, with the operators' tool.
 func (c *Cluster) Apply(ctx context.Context, file string) error {
-	body, err := os.ReadFile(file)
-	if err != nil {
-		return err
-	}
 	kv, err := c.KV(ctx)
 	if err != nil {
 		return err
 	}
-	service := trimExt(filepath.Base(file))
 	var base uint64
-	if r, err := registry.Get(ctx, kv, service); err == nil {
+	if r, err := registry.Get(ctx, kv, trimExt(filepath.Base(file))); err == nil {
 		base = r.Revision
 	}
-	_, err = registry.Apply(ctx, kv, service, base, body, "test")
+	_, err = c.Tool(ctx, "apply", file, "--base", strconv.FormatUint(base, 10))
 	return err
 }
 
+// Tool runs the operators' tool against the cluster and returns its output.
+func (c *Cluster) Tool(ctx context.Context, args ...string) (string, error) {
+	args = append(args, "--cluster", cluster, "--kv-address", c.kv)
+	for _, e := range c.Entries {
+		args = append(args, "--entry", e.PeerAddress)
+	}
+	cmd := exec.CommandContext(ctx, filepath.Join(c.cfg.Bin, "quetzallug"), args...)
+	cmd.Env = append(os.Environ(), "QUETZALLUG_KEY="+key)
+	var errOut bytes.Buffer
+	cmd.Stderr = &errOut
+	out, err := cmd.Output()
+	if err != nil {
+		return "", fmt.Errorf("quetzallug %s: %w: %s", args[0], err, errOut.String())
+	}
+	return string(out), nil
+}
+
 func trimExt(name string) string { return name[:len(name)-len(filepath.Ext(name))] }
 
 // WaitServing waits until each entry answers a request of the given body at a path with status 200.
--- a/test/e2e/e2e_test.go
+++ b/test/e2e/e2e_test.go
@@ -176,3 +176,21 @@
 	}
 	return nil
 }
+
+// Guards against operator commands that do not reach the running processes.
+func TestOperatorsTool(t *testing.T) {
+	c := start(t)
+	status, err := c.Tool(t.Context(), "status")
+	require.NoError(t, err)
+	require.Contains(t, status, "entry-0")
+	require.Contains(t, status, "entry-1")
+	engines, err := c.Tool(t.Context(), "engines")
+	require.NoError(t, err)
+	require.Contains(t, engines, "halte-llm-midrand-0")
+	resp, err := send(c.Entries[0].Address, 1, http.MethodGet, "/svc/halte-api/schedules/1", "")
+	require.NoError(t, err)
+	require.NoError(t, resp.Body.Close())
+	explained, err := c.Tool(t.Context(), "explain", resp.Header.Get("X-Request-Id"))
+	require.NoError(t, err)
+	require.Contains(t, explained, "halte-api-")
+}
