admission: yield to higher ranks in proportion to what they ask for

Cause: a lower rank was held to 85% of a latency target as soon as any higher rank had asked in the last 10 s, even if that was a tenth of the requests. Change: the kept share follows the share of higher ranks among recent requests; at one half it is as before.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -40,8 +40,9 @@
 type Config struct {
 	// Queue is the most requests that wait.
 	Queue int
-	// YieldStep is how much earlier each further rank yields, as a share of the pressure at
-	// which rank 1 is refused. MinShare is the pressure below which no rank yields.
+	// YieldStep is how much earlier the next rank yields if half of the requests have the rank
+	// above, as a share of the pressure at which rank 1 is refused. MinShare is the pressure
+	// below which no rank yields.
 	YieldStep float64
 	MinShare  float64
 	// GuaranteedShare is the share of admissions that a rank gets although it would yield,
@@ -132,12 +133,18 @@
 	mu sync.Mutex
 	// credit is the admissions that each rank has saved up from its guaranteed share.
 	credit [maxRank + 1]float64
-	// seen is when each rank last asked. Only ranks that ask are yielded to.
-	seen [maxRank + 1]time.Time
+	// asked counts the recent requests of each rank. It decays at the interval of decayEvery.
+	asked   [maxRank + 1]float64
+	decayed time.Time
 }
 
-// rankMemory is how long after its last request a rank is yielded to.
-const rankMemory = 10 * time.Second
+// The recent requests of a rank are remembered for about 10 s: 0.9 per second.
+const (
+	decayEvery  = time.Second
+	decayFactor = 0.9
+	// maxDecays is enough to forget everything after an idle time.
+	maxDecays = 100
+)
 
 // maxCredit bounds the saved-up admissions of a rank, so that a rank that was absent does not
 // crowd out the others when it returns.
@@ -231,15 +238,9 @@
 func (c *Controller) admitRank(rank int, starvable bool, pressure float64, now time.Time) (ok, guaranteed bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.seen[rank] = now
-	above := 0
-	for higher := 1; higher < rank; higher++ {
-		if !c.seen[higher].IsZero() && now.Sub(c.seen[higher]) < rankMemory {
-			above++
-		}
-	}
+	above := c.shareAbove(rank, now)
 	switch {
-	case above == 0 || pressure <= max(1-c.cfg.YieldStep*float64(above), c.cfg.MinShare):
+	case above == 0 || pressure <= max(1-c.cfg.YieldStep*above, c.cfg.MinShare):
 	case !starvable && c.credit[rank] >= 1:
 		c.credit[rank]--
 		guaranteed = true
@@ -252,6 +253,29 @@
 	return true, guaranteed
 }
 
+// shareAbove counts a request and returns twice the share of higher ranks in recent requests,
+// counting each rank in between again: what is kept for higher ranks follows what they ask for.
+func (c *Controller) shareAbove(rank int, now time.Time) float64 {
+	if c.decayed.IsZero() {
+		c.decayed = now
+	}
+	for range min(int(now.Sub(c.decayed)/decayEvery), maxDecays) {
+		for i := range c.asked {
+			c.asked[i] *= decayFactor
+		}
+		c.decayed = now
+	}
+	c.asked[rank]++
+	higher, total := 0.0, 0.0
+	for i, n := range c.asked {
+		total += n
+		if i < rank {
+			higher += n * float64(rank-i)
+		}
+	}
+	return 2 * higher / total
+}
+
 // minRetryAfter keeps refused callers from returning at once.
 const minRetryAfter = 50 * time.Millisecond
 
