--- a/membership/evidence.go
+++ b/membership/evidence.go
@@ -63,6 +63,7 @@
 		}
 		m.refused = true
 		v.schedule(m, now)
+		m.followList()
 	case Silent:
 		if e.Started.Before(m.lastAnswer) {
 			return
@@ -72,6 +73,9 @@
 		}
 		m.silent++
 		v.schedule(m, now)
+		if m.silent >= v.set.EjectAttempts {
+			m.followList()
+		}
 	}
 	v.recompute(now)
 }
@@ -85,15 +89,20 @@
 	order := compareIncarnations(e.Incarnation, m.incarnation)
 	switch {
 	case order < 0:
-		if e.Address == m.inst.Address && m.incarnationAddress != "" && m.incarnationAddress != e.Address {
-			// The list names a process that has lost the slot.
+		if e.Address != "" && m.incarnationAddress != "" && e.Address != m.incarnationAddress {
 			m.loserAddress = e.Address
+		}
+		if m.inst.Address == m.loserAddress {
+			// The list names a process that has lost the slot.
 			m.inst.Address = m.incarnationAddress
 			v.recompute(now)
 		}
 		return false
 	case order > 0:
-		m.incarnation, m.loserAddress = e.Incarnation, ""
+		if e.Address != m.incarnationAddress {
+			m.loserAddress = m.incarnationAddress
+		}
+		m.incarnation = e.Incarnation
 		m.drainingSince, m.refused, m.silent = time.Time{}, false, 0
 	}
 	if e.Address != "" {
@@ -120,6 +129,13 @@
 	return false
 }
 
+// followList returns to the address in the list when the process that won the slot from it is gone.
+func (m *member) followList() {
+	if m.inst.Address != m.listAddress {
+		m.inst.Address, m.loserAddress = m.listAddress, ""
+	}
+}
+
 func (m *member) heard(now time.Time) {
 	m.lastAnswer = now
 	m.refused, m.silent = false, 0
--- a/membership/view.go
+++ b/membership/view.go
@@ -107,6 +107,8 @@
 	incarnationAddress string
 	// loserAddress is the address of a process that has lost the slot to a higher incarnation.
 	loserAddress string
+	// listAddress is the address in the list.
+	listAddress string
 
 	drainingSince time.Time
 	refused       bool
@@ -193,7 +195,7 @@
 	for id, in := range listed {
 		m := v.members[id]
 		if m == nil {
-			v.members[id] = &member{inst: in, inList: true}
+			v.members[id] = &member{inst: in, listAddress: in.Address, inList: true}
 			v.order = nil
 			continue
 		}
@@ -226,7 +228,7 @@
 // list takes over what the list says. A new address is a new process: the evidence about the old one
 // no longer counts, but its incarnation still has to be exceeded.
 func (m *member) list(in platform.Instance) {
-	m.inList = true
+	m.inList, m.listAddress = true, in.Address
 	if in.Address == m.loserAddress && m.incarnationAddress != "" {
 		in.Address = m.incarnationAddress
 	}
--- a/membership/view_test.go
+++ b/membership/view_test.go
@@ -129,11 +129,23 @@
 			require.Equal(t, "10", m.Incarnation)
 			// The list names the loser only.
 			v.ApplyList(start, snapshot(2, []platform.Instance{in}))
+			m, _ = v.Snapshot().Member(in.ID)
+			require.Equal(t, other.Address, m.Address)
 		}
 		v.Observe(start, membership.Evidence{ID: in.ID, Kind: membership.Draining, Address: in.Address, Incarnation: "9", Started: start})
 		m, _ := v.Snapshot().Member(in.ID)
 		require.Equal(t, membership.StateLive, m.View, "a drain notice of the loser")
 		require.Equal(t, other.Address, m.Address)
+
+		// The winner has ended, and a third process starts at the listed address.
+		gone := start.Add(time.Second)
+		v.Observe(gone, membership.Evidence{ID: in.ID, Kind: membership.Refused, Address: other.Address, Started: gone})
+		m, _ = v.Snapshot().Member(in.ID)
+		require.Equal(t, in.Address, m.Address)
+		v.Observe(gone, evidence(in.ID, membership.Answered, "11", gone))
+		m, _ = v.Snapshot().Member(in.ID)
+		require.Equal(t, membership.StateLive, m.View)
+		require.Equal(t, in.Address, m.Address)
 	}
 }
 
--- a/once/codec.go
+++ b/once/codec.go
@@ -22,8 +22,9 @@
 // Strings are a length and bytes. A key or request ID that is a UUID in canonical form is 16 bytes.
 const formatVersion = 1
 
-// recordOverhead is an upper bound of the size of a record without claims and segments, in bytes.
-const recordOverhead = 1 + 2*binary.MaxVarintLen64 + 8
+// recordOverhead is an upper bound of the size of a record without claims and segments, in bytes. It
+// includes the version and time of the first segment, which are not differences.
+const recordOverhead = 1 + 4*binary.MaxVarintLen64 + 8
 
 const (
 	flagComplete = 1 << iota
--- a/once/fault_test.go
+++ b/once/fault_test.go
@@ -19,6 +19,8 @@
 	step      string
 	faults    []fault
 	invariant string
+	// fleet replaces all entries and the sidecar after the first calls.
+	fleet bool
 }
 
 // faultCases crosses each step of the claim protocol with each fault, and with the same fault twice
@@ -40,10 +42,11 @@
 	for _, step := range order {
 		for _, f := range steps[step] {
 			cases = append(cases,
-				faultCase{"once", step, []fault{f}, "I5, I6"},
-				faultCase{"once", step, []fault{f, f}, "I5, I6"},
-				faultCase{"once", step, []fault{f, lostResponse}, "I5, I6"},
-				faultCase{"once", step, []fault{lostResponse, f}, "I5, I6"},
+				faultCase{protocol: "once", step: step, faults: []fault{f}, invariant: "I5, I6"},
+				faultCase{protocol: "once", step: step, faults: []fault{f, f}, invariant: "I5, I6"},
+				faultCase{protocol: "once", step: step, faults: []fault{f, lostResponse}, invariant: "I5, I6"},
+				faultCase{protocol: "once", step: step, faults: []fault{lostResponse, f}, invariant: "I5, I6"},
+				faultCase{protocol: "once", step: step, faults: []fault{f}, invariant: "I5, I6", fleet: true},
 			)
 		}
 	}
@@ -69,7 +72,7 @@
 		for _, entries := range []int{2, 3} {
 			for _, disagree := range []bool{false, true} {
 				for kind, key := range keys {
-					name := fmt.Sprintf("%s/%v/%d entries/disagree %v/%s", fc.step, fc.faults, entries, disagree, kind)
+					name := fmt.Sprintf("%s/%v/fleet %v/%d entries/disagree %v/%s", fc.step, fc.faults, fc.fleet, entries, disagree, kind)
 					synctest.Test(t, func(t *testing.T) {
 						c := newCluster(entries, testSettings())
 						c.setDisagree(disagree)
@@ -103,6 +106,13 @@
 	}
 	c.setRefusals(1)
 	c.serveAll(key)
+	if fc.fleet {
+		for i := range c.entries {
+			c.replaceEntry(i)
+		}
+		c.replaceSidecar()
+		c.serveAll(key)
+	}
 	for i := range 8 {
 		c.entries[i%len(c.entries)].serve(ctxFor(5*time.Second), fmt.Sprintf("more-%d", i), 1)
 	}
--- a/once/shard.go
+++ b/once/shard.go
@@ -39,8 +39,9 @@
 // flags 1, lengths 2+1+1+3, fingerprint 8, creation time 10, status 5.
 const claimOverhead = 32
 
-// segmentOverhead is an upper bound of the encoded size of a listed segment, in bytes.
-const segmentOverhead = 20
+// segmentOverhead is an upper bound of the encoded size of a listed segment, in bytes: the differences
+// to the previous one stay below 2^28 writes and 2^27 seconds.
+const segmentOverhead = 8
 
 func newShard() *Shard { return &Shard{index: map[string]*Claim{}} }
 
--- a/once/shard_test.go
+++ b/once/shard_test.go
@@ -101,6 +101,18 @@
 	require.LessOrEqual(t, len(s.Encode()), once.MaxRecordBytes)
 }
 
+// Guards against a list of sealed records that takes the place of claims: at 1,200 claims/s over four
+// shards, a shard seals a record every 3.3 s and lists 26,000 of them in a day.
+func TestListOfSealedRecordsIsShort(t *testing.T) {
+	s := &once.Shard{}
+	for i := range 26000 {
+		s.Sealed = append(s.Sealed, once.Segment{Version: uint64(200 * i), Last: time.Unix(1e9+3*int64(i), 0)})
+	}
+	data := s.Encode()
+	require.LessOrEqual(t, len(data), s.Size())
+	require.Less(t, len(data), 80<<10)
+}
+
 // Guards against a duplicate or late delivery that runs again, a refusal of a duplicate that is
 // reported as not run, and a table without bound.
 func TestExecutor(t *testing.T) {
