Prove the spreading of documents in a fleet of fake processes

The tests run 300 processes in three data centres under virtual time. They found one fault: a relay whose watch response was lost while its health check worked stayed behind for up to 30 s; a watch now ends after 5 s and is repeated.

--- a/dissemination/agent.go
+++ b/dissemination/agent.go
@@ -118,12 +118,14 @@
 }
 
 // assist asks the peers of a relay while the relay is out of contact with the key-value
-// service. So relays that start during an outage receive what the fleet holds.
+// service, so that relays that start during an outage receive what the fleet holds. It also
+// asks them for an older document of a service whose newest one cannot be parsed here.
 func (a *Agent) assist(ctx context.Context) {
 	for ctx.Err() == nil {
-		if !a.cfg.Store.Fresh() {
+		switch {
+		case !a.cfg.Store.Fresh() || a.poller.wantsOlder():
 			a.poller.askAll(ctx)
-		} else if a.poller.behind() {
+		case a.poller.behind():
 			a.direct.read(ctx)
 		}
 		if !sleep(ctx, a.rand.around(healthEvery)) {
--- /dev/null
+++ b/dissemination/fleet_test.go
@@ -0,0 +1,294 @@
+package dissemination
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/quetzallug/quetzallug/document/registry"
+	"github.com/quetzallug/quetzallug/platform"
+	"github.com/quetzallug/quetzallug/standin/kv"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == f.DefValue {
+		_ = f.Value.Set("1")
+	}
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+const (
+	testService = "oracolo"
+	hop         = 1500 * time.Microsecond
+)
+
+func testBody(n int) []byte {
+	return fmt.Appendf(nil, `service: %s
+type: plain
+data_centres: [palermo]
+pools: [{data_centre: palermo, workers: 1}]
+kinds: [{name: other, rank: 1, deadlines: {total: 1s}, repeatable: false}]
+limits: {queue: %d}
+`, testService, n)
+}
+
+func testDocument(revision uint64) Document {
+	return Document{Service: testService, Revision: revision, Body: testBody(int(revision))}
+}
+
+var errDown = errors.New("connection refused")
+
+// fleet is a set of fake processes around one key-value service. The network between them is
+// function calls with a delay.
+type fleet struct {
+	t   *testing.T
+	ctx context.Context
+	kv  *kv.Store
+
+	mu    sync.Mutex
+	procs map[string]*proc
+	list  []platform.Instance
+	// regressed holds the first fault that a process's watcher saw.
+	regressed error
+	starts    uint64
+}
+
+// proc is one start of a process.
+type proc struct {
+	fleet  *fleet
+	inst   platform.Instance
+	store  *Store
+	agent  *Agent
+	ctx    context.Context
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+	// hung processes answer nothing, as paused ones.
+	hung atomic.Bool
+	// cutOff processes cannot reach the key-value service.
+	cutOff atomic.Bool
+	// served counts the fetches that this process has answered.
+	served atomic.Int64
+}
+
+func newFleet(t *testing.T, dcs, entries, sidecars int) *fleet {
+	ctx, cancel := context.WithCancel(t.Context())
+	f := &fleet{t: t, ctx: ctx, kv: kv.NewStore(kv.Limits{Writes: 400, Reads: 2000}), procs: map[string]*proc{}}
+	t.Cleanup(func() {
+		cancel()
+		f.each(func(p *proc) { p.done.Wait() })
+		require.NoError(t, f.regressed)
+	})
+	for d := range dcs {
+		dc := fmt.Sprintf("dc-%d", d)
+		for i := range entries {
+			f.list = append(f.list, platform.Instance{ID: fmt.Sprintf("entry-%d-%d", d, i), Role: platform.RoleEntry, DataCentre: dc, State: platform.InstanceLive})
+		}
+		for i := range sidecars {
+			f.list = append(f.list, platform.Instance{ID: fmt.Sprintf("sidecar-%d-%d", d, i), Role: platform.RoleSidecar, DataCentre: dc, State: platform.InstanceLive})
+		}
+	}
+	return f
+}
+
+func (f *fleet) startAll() {
+	for _, in := range f.list {
+		f.start(in)
+	}
+}
+
+// start starts a process that already holds the given documents.
+func (f *fleet) start(in platform.Instance, docs ...Document) *proc {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.starts++
+	p := &proc{fleet: f, inst: in, store: NewStore()}
+	p.store.Offer(docs...)
+	p.ctx, p.cancel = context.WithCancel(f.ctx)
+	p.agent = NewAgent(Config{
+		Self: in, Store: p.store, KV: &procKV{f.kv, p}, Seed: f.starts,
+		Dial: func(to platform.Instance) Fetcher { return &link{from: p, to: to.ID} },
+	})
+	p.agent.SetInstances(f.list)
+	f.procs[in.ID] = p
+	p.done.Go(func() { p.agent.Run(p.ctx) })
+	p.done.Go(p.watchRevisions)
+	return p
+}
+
+// watchRevisions reports a process whose revision goes back.
+func (p *proc) watchRevisions() {
+	var inForce, highest uint64
+	for {
+		changed := p.store.Changed()
+		if s := p.store.Snapshot()[testService]; s != nil {
+			if s.Revision < inForce || s.Highest() < highest || s.Highest() < s.Revision {
+				p.fleet.mu.Lock()
+				p.fleet.regressed = fmt.Errorf("%s went from %d (highest %d) to %d (highest %d)", p.inst.ID, inForce, highest, s.Revision, s.Highest())
+				p.fleet.mu.Unlock()
+			}
+			inForce, highest = s.Revision, s.Highest()
+		}
+		select {
+		case <-p.ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
+func (p *proc) revision() uint64 {
+	if s := p.store.Snapshot()[testService]; s != nil {
+		return s.Revision
+	}
+	return 0
+}
+
+func (f *fleet) proc(id string) *proc {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.procs[id]
+}
+
+func (f *fleet) each(do func(*proc)) {
+	f.mu.Lock()
+	procs := make([]*proc, 0, len(f.procs))
+	for _, in := range f.list {
+		if p := f.procs[in.ID]; p != nil {
+			procs = append(procs, p)
+		}
+	}
+	f.mu.Unlock()
+	for _, p := range procs {
+		do(p)
+	}
+}
+
+// publish gives all processes an instance list.
+func (f *fleet) publish(list []platform.Instance) {
+	f.each(func(p *proc) { p.agent.SetInstances(list) })
+}
+
+func (f *fleet) relays() []*proc {
+	var out []*proc
+	f.each(func(p *proc) {
+		if p.agent.Plan().Relay {
+			out = append(out, p)
+		}
+	})
+	return out
+}
+
+func (p *proc) kill() {
+	p.cancel()
+	p.done.Wait()
+}
+
+func (f *fleet) apply(base uint64, body []byte) {
+	f.t.Helper()
+	_, err := registry.Apply(f.ctx, f.kv, testService, base, body, "ada")
+	require.NoError(f.t, err)
+}
+
+// inForce waits until all live processes have a revision in force, and returns the time taken.
+// It gives up after the limit and names the processes that are behind.
+func (f *fleet) inForce(revision uint64, limit time.Duration) (time.Duration, []string) {
+	start := time.Now()
+	for {
+		var behind []string
+		f.each(func(p *proc) {
+			if p.ctx.Err() == nil && !p.hung.Load() && p.revision() < revision {
+				behind = append(behind, p.inst.ID)
+			}
+		})
+		if len(behind) == 0 || time.Since(start) > limit {
+			return time.Since(start), behind
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// link is the connection from one process to another.
+type link struct {
+	from *proc
+	to   string
+}
+
+func (l *link) Fetch(ctx context.Context, have map[string]uint64, wait time.Duration) ([]Document, bool, error) {
+	if !sleep(ctx, hop) {
+		return nil, false, ctx.Err()
+	}
+	to := l.from.fleet.proc(l.to)
+	if to == nil || to.ctx.Err() != nil {
+		return nil, false, errDown
+	}
+	served, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(to.ctx, cancel)() //nolint:contextcheck // ends the call when the server ends
+	if !to.hung.Load() {
+		to.served.Add(1)
+		docs, confirmed, err := to.store.Wait(served, have, wait)
+		if to.ctx.Err() != nil {
+			return nil, false, errDown
+		}
+		if !to.hung.Load() {
+			if !sleep(ctx, hop) {
+				return nil, false, ctx.Err()
+			}
+			return docs, confirmed, err
+		}
+	}
+	<-ctx.Done()
+	return nil, false, ctx.Err()
+}
+
+// procKV is the key-value service as one process reaches it.
+type procKV struct {
+	*kv.Store
+	p *proc
+}
+
+func (k *procKV) reach(ctx context.Context) error {
+	time.Sleep(hop)
+	if k.p.cutOff.Load() {
+		<-ctx.Done()
+		return platform.ErrUnavailable
+	}
+	return nil
+}
+
+func (k *procKV) Get(ctx context.Context, key string) (platform.Entry, error) {
+	if err := k.reach(ctx); err != nil {
+		return platform.Entry{}, err
+	}
+	return k.Store.Get(ctx, key)
+}
+
+func (k *procKV) List(ctx context.Context, prefix string) ([]platform.Entry, uint64, error) {
+	if err := k.reach(ctx); err != nil {
+		return nil, 0, err
+	}
+	return k.Store.List(ctx, prefix)
+}
+
+func (k *procKV) Watch(ctx context.Context, prefix string, after uint64) ([]platform.Event, uint64, error) {
+	if err := k.reach(ctx); err != nil {
+		return nil, 0, err
+	}
+	events, next, err := k.Store.Watch(ctx, prefix, after)
+	time.Sleep(hop) // a fault at the moment of the change comes before its arrival
+	if k.p.cutOff.Load() {
+		<-ctx.Done()
+		return nil, 0, platform.ErrUnavailable
+	}
+	return events, next, err
+}
--- a/dissemination/kvwatcher.go
+++ b/dissemination/kvwatcher.go
@@ -63,16 +63,18 @@
 }
 
 func (w *KVWatcher) watch(ctx context.Context, after uint64) (uint64, error) {
-	ctx, cancel := context.WithTimeout(ctx, watchWait)
+	watchCtx, cancel := context.WithTimeout(ctx, watchWait)
 	defer cancel()
-	events, next, err := w.kv.Watch(ctx, registry.ConfigPrefix, after)
+	events, next, err := w.kv.Watch(watchCtx, registry.ConfigPrefix, after)
 	if err != nil {
+		if ctx.Err() == nil && watchCtx.Err() != nil {
+			return after, nil // no news, or a lost response, which the next watch repeats
+		}
 		return 0, err
 	}
 	var docs []Document
 	for _, e := range events {
-		// A key that was removed is not a deletion, which is a tombstone with a higher revision.
-		if d, ok := decodeEntry(e.Entry, w.log); ok && !e.Deleted {
+		if d, ok := decodeEntry(e.Entry, w.log); ok {
 			docs = append(docs, d)
 		}
 	}
@@ -120,7 +122,8 @@
 	return revision, nil
 }
 
-// decodeEntry reports an invalid record and leaves it out.
+// decodeEntry reports an invalid record and leaves it out. It leaves out removed keys as well:
+// the deletion of a service is a tombstone with a higher revision.
 func decodeEntry(e platform.Entry, log func(error)) (Document, bool) {
 	if len(e.Value) == 0 {
 		return Document{}, false
--- a/dissemination/peerpoller.go
+++ b/dissemination/peerpoller.go
@@ -31,7 +31,7 @@
 	failures    int
 	unconfirmed int
 	catchUp     int
-	complete    time.Time
+	askedOlder  time.Time
 
 	mu        sync.Mutex
 	interrupt context.CancelCauseFunc
@@ -132,7 +132,7 @@
 	src := sources[p.index]
 	wait := time.Duration(0)
 	if p.settled && !p.behind() {
-		wait = PollWait
+		wait = PollWait - p.agent.rand.around(PollWait/4) // spreads the polls of a fleet that started at once
 	}
 	confirmed, err := p.fetch(ctx, src, wait)
 	switch {
@@ -224,18 +224,26 @@
 }
 
 func (p *poller) have() map[string]uint64 {
-	have, complete := p.store.haveValid()
-	if complete || time.Since(p.complete) < incompleteEvery {
-		return p.store.Have()
+	if p.wantsOlder() {
+		return p.store.haveValid()
 	}
-	p.complete = time.Now()
-	return have
+	return p.store.Have()
+}
+
+// wantsOlder says, at most once in a while, whether a service has no document that can be
+// parsed here.
+func (p *poller) wantsOlder() bool {
+	if len(p.store.haveValid()) == len(p.store.Snapshot()) || time.Since(p.askedOlder) < incompleteEvery {
+		return false
+	}
+	p.askedOlder = time.Now()
+	return true
 }
 
 // askAll asks all sources at once and takes the highest revisions.
 func (p *poller) askAll(ctx context.Context) {
 	sources := p.agent.Plan().Sources
-	have, _ := p.store.haveValid()
+	have := p.store.haveValid()
 	var answered sync.WaitGroup
 	var mu sync.Mutex
 	answers, anyConfirmed := 0, false
--- /dev/null
+++ b/dissemination/property_test.go
@@ -0,0 +1,321 @@
+package dissemination
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/quetzallug/quetzallug/document"
+	"github.com/quetzallug/quetzallug/document/registry"
+	"github.com/quetzallug/quetzallug/platform"
+	"github.com/quetzallug/quetzallug/standin/kv"
+)
+
+// step is one event of a random history.
+type step struct {
+	action string
+	target int
+	pause  time.Duration
+}
+
+var actions = []string{"apply", "apply", "kill", "restart", "restart", "hang", "wake", "cut off", "reconnect", "down", "up", "slow", "publish", "old peer"}
+
+// Guards against a revision that goes back in any process, and against a fleet that does not
+// converge after any mix of kills, restarts, pauses, partitions and outages.
+func TestRevisionsNeverGoBackProperty(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		steps := rapid.SliceOfN(rapid.Custom(func(rt *rapid.T) step {
+			return step{
+				rapid.SampledFrom(actions).Draw(rt, "action"),
+				rapid.IntRange(0, 17).Draw(rt, "target"),
+				time.Duration(rapid.IntRange(0, 5000).Draw(rt, "pause")) * time.Millisecond,
+			}
+		}), 5, 40).Draw(rt, "steps")
+		var failure error
+		synctest.Test(t, func(t *testing.T) { failure = runHistory(t, steps) })
+		if failure != nil {
+			rt.Fatal(failure)
+		}
+	})
+}
+
+func runHistory(t *testing.T, steps []step) error {
+	f := newFleet(t, 2, 4, 5)
+	revision := uint64(1)
+	f.apply(0, testBody(1))
+	f.startAll()
+	for _, s := range steps {
+		f.act(s, &revision)
+		time.Sleep(s.pause)
+	}
+	f.heal()
+	// A process that has just lost all its sources may need a direct read, which is limited.
+	if _, behind := f.inForce(revision, 2*bound); len(behind) > 0 {
+		return fmt.Errorf("revision %d: behind after the faults ended: %v", revision, behind)
+	}
+	revision++
+	f.apply(revision-1, testBody(int(revision)))
+	if _, behind := f.inForce(revision, bound); len(behind) > 0 {
+		return fmt.Errorf("revision %d: behind after a change without faults: %v", revision, behind)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.regressed
+}
+
+func (f *fleet) act(s step, revision *uint64) {
+	in := f.list[s.target%len(f.list)]
+	p := f.proc(in.ID)
+	switch s.action {
+	case "apply":
+		if f.kv.Faults().Get() == (kv.FaultState{}) {
+			*revision++
+			f.apply(*revision-1, testBody(int(*revision)))
+		}
+	case "kill":
+		p.kill()
+	case "restart":
+		p.kill()
+		f.start(in)
+	case "hang":
+		p.hung.Store(true)
+	case "wake":
+		p.hung.Store(false)
+	case "cut off":
+		p.cutOff.Store(true)
+	case "reconnect":
+		p.cutOff.Store(false)
+	case "down":
+		f.kv.Faults().Set(kv.FaultState{Down: true})
+	case "slow":
+		f.kv.Faults().Set(kv.FaultState{SlowMS: 500})
+	case "up":
+		f.kv.Faults().Set(kv.FaultState{})
+	case "publish":
+		var live []platform.Instance
+		for _, in := range f.list {
+			if f.proc(in.ID).ctx.Err() == nil {
+				live = append(live, in)
+			}
+		}
+		f.publish(live)
+	case "old peer": // a peer that is behind, or a forged offer
+		p.store.Offer(testDocument(max(*revision, 2)-1), testDocument(1))
+	}
+}
+
+func (f *fleet) heal() {
+	f.kv.Faults().Set(kv.FaultState{})
+	f.each(func(p *proc) {
+		p.hung.Store(false)
+		p.cutOff.Store(false)
+		if p.ctx.Err() != nil {
+			f.start(p.inst)
+		}
+	})
+	f.publish(f.list)
+}
+
+// Guards against offers that lower a revision, whatever their order, and against an invalid
+// document that replaces a valid one or is forgotten.
+func TestStoreProperty(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		s := NewStore()
+		seen, valid := uint64(0), uint64(0)
+		for range rapid.IntRange(1, 30).Draw(rt, "offers") {
+			d := testDocument(rapid.Uint64Range(1, 20).Draw(rt, "revision"))
+			switch d.Revision % 3 {
+			case 0:
+				d.Body = []byte("colour: red")
+			case 1:
+				d.Body, d.Deleted = nil, true
+			}
+			s.Offer(d)
+			seen = max(seen, d.Revision)
+			if d.Revision%3 != 0 {
+				valid = max(valid, d.Revision)
+			}
+			got := s.Snapshot()[testService]
+			if got.Revision != valid || got.Highest() != seen || s.Have()[testService] != seen {
+				rt.Fatalf("in force %d, highest %d; want %d and %d", got.Revision, got.Highest(), valid, seen)
+			}
+			if got.Revision != 0 && got.Deleted == (got.Parsed != nil) {
+				rt.Fatal("a deleted service has a parsed document, or a present one has none")
+			}
+		}
+	})
+}
+
+// Guards against a document of a newer version that stops an older process from serving, also
+// after that process restarts.
+func TestInvalidDocument(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var refusals []Refusal
+		s := NewStore(func(r Refusal) { refusals = append(refusals, r) })
+		bad := Document{Service: testService, Revision: 5, Body: []byte("colour: red")}
+		s.Offer(bad, testDocument(4))
+		got := s.Snapshot().Service(testService)
+		require.EqualValues(t, 4, got.Revision)
+		require.NotNil(t, got.Parsed)
+		require.NotEmpty(t, document.Faults(got.RefusedError))
+		require.Len(t, refusals, 1)
+		require.Equal(t, []Document{testDocument(4), bad}, s.Newer(nil), "both are passed on")
+		require.Empty(t, s.Newer(s.Have()))
+
+		f := newFleet(t, 1, 3, 2)
+		f.apply(0, testBody(1))
+		f.startAll()
+		_, behind := f.inForce(1, bound)
+		require.Empty(t, behind)
+		record, err := json.Marshal(registry.Record{Service: testService, Revision: 5, Body: bad.Body, WriteID: "newer"})
+		require.NoError(t, err)
+		_, err = f.kv.CompareAndSwap(f.ctx, registry.ConfigKey(testService), 1, record, 0)
+		require.NoError(t, err)
+		time.Sleep(bound)
+		for i, in := range f.list {
+			f.proc(in.ID).kill()
+			f.each(func(p *proc) { p.hung.Store(i%2 == 0) })
+			p := f.start(in, bad)
+			time.Sleep(bound)
+			f.each(func(p *proc) { p.hung.Store(false) })
+			time.Sleep(2 * incompleteEvery)
+			require.EqualValues(t, 1, p.revision(), in.ID)
+			require.EqualValues(t, 5, p.store.Have()[testService])
+		}
+	})
+}
+
+// Guards against long polls that miss a document or do not tell at once that their server has
+// lost contact with the key-value service.
+func TestWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := NewStore()
+		s.confirm()
+		start := time.Now()
+		wait := func() ([]Document, bool, time.Duration) {
+			start = time.Now()
+			docs, confirmed, err := s.Wait(t.Context(), s.Have(), 3*time.Second)
+			require.NoError(t, err)
+			return docs, confirmed, time.Since(start)
+		}
+		_, confirmed, took := wait()
+		require.True(t, confirmed)
+		require.Equal(t, 3*time.Second, took)
+		time.AfterFunc(time.Second, func() { s.Offer(testDocument(1)) })
+		docs, _, took := wait()
+		require.Equal(t, []Document{testDocument(1)}, docs)
+		require.Equal(t, time.Second, took)
+		time.AfterFunc(time.Second, func() { s.setFresh(false) })
+		_, confirmed, took = wait()
+		require.False(t, confirmed)
+		require.Equal(t, time.Second, took)
+		require.True(t, s.Confirmed(), "it stays confirmed")
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		_, _, err := s.Wait(ctx, s.Have(), time.Second)
+		require.ErrorIs(t, err, context.Canceled)
+	})
+}
+
+// Guards against two different documents with one revision that go unnoticed.
+func TestDivergentDocumentsAreReported(t *testing.T) {
+	var refusals []Refusal
+	s := NewStore(func(r Refusal) { refusals = append(refusals, r) })
+	other := testDocument(1)
+	other.Body = testBody(99)
+	s.Offer(testDocument(1))
+	s.Offer(testDocument(1))
+	require.Empty(t, refusals)
+	s.Offer(other)
+	require.ErrorIs(t, refusals[0].Err, errDivergent)
+	require.Equal(t, testDocument(1).Body, s.Snapshot()[testService].Body)
+}
+
+// Guards against a process that stays behind a source without news although ordinary traffic
+// shows a newer revision, and against any number of polls for a forged revision.
+func TestObserve(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 2, 4, 2)
+		f.apply(0, testBody(1))
+		f.startAll()
+		time.Sleep(20 * time.Second)
+		p := f.proc("sidecar-0-0")
+		// The preferred source believes to be in contact, but no longer receives anything.
+		src := f.proc(p.agent.Plan().Sources[0].ID)
+		src.kill()
+		src = f.start(src.inst)
+		src.kill()
+		src.store.Offer(testDocument(1))
+		src.store.confirm()
+		var cancel func()
+		src.ctx, cancel = f.ctx, func() {}
+		src.cancel = cancel
+		time.Sleep(2 * time.Minute) // p returns to its preferred source
+		f.apply(1, testBody(2))
+		time.Sleep(2 * PollWait)
+		require.EqualValues(t, 1, p.revision())
+		p.agent.Observe(testService, 2)
+		time.Sleep(time.Second)
+		require.EqualValues(t, 2, p.revision())
+
+		before := f.fetches()
+		reads := f.kv.Calls().Reads
+		for i := range uint64(10_000) {
+			p.agent.Observe(testService, 1<<40+i)
+			p.agent.Observe("forged", i+1)
+			time.Sleep(3 * time.Millisecond)
+			if i == 5000 {
+				f.apply(2, testBody(3))
+			}
+		}
+		require.EqualValues(t, 3, p.revision(), "forged revisions must not keep out a real one")
+		total, _ := f.fetchesSince(before)
+		require.Less(t, total, int64(600))
+		t.Logf("20,000 forged revisions in 30 s: %d fetches in the fleet, %d reads of the key-value service", total, f.kv.Calls().Reads-reads)
+	})
+}
+
+// Guards against processes that disagree about the relays although they have the same list,
+// and against a loss of one data centre that leaves processes without sources.
+func TestRole(t *testing.T) {
+	var list []platform.Instance
+	for i := range 340 {
+		list = append(list, platform.Instance{ID: fmt.Sprintf("e%d", i), Role: platform.RoleEntry, DataCentre: fmt.Sprint(i % 5)})
+	}
+	for i := range 640 {
+		list = append(list, platform.Instance{ID: fmt.Sprintf("s%d", i), Role: platform.RoleSidecar, DataCentre: fmt.Sprint(i % 5)})
+	}
+	relays, preferred := map[string]bool{}, map[string]int{}
+	for _, in := range list {
+		if plan := Role(list, in); plan.Relay {
+			relays[in.ID] = true
+		} else {
+			preferred[plan.Sources[0].ID]++
+			require.Equal(t, in.DataCentre, plan.Sources[0].DataCentre)
+			require.NotEqual(t, in.DataCentre, plan.Sources[len(plan.Sources)-1].DataCentre)
+			require.LessOrEqual(t, len(plan.Sources), maxSources)
+		}
+	}
+	require.Len(t, relays, 5*RelaysPerDataCentre)
+	most := slices.Max(slices.Collect(maps.Values(preferred)))
+	t.Logf("most pollers of one process: %d", most)
+	require.Less(t, most, 60)
+	for i := range list {
+		if relays[list[i].ID] {
+			list[i].State = platform.InstanceLeaving
+		}
+	}
+	for id := range relays {
+		self := list[slices.IndexFunc(list, func(in platform.Instance) bool { return in.ID == id })]
+		require.False(t, Role(list, self).Relay, "a leaving relay hands over")
+	}
+	require.Empty(t, Role(nil, list[0]).Sources)
+}
--- /dev/null
+++ b/dissemination/spread_test.go
@@ -0,0 +1,225 @@
+package dissemination
+
+import (
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/quetzallug/quetzallug/platform"
+	"github.com/quetzallug/quetzallug/standin/kv"
+)
+
+// bound is the time within which an accepted document is in force everywhere.
+const bound = 8 * time.Second
+
+// scenarios are the faults that occur just when a document is accepted. The instance list does
+// not change, as if it lagged behind all of them.
+var scenarios = map[string]func(f *fleet){
+	"no fault":                   func(*fleet) {},
+	"one relay killed":           func(f *fleet) { f.relays()[0].kill() },
+	"one relay hung":             func(f *fleet) { f.relays()[0].hung.Store(true) },
+	"both relays of one killed":  func(f *fleet) { both(f, (*proc).kill) },
+	"both relays of one hung":    func(f *fleet) { both(f, func(p *proc) { p.hung.Store(true) }) },
+	"one relay of each hung":     func(f *fleet) { alternate(f, func(p *proc) { p.hung.Store(true) }) },
+	"both relays of one cut off": func(f *fleet) { both(f, func(p *proc) { p.cutOff.Store(true) }) },
+	"one relay of each cut off":  func(f *fleet) { alternate(f, func(p *proc) { p.cutOff.Store(true) }) },
+	"key-value service restarts": func(f *fleet) {
+		f.kv.Faults().Set(kv.FaultState{Down: true})
+		time.AfterFunc(2*time.Second, func() { f.kv.Faults().Set(kv.FaultState{}) })
+	},
+	"key-value service slow":      func(f *fleet) { f.kv.Faults().Set(kv.FaultState{SlowMS: 800}) },
+	"key-value service very slow": func(f *fleet) { f.kv.Faults().Set(kv.FaultState{SlowMS: 2500}) },
+	"a third of the entries hung": func(f *fleet) {
+		n := 0
+		f.each(func(p *proc) {
+			if n++; p.inst.Role == platform.RoleEntry && n%3 == 0 {
+				p.hung.Store(true)
+			}
+		})
+	},
+}
+
+func both(f *fleet, do func(*proc)) {
+	for _, p := range f.relays() {
+		if p.inst.DataCentre == "dc-0" {
+			do(p)
+		}
+	}
+}
+
+func alternate(f *fleet, do func(*proc)) {
+	for i, p := range f.relays() {
+		if i%RelaysPerDataCentre == 0 {
+			do(p)
+		}
+	}
+}
+
+// Guards against processes that get an accepted document late or never when parts of the chain
+// fail at that moment. The faults before the second document last; their detection must not
+// need a change.
+func TestInForceWithinBound(t *testing.T) {
+	for name, fault := range scenarios {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				first, second := runScenario(t, newFleet(t, 3, 20, 80), fault)
+				t.Logf("%s: in force everywhere after %v, second change after %v", name, first, second)
+			})
+		})
+	}
+}
+
+func runScenario(t *testing.T, f *fleet, fault func(*fleet)) (first, second time.Duration) {
+	f.apply(0, testBody(1))
+	f.startAll()
+	_, behind := f.inForce(1, bound)
+	require.Empty(t, behind, "start")
+	time.Sleep(time.Minute)
+	require.Len(t, f.relays(), 6)
+	f.apply(1, testBody(2))
+	fault(f)
+	first, behind = f.inForce(2, bound)
+	require.Empty(t, behind)
+	time.Sleep(30 * time.Second)
+	// A service slower than the health check's limit counts as out of contact for everyone.
+	reachable := time.Duration(f.kv.Faults().Get().SlowMS)*time.Millisecond < healthTimeout
+	f.each(func(p *proc) {
+		if reachable && p.ctx.Err() == nil && !p.hung.Load() && !p.cutOff.Load() {
+			require.True(t, p.store.Fresh(), "%s stays with a source that is out of contact", p.inst.ID)
+		}
+	})
+	f.apply(2, testBody(3))
+	second, behind = f.inForce(3, bound)
+	require.Empty(t, behind, "second change")
+	return first, second
+}
+
+// Guards against a load on the key-value service that grows with the fleet, at rest, with a
+// change, and after all processes start at once.
+func TestKeyValueServiceLoad(t *testing.T) {
+	counts := map[int]kv.Calls{}
+	for _, sidecars := range []int{10, 80} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(t, 3, 20, sidecars)
+			f.apply(0, testBody(1))
+			before := f.kv.Calls()
+			f.startAll()
+			took, behind := f.inForce(1, bound)
+			require.Empty(t, behind)
+			time.Sleep(10 * time.Second)
+			start := minus(f.kv.Calls(), before)
+			t.Logf("%d processes: start: in force after %v, calls in the first 10 s: %+v", len(f.list), took, start)
+
+			before = f.kv.Calls()
+			fetches := f.fetches()
+			time.Sleep(time.Minute)
+			rest := minus(f.kv.Calls(), before)
+			total, most := f.fetchesSince(fetches)
+			t.Logf("%d processes: at rest for 60 s: %+v; fetches served: %d in all, %d by the busiest process", len(f.list), rest, total, most)
+
+			before = f.kv.Calls()
+			for i := range uint64(10) {
+				f.apply(i+1, testBody(int(i)+2))
+				_, behind := f.inForce(i+2, bound)
+				require.Empty(t, behind)
+			}
+			change := minus(f.kv.Calls(), before)
+			t.Logf("%d processes: 10 changes in a row: %+v", len(f.list), change)
+			require.LessOrEqual(t, change.Watches, uint64(10*6+6), "one watch per relay and change")
+
+			before = f.kv.Calls()
+			f.kv.Faults().Set(kv.FaultState{Down: true})
+			f.each((*proc).kill)
+			f.startAll()
+			time.Sleep(20 * time.Second)
+			direct := uint64(0)
+			f.each(func(p *proc) { direct += p.agent.direct.reads.Load() })
+			t.Logf("%d processes: direct reads tried in the 20 s of the outage: %d", len(f.list), direct)
+			require.LessOrEqual(t, direct, uint64(len(f.list)+20*20), "one per process, then 20 per second in all")
+			f.kv.Faults().Set(kv.FaultState{})
+			took, behind = f.inForce(11, bound)
+			require.Empty(t, behind)
+			time.Sleep(10 * time.Second)
+			restart := minus(f.kv.Calls(), before)
+			t.Logf("%d processes: restart of all during an outage of 20 s: in force %v after its end; calls: %+v", len(f.list), took, restart)
+			require.Zero(t, restart.Rejected)
+			counts[sidecars] = rest
+		})
+	}
+	require.InDelta(t, counts[10].Reads, counts[80].Reads, 60, "reads at rest")
+	require.InDelta(t, counts[10].Watches, counts[80].Watches, 12, "watches at rest")
+}
+
+func minus(a, b kv.Calls) kv.Calls {
+	return kv.Calls{Reads: a.Reads - b.Reads, Writes: a.Writes - b.Writes, Watches: a.Watches - b.Watches, Rejected: a.Rejected - b.Rejected}
+}
+
+func (f *fleet) fetches() map[string]int64 {
+	served := map[string]int64{}
+	f.each(func(p *proc) { served[p.inst.ID] = p.served.Load() })
+	return served
+}
+
+func (f *fleet) fetchesSince(before map[string]int64) (total, most int64) {
+	for id, n := range f.fetches() {
+		total += n - before[id]
+		most = max(most, n-before[id])
+	}
+	return total, most
+}
+
+// Guards against processes that start during an outage with an old document although a peer
+// has a newer one, and against unconfirmed processes that count as confirmed.
+func TestStartDuringOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3, 6, 6)
+		f.apply(0, testBody(1))
+		f.startAll()
+		_, behind := f.inForce(1, bound)
+		require.Empty(t, behind)
+		// Half of the entries do not get the second document.
+		n := 0
+		f.each(func(p *proc) {
+			if n++; p.inst.Role == platform.RoleEntry && n%2 == 0 {
+				p.kill()
+			}
+		})
+		f.apply(1, testBody(2))
+		_, behind = f.inForce(2, bound)
+		require.Empty(t, behind)
+		f.kv.Faults().Set(kv.FaultState{Down: true})
+		n = 0
+		var started []*proc
+		f.each(func(p *proc) {
+			if p.ctx.Err() != nil {
+				started = append(started, f.start(p.inst, testDocument(1)))
+			}
+		})
+		time.Sleep(time.Minute)
+		for _, in := range f.list {
+			p := f.proc(in.ID)
+			if slices.Contains(started, p) {
+				continue
+			}
+			p.kill()
+			p = f.start(in)
+			time.Sleep(10 * time.Second)
+			require.EqualValues(t, 2, p.revision(), in.ID)
+			require.False(t, p.store.Confirmed(), in.ID)
+			select {
+			case <-p.store.Ready():
+			default:
+				t.Fatalf("%s is not ready", in.ID)
+			}
+		}
+		f.kv.Faults().Set(kv.FaultState{})
+		time.Sleep(bound)
+		f.each(func(p *proc) {
+			require.True(t, p.store.Confirmed(), p.inst.ID)
+			require.EqualValues(t, 2, p.revision(), p.inst.ID)
+		})
+	})
+}
--- a/dissemination/store.go
+++ b/dissemination/store.go
@@ -245,15 +245,14 @@
 
 // haveValid is Have without the services of which no document could be parsed, so that a peer
 // sends the older documents that it may hold.
-func (s *Store) haveValid() (have map[string]uint64, complete bool) {
-	have, complete = s.Have(), true
+func (s *Store) haveValid() map[string]uint64 {
+	have := map[string]uint64{}
 	for name, f := range s.Snapshot() {
-		if !f.valid() {
-			delete(have, name)
-			complete = false
+		if f.valid() {
+			have[name] = f.Highest()
 		}
 	}
-	return have, complete
+	return have
 }
 
 // Newer returns the documents above the revisions that a peer has, in order of service and
--- a/dissemination/timing.go
+++ b/dissemination/timing.go
@@ -12,14 +12,14 @@
 // 8 s when one part of it hangs: a hung peer costs PollWait + answerGrace, each further one
 // only probeTimeout.
 const (
-	// PollWait is the wait that a long poll asks for.
-	PollWait = 3 * time.Second
+	// PollWait is the longest wait that a long poll asks for.
+	PollWait = 4 * time.Second
 	// MaxWait bounds the wait that a server grants.
 	MaxWait = 10 * time.Second
 	// answerGrace is the time that an answer may take beyond its wait.
 	answerGrace = 500 * time.Millisecond
 	// probeTimeout bounds a poll without a wait.
-	probeTimeout = 700 * time.Millisecond
+	probeTimeout = 500 * time.Millisecond
 	// returnAfter is the time after which a process tries its preferred source again.
 	returnAfter = 60 * time.Second
 	// incompleteEvery is the time between polls for an older document of a service whose
@@ -29,10 +29,11 @@
 	// healthEvery and healthTimeout bound the time for which a relay that has lost contact with
 	// the key-value service believes that its watch works.
 	healthEvery   = 2 * time.Second
-	healthTimeout = time.Second
+	healthTimeout = 2 * time.Second
 	listTimeout   = 3 * time.Second
-	// watchWait is above the key-value service's own wait limit of 20 s.
-	watchWait = 30 * time.Second
+	// watchWait bounds the delay of a change whose watch response is lost while the health check
+	// still works. It is below the key-value service's own wait limit of 20 s.
+	watchWait = 5 * time.Second
 
 	backoffFirst = 100 * time.Millisecond
 	backoffLast  = time.Second
--- a/document/registry/registry.go
+++ b/document/registry/registry.go
@@ -32,6 +32,10 @@
 	if e.Winner.Revision == 0 {
 		return fmt.Sprintf("service %q does not exist; its base revision is 0, not %d", e.Service, e.Base)
 	}
+	if e.Winner.WriteID == "" {
+		return fmt.Sprintf("service %q has no valid record; its last known revision is %d, above base revision %d",
+			e.Service, e.Winner.Revision, e.Base)
+	}
 	return fmt.Sprintf("service %q is at revision %d by %q, not at base revision %d",
 		e.Service, e.Winner.Revision, e.Winner.Author, e.Base)
 }
@@ -64,6 +68,10 @@
 // Apply validates a document and makes it the service's next revision, if the record is at
 // the base revision. Base 0 means that the service does not exist or is deleted. A body equal
 // to the one in force is accepted without a write.
+//
+// An invalid record can be replaced from any base that is not below the revision that the
+// history knows. The caller takes the highest revision that the processes have in force, since
+// they ignore lower ones.
 func Apply(ctx context.Context, kv platform.KV, service string, base uint64, body []byte, author string) (Record, error) {
 	s, err := document.Parse(body)
 	if err != nil {
@@ -93,10 +101,12 @@
 	if err != nil {
 		return Record{}, err
 	}
-	if err := checkBase(&current, &next, base); err != nil {
+	if err := checkBase(&current, &next, version, base); err != nil {
 		return Record{}, err
 	}
-	if version != 0 && current.Deleted == next.Deleted && bytes.Equal(current.Body, next.Body) {
+	// Only over an invalid record can the base be above the revision that is known.
+	current.Revision = max(current.Revision, base)
+	if current.WriteID != "" && current.Deleted == next.Deleted && bytes.Equal(current.Body, next.Body) {
 		return current, nil
 	}
 	repairHistory(ctx, kv, &current)
@@ -112,16 +122,16 @@
 	return next, nil
 }
 
-// read returns the present record and its version. If the record is absent, the record that
-// it returns is empty but for the last revision that the history knows, so that a re-created
-// record continues from there.
+// read returns the present record and its version. If the record is absent or invalid, the
+// record that it returns is empty but for the last revision that the history knows, so that the
+// next record continues from there.
 func read(ctx context.Context, kv platform.KV, service string) (Record, uint64, error) {
 	e, err := kv.Get(ctx, ConfigKey(service))
 	if err == nil {
-		r, err := FromEntry(e)
-		return r, e.Version, err
-	}
-	if !errors.Is(err, platform.ErrNotFound) {
+		if r, err := FromEntry(e); err == nil {
+			return r, e.Version, nil
+		}
+	} else if !errors.Is(err, platform.ErrNotFound) {
 		return Record{}, 0, fmt.Errorf("read service %q: %w", service, err)
 	}
 	past, err := History(ctx, kv, service)
@@ -132,14 +142,17 @@
 	if len(past) > 0 {
 		r.Revision = past[0].Revision
 	}
-	return r, 0, nil
+	return r, e.Version, nil
 }
 
-func checkBase(current, next *Record, base uint64) error {
-	if current.WriteID == "" && next.Deleted {
+func checkBase(current, next *Record, version, base uint64) error {
+	isRecord := current.WriteID != ""
+	switch {
+	case !isRecord && version == 0 && next.Deleted:
 		return fmt.Errorf("%w: %q", ErrNotFound, next.Service)
-	}
-	if base == current.Revision || base == 0 && current.Deleted {
+	case !isRecord && version != 0 && base >= current.Revision:
+		return nil
+	case base == current.Revision, base == 0 && current.Deleted && (isRecord || version == 0):
 		return nil
 	}
 	return conflict(current, next, base)
--- a/document/registry/registry_test.go
+++ b/document/registry/registry_test.go
@@ -26,6 +26,7 @@
 	if f := flag.Lookup("rapid.seed"); f.Value.String() == f.DefValue {
 		_ = f.Value.Set("1")
 	}
+	_ = flag.Set("rapid.nofailfile", "true")
 	os.Exit(m.Run())
 }
 
@@ -107,6 +108,23 @@
 	require.ErrorIs(t, err, registry.ErrNotFound)
 }
 
+// Guards against an invalid record that no operator can replace, and against a replacement
+// whose revision the processes ignore.
+func TestInvalidRecordIsReplaced(t *testing.T) {
+	s := kv.NewStore(kv.Limits{})
+	apply(t, s, 0, 1)
+	apply(t, s, 1, 2)
+	_, err := s.CompareAndSwap(t.Context(), registry.ConfigKey(service), 2, []byte("{"), 0)
+	require.NoError(t, err)
+	_, err = registry.Get(t.Context(), s, service)
+	require.ErrorAs(t, err, new(*registry.CorruptRecordError))
+	for _, base := range []uint64{0, 1} {
+		_, err = registry.Apply(t.Context(), s, service, base, body(3), "ada")
+		require.ErrorAs(t, err, new(*registry.ConflictError))
+	}
+	require.EqualValues(t, 8, apply(t, s, 7, 3).Revision)
+}
+
 // Guards against a lost response that is reported as a failure or applied twice. In each case
 // the response to the first write is lost.
 func TestLostResponse(t *testing.T) {
