Add benchmarks of latency and capacity; count bytes to the platform

cmd/quetzallug-bench runs the product as separate processes on loopback. "latency" compares an open-loop load on an entry with the same load on the engine; "capacity" measures CPU, memory, bytes and key-value calls at several sizes and fits straight lines over the numbers of entries and sidecars.

The control budget of a node covers its traffic with the key-value service and the instance list, which no metric showed: both adapters now count their bytes (quetzallug_kv_bytes_*, quetzallug_instances_bytes_*).

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 # Generous bound: the whole suite runs in well under a minute on 10 cores.
 TEST_TIMEOUT := 8m
 
-.PHONY: build run test e2e lint fmt vet generate check-generated ci bench-policy
+.PHONY: build run test e2e lint fmt vet generate check-generated ci bench-policy bench-latency bench-capacity bench-decisions
 
 build:
 	go build -o bin/ ./cmd/...
@@ -25,6 +25,19 @@
 bench-policy:
 	go run ./internal/policybench/cmd/policybench -data docs/data
 
+# Latency and CPU that entry and sidecar add at 1,000 requests/s, and allocations per frame.
+bench-latency:
+	go run ./cmd/quetzallug-bench latency --data docs/data
+	go test -run '^$$' -bench Relay -benchmem ./entry ./sidecar
+
+# Cost of each role at five sizes, as separate processes on loopback. Takes about eight minutes.
+bench-capacity:
+	go run ./cmd/quetzallug-bench capacity --data docs/data
+
+# Decision costs at the target size in one process.
+bench-decisions:
+	go test -run '^$$' -bench . -benchmem ./routing ./admission ./placement ./membership ./once
+
 fmt:
 	go tool gofumpt -l -w $$(git ls-files --cached --others --exclude-standard '*.go' | grep -v '^gen/')
 
--- /dev/null
+++ b/entry/relay_test.go
@@ -0,0 +1,162 @@
+package entry_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"github.com/quetzallug/quetzallug/document"
+	"github.com/quetzallug/quetzallug/entry"
+	"github.com/quetzallug/quetzallug/gen/quetzallug/v1/quetzallugv1connect"
+	"github.com/quetzallug/quetzallug/internal/peerauth"
+	"github.com/quetzallug/quetzallug/internal/rpc"
+	"github.com/quetzallug/quetzallug/internal/telemetry"
+	"github.com/quetzallug/quetzallug/platform"
+	"github.com/quetzallug/quetzallug/retry"
+	"github.com/quetzallug/quetzallug/sidecar"
+)
+
+const (
+	benchService = "halte-llm"
+	benchModel   = "halte-verdict"
+	// relayTokens is long enough that the allocations of a request itself count little.
+	relayTokens = 2000
+)
+
+// tokenEngine answers with one token per chunk, as fast as it is asked.
+type tokenEngine struct{ platform.Engine }
+
+func (tokenEngine) State(context.Context) (platform.EngineState, error) {
+	return platform.EngineState{Config: platform.EngineConfig{
+		Role: platform.RoleMixed, Models: []platform.ModelVersion{{Name: benchModel}},
+	}}, nil
+}
+
+func (tokenEngine) Generate(_ context.Context, r *platform.GenerateRequest) (platform.TokenStream, error) {
+	return &tokenStream{max: r.MaxTokens}, nil
+}
+
+type tokenStream struct{ next, max int }
+
+func (s *tokenStream) Next() (platform.TokenChunk, error) {
+	c := platform.TokenChunk{Offset: s.next, Tokens: 1, Text: "token "}
+	if s.next++; s.next == s.max {
+		c.FinishReason = "length"
+	}
+	return c, nil
+}
+
+func (*tokenStream) Close() error { return nil }
+
+// oneDocument is the documents in force of the benchmark.
+type oneDocument struct{ service *document.Service }
+
+func (d oneDocument) Lookup(string) (*document.Service, uint64) { return d.service, 1 }
+func (d oneDocument) Services() []*document.Service             { return []*document.Service{d.service} }
+func (oneDocument) Observe(string, uint64)                      {}
+func (oneDocument) Revision(string) uint64                      { return 1 }
+
+// onePicker always picks one worker.
+type onePicker struct{ address string }
+
+func (p onePicker) Pick(entry.PickRequest) (entry.Worker, string, error) {
+	return entry.Worker{Instance: "w0", Address: p.address}, "one worker", nil
+}
+func (onePicker) Sent(entry.Worker, entry.PickRequest)               {}
+func (onePicker) Done(entry.Worker, entry.PickRequest, entry.Result) {}
+
+type admitAll struct{}
+
+func (admitAll) Admit(entry.AdmitRequest) (release func(), priority int, err *entry.Error) {
+	return func() {}, 0, nil
+}
+
+// discardResponse counts the events that reach the caller.
+type discardResponse struct {
+	header http.Header
+	writes int
+	status int
+}
+
+func (d *discardResponse) Header() http.Header  { return d.header }
+func (d *discardResponse) WriteHeader(code int) { d.status = code }
+func (d *discardResponse) Flush()               {}
+func (d *discardResponse) Write(b []byte) (int, error) {
+	d.writes++
+	return len(b), nil
+}
+
+func serveWorker(b *testing.B, docs oneDocument, m *telemetry.Metrics, log logrus.FieldLogger) string {
+	sc, err := sidecar.New(sidecar.Config{
+		Cluster: "bench", Instance: "w0", Service: benchService, Incarnation: "1", MaxInFlight: 256, Attempts: 1 << 10,
+	}, tokenEngine{}, nil, docs, m, log)
+	require.NoError(b, err)
+	require.NoError(b, sc.RefreshState(b.Context()))
+	mux := http.NewServeMux()
+	mux.Handle(quetzallugv1connect.NewWorkerServiceHandler(sidecar.NewService(sc, nil, "", log), rpc.WorkerOptions(benchAuth(log))...))
+	srv := rpc.NewServer(mux)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(b, err)
+	go func() { _ = srv.Serve(l) }()
+	b.Cleanup(func() { _ = srv.Close() })
+	return l.Addr().String()
+}
+
+// BenchmarkRelay measures a streamed answer through entry, HTTP/2 and sidecar in one process. Its
+// figure allocs/frame has a target of under 10 for both together.
+func BenchmarkRelay(b *testing.B) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	m, err := telemetry.New()
+	require.NoError(b, err)
+	docs := oneDocument{&document.Service{
+		Service: benchService, Type: document.TypeModel, Models: []document.Model{{Name: benchModel}},
+		Kinds: []document.Kind{{
+			Name: "chat", Rank: 1, Repeatable: true,
+			Deadlines: document.Deadlines{Total: document.Duration(time.Minute)},
+		}},
+	}}
+	address := serveWorker(b, docs, m, log)
+	clients := rpc.NewClients(nil, benchAuth(log))
+	defer clients.Close()
+	h := entry.New(entry.Config{Cluster: "bench", Instance: "e0", MaxBodyBytes: 1 << 20, WriteTimeout: time.Minute}, entry.Options{
+		Documents: docs, Picker: onePicker{address}, Clients: clients, Admitter: admitAll{},
+		Budget: retry.NewBudget(retry.Config{}), Metrics: m, Log: log, Decisions: entry.NewDecisionLog(16),
+	}).Handler()
+	frames := 0
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	for b.Loop() {
+		w := &discardResponse{header: http.Header{}, status: http.StatusOK}
+		h.ServeHTTP(w, relayRequest(b))
+		if w.status != http.StatusOK || w.writes < relayTokens {
+			b.Fatalf("status %d, %d writes", w.status, w.writes)
+		}
+		frames += relayTokens
+	}
+	runtime.ReadMemStats(&after)
+	b.ReportMetric(float64(after.Mallocs-before.Mallocs)/float64(frames), "allocs/frame")
+	b.ReportMetric(float64(after.TotalAlloc-before.TotalAlloc)/float64(frames), "B/frame")
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(frames), "ns/frame")
+}
+
+func benchAuth(log logrus.FieldLogger) connect.Interceptor {
+	return peerauth.NewInterceptor(peerauth.Credentials{Cluster: "bench", Key: "k"}, log)
+}
+
+func relayRequest(b *testing.B) *http.Request {
+	body := `{"model":"halte-verdict","prompt":"when does the next bus come","max_tokens":2000,"stream":true}`
+	r, err := http.NewRequestWithContext(b.Context(), http.MethodPost, "/v1/completions", strings.NewReader(body))
+	require.NoError(b, err)
+	r.RemoteAddr = "127.0.0.1:1"
+	return r
+}
--- a/internal/app/common.go
+++ b/internal/app/common.go
@@ -22,6 +22,7 @@
 	"github.com/quetzallug/quetzallug/internal/rpc"
 	"github.com/quetzallug/quetzallug/internal/settings"
 	"github.com/quetzallug/quetzallug/internal/telemetry"
+	"github.com/quetzallug/quetzallug/internal/traffic"
 	"github.com/quetzallug/quetzallug/kernel"
 	"github.com/quetzallug/quetzallug/membership"
 	"github.com/quetzallug/quetzallug/platform"
@@ -86,25 +87,44 @@
 	return v, nil
 }
 
+// observeTraffic exports a counter as two metrics, such as quetzallug_kv_bytes_in.
+func observeTraffic(m *telemetry.Metrics, name, what string, t *traffic.Counter) error {
+	return errors.Join(
+		m.Observe("quetzallug_"+name+"_bytes_in", what+" bytes received.", t.In.Load),
+		m.Observe("quetzallug_"+name+"_bytes_out", what+" bytes sent.", t.Out.Load))
+}
+
+// countTraffic exports the bytes that an adapter moves, if it can count them.
+func countTraffic(m *telemetry.Metrics, adapter any, name, what string) error {
+	c, ok := adapter.(interface{ CountTraffic(*traffic.Counter) })
+	if !ok {
+		return nil
+	}
+	t := &traffic.Counter{}
+	c.CountTraffic(t)
+	return observeTraffic(m, name, what, t)
+}
+
 func newKV(lc fx.Lifecycle, c *settings.Common, m *telemetry.Metrics, perSecond float64) (platform.KV, error) {
 	kv, err := load[platform.KV](lc, c.KVModule, kernel.Settings{"address": c.KVAddress})
 	if err != nil {
 		return nil, err
 	}
+	if err := countTraffic(m, kv, "kv", "Key-value service"); err != nil {
+		return nil, err
+	}
 	return kvbudget.New(kv, perSecond, m.KVCall), nil
 }
 
 // control is the traffic between the system's own processes other than answers.
 type control struct {
 	clients *rpc.Clients
-	traffic *rpc.Traffic
+	traffic *traffic.Counter
 }
 
 func newControl(lc fx.Lifecycle, c *settings.Common, m *telemetry.Metrics, log logrus.FieldLogger) (*control, error) {
-	t := &rpc.Traffic{}
-	err := errors.Join(
-		m.Observe("quetzallug_control_bytes_in", "Control bytes received.", t.In.Load),
-		m.Observe("quetzallug_control_bytes_out", "Control bytes sent.", t.Out.Load))
+	t := &traffic.Counter{}
+	err := observeTraffic(m, "control", "Control", t)
 	clients := rpc.NewClients(t, newAuth(c, log))
 	lc.Append(fx.StopHook(clients.Close))
 	return &control{clients: clients, traffic: t}, err
--- a/internal/app/entry.go
+++ b/internal/app/entry.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"time"
 
-	"connectrpc.com/connect"
 	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 	"go.uber.org/fx"
@@ -18,6 +17,7 @@
 	"github.com/quetzallug/quetzallug/internal/rpc"
 	"github.com/quetzallug/quetzallug/internal/settings"
 	"github.com/quetzallug/quetzallug/internal/telemetry"
+	"github.com/quetzallug/quetzallug/internal/traffic"
 	"github.com/quetzallug/quetzallug/lease"
 	"github.com/quetzallug/quetzallug/membership"
 	"github.com/quetzallug/quetzallug/once"
@@ -151,12 +151,11 @@
 
 func serveEntry(lc fx.Lifecycle, sd fx.Shutdowner, s *settings.Entry, e *entry.Entry, p *entry.Peer, store *dissemination.Store, ctl *control, m *telemetry.Metrics, log logrus.FieldLogger) {
 	peers := http.NewServeMux()
-	peers.Handle(quetzallugv1connect.NewPeerServiceHandler(p,
-		connect.WithInterceptors(newAuth(&s.Common, log)), connect.WithReadMaxBytes(rpc.MaxMessageBytes)))
-	h := &health{ready: func() (bool, string) { return hasDocuments(store), "no document is in force" }}
+	peers.Handle(quetzallugv1connect.NewPeerServiceHandler(p, rpc.PeerOptions(newAuth(&s.Common, log))...))
+	h := &health{profile: s.Profile, ready: func() (bool, string) { return hasDocuments(store), "no document is in force" }}
 	h.register(peers, m)
 	peerServer := rpc.NewServer(peers)
-	count := func(l net.Listener) net.Listener { return rpc.CountListener(l, ctl.traffic) }
+	count := func(l net.Listener) net.Listener { return traffic.Listener(l, ctl.traffic) }
 	// Hooks stop in reverse order: callers are drained before peers are cut off.
 	serve(lc, sd, log, peerServer, s.PeerListen, count, func(context.Context) {})
 
--- a/internal/app/health.go
+++ b/internal/app/health.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/http/pprof"
 	"sync/atomic"
 
 	"github.com/quetzallug/quetzallug/internal/telemetry"
@@ -9,6 +10,8 @@
 
 // health serves liveness, readiness and metrics.
 type health struct {
+	// profile serves profiles of the process, which any caller of the listener can read.
+	profile  bool
 	stopping atomic.Bool
 	ready    func() (bool, string)
 }
@@ -17,6 +20,10 @@
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
 	mux.HandleFunc("GET /readyz", h.serveReady)
 	mux.Handle("GET /metrics", m.Handler())
+	if h.profile {
+		mux.HandleFunc("GET /debug/pprof/", pprof.Index)
+		mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
+	}
 }
 
 func (h *health) serveReady(w http.ResponseWriter, _ *http.Request) {
--- a/internal/app/sidecar.go
+++ b/internal/app/sidecar.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"time"
 
-	"connectrpc.com/connect"
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 	"go.uber.org/fx"
@@ -60,8 +59,12 @@
 	return newKV(lc, &s.Common, m, sidecarKVCalls)
 }
 
-func newInstanceList(lc fx.Lifecycle, c *settings.Common) (platform.InstanceList, error) {
-	return load[platform.InstanceList](lc, c.InstancesModule, kernel.Settings{"address": c.InstancesAddress})
+func newInstanceList(lc fx.Lifecycle, c *settings.Common, m *telemetry.Metrics) (platform.InstanceList, error) {
+	l, err := load[platform.InstanceList](lc, c.InstancesModule, kernel.Settings{"address": c.InstancesAddress})
+	if err != nil {
+		return nil, err
+	}
+	return l, countTraffic(m, l, "instances", "Instance list")
 }
 
 // backends holds the backend server of a sidecar: exactly one of the two is set.
@@ -191,9 +194,8 @@
 	}
 	svc := sidecar.NewService(sc, orders, entry.PoolName(s.Service, s.DataCentre), log)
 	mux := http.NewServeMux()
-	mux.Handle(quetzallugv1connect.NewWorkerServiceHandler(svc,
-		connect.WithInterceptors(newAuth(&s.Common, log)), connect.WithReadMaxBytes(rpc.MaxMessageBytes)))
-	h := &health{ready: func() (bool, string) { return !sc.Draining(), "draining" }}
+	mux.Handle(quetzallugv1connect.NewWorkerServiceHandler(svc, rpc.WorkerOptions(newAuth(&s.Common, log))...))
+	h := &health{profile: s.Profile, ready: func() (bool, string) { return !sc.Draining(), "draining" }}
 	h.register(mux, m)
 	stop := func(ctx context.Context) {
 		h.stopping.Store(true)
--- /dev/null
+++ b/internal/bench/client.go
@@ -0,0 +1,105 @@
+package bench
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/quetzallug/quetzallug/platform"
+	"github.com/quetzallug/quetzallug/platform/enginewire"
+)
+
+const (
+	// answerTokens is the longest answer of the load; the stand-in's answers are mostly as long.
+	answerTokens = 16
+	// callers spreads the load over several callers, so that the limits per caller do not apply.
+	callers = 200
+	// maxIdle is above the number of requests in flight at 1,000 requests/s.
+	maxIdle = 1024
+	prompt  = "when does the next bus reach the stop at the market on the corner of the long street"
+	model   = "halte-verdict"
+)
+
+var errCut = errors.New("answer ended before its end mark")
+
+// client sends completion requests to entries, or generation requests to an engine.
+type client struct{ http *http.Client }
+
+func newClient() *client {
+	return &client{http: &http.Client{Transport: &http.Transport{
+		MaxIdleConns: maxIdle, MaxIdleConnsPerHost: maxIdle, DisableCompression: true,
+		IdleConnTimeout: time.Minute,
+	}}}
+}
+
+func (c *client) close() { c.http.CloseIdleConnections() }
+
+// complete asks an entry for a streamed answer.
+func (c *client) complete(ctx context.Context, address string, n int) error {
+	body, err := json.Marshal(map[string]any{
+		"model": model, "prompt": prompt, "max_tokens": answerTokens, "stream": true, "seed": n,
+	})
+	if err != nil {
+		return err
+	}
+	return c.post(ctx, "http://"+address+"/v1/completions", n, body, []byte("data: [DONE]\n"))
+}
+
+// generate asks an engine for the same answer.
+func (c *client) generate(ctx context.Context, engine string, n int) error {
+	body, err := json.Marshal(platform.GenerateRequest{
+		RequestID: "bench-" + strconv.Itoa(n), Model: model, Prompt: prompt,
+		PromptTokens: enginewire.CountWords(prompt), MaxTokens: answerTokens, Seed: uint64(n),
+	})
+	if err != nil {
+		return err
+	}
+	return c.post(ctx, engine+enginewire.PathGenerate, n, body, []byte(`"finish_reason":"`))
+}
+
+// post sends a request and reads the answer to its end. The end mark must be in its last read.
+func (c *client) post(ctx context.Context, url string, n int, body, end []byte) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set("Authorization", "Bearer caller-"+strconv.Itoa(n%callers))
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		b, _ := io.ReadAll(io.LimitReader(resp.Body, 4<<10))
+		return fmt.Errorf("status %d: %s", resp.StatusCode, b)
+	}
+	return readToMark(resp.Body, end)
+}
+
+// readToMark reads the whole stream and requires the mark in it.
+func readToMark(r io.Reader, mark []byte) error {
+	var window []byte
+	buf := make([]byte, 4<<10)
+	found := false
+	for {
+		n, err := r.Read(buf)
+		window = append(window, buf[:n]...)
+		found = found || bytes.Contains(window, mark)
+		window = window[max(0, len(window)-len(mark)):]
+		switch {
+		case errors.Is(err, io.EOF) && found:
+			return nil
+		case errors.Is(err, io.EOF):
+			return errCut
+		case err != nil:
+			return err
+		}
+	}
+}
--- /dev/null
+++ b/internal/bench/load.go
@@ -0,0 +1,73 @@
+package bench
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	// maxLatency bounds the recorded latencies, in microseconds.
+	maxLatency = int64(60 * time.Second / time.Microsecond)
+	// significant is the number of significant figures of a recorded latency.
+	significant = 3
+)
+
+// Load is an open-loop load: the times of the requests do not depend on the answers.
+type Load struct {
+	// Rate is the mean number of requests per second; the intervals are exponential.
+	Rate     float64
+	Duration time.Duration
+	Seed     uint64
+	// Send sends request n and reads its whole answer.
+	Send func(ctx context.Context, n int) error
+}
+
+// LoadResult is the outcome of a load. Latencies are in microseconds, from the intended time of
+// a request to the end of its answer.
+type LoadResult struct {
+	Sent, Failed int64
+	Latency      *hdrhistogram.Histogram
+	Elapsed      time.Duration
+	// FirstError is one of the errors, nil if no request failed.
+	FirstError error
+}
+
+// Run sends the load and waits for all answers.
+func (l Load) Run(ctx context.Context) LoadResult {
+	rng := rand.New(rand.NewPCG(l.Seed, l.Seed)) //nolint:gosec // arrival times need no secrecy
+	res := LoadResult{Latency: hdrhistogram.New(1, maxLatency, significant)}
+	var (
+		mu     sync.Mutex
+		wg     sync.WaitGroup
+		failed atomic.Int64
+	)
+	start := time.Now()
+	for at := time.Duration(0); ; res.Sent++ {
+		at += time.Duration(rng.ExpFloat64() / l.Rate * float64(time.Second))
+		if at > l.Duration || ctx.Err() != nil {
+			break
+		}
+		due, n := start.Add(at), int(res.Sent)
+		time.Sleep(time.Until(due))
+		wg.Go(func() {
+			err := l.Send(ctx, n)
+			took := time.Since(due)
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				failed.Add(1)
+				res.FirstError = err
+				return
+			}
+			_ = res.Latency.RecordValue(min(maxLatency, max(1, took.Microseconds())))
+		})
+	}
+	wg.Wait()
+	res.Failed, res.Elapsed = failed.Load(), time.Since(start)
+	return res
+}
--- /dev/null
+++ b/internal/bench/measure.go
@@ -0,0 +1,78 @@
+package bench
+
+import (
+	"context"
+	"time"
+
+	"github.com/quetzallug/quetzallug/standin/kv"
+)
+
+// rates are the counters whose growth per second is reported, by the name of the figure.
+var rates = map[string]string{
+	"cores":                     metricCPU,
+	"control bytes/s in":        metricControlIn,
+	"control bytes/s out":       metricControlOut,
+	"key-value bytes/s in":      metricKVIn,
+	"key-value bytes/s out":     metricKVOut,
+	"instance list bytes/s in":  metricInstancesIn,
+	"instance list bytes/s out": metricInstancesOut,
+	"key-value calls/s":         metricKVCalls,
+}
+
+// operations are the calls to the key-value service.
+var operations = []string{"get", "list", "watch", "compare_and_swap", "delete", "grant_lease", "keep_alive", "revoke_lease"}
+
+// measure runs do and samples what the processes and the key-value service did meanwhile.
+func (r *capacityRun) measure(ctx context.Context, phase string, do func() error) error {
+	before, err := scrapeAll(ctx, r.addresses)
+	if err != nil {
+		return err
+	}
+	var kvBefore, kvAfter kv.Calls
+	if err := r.cluster.KVCalls(ctx, &kvBefore); err != nil {
+		return err
+	}
+	start := time.Now()
+	if err := do(); err != nil {
+		return err
+	}
+	if err := r.cluster.KVCalls(ctx, &kvAfter); err != nil {
+		return err
+	}
+	elapsed := time.Since(start).Seconds()
+	after, err := scrapeAll(ctx, r.addresses)
+	if err != nil {
+		return err
+	}
+	for name, metric := range rates {
+		r.rate(phase, name, metric, before, after, elapsed)
+	}
+	for _, op := range operations {
+		r.rate(phase, "key-value "+op+"/s", metricKVCalls+"/"+op, before, after, elapsed)
+	}
+	memory := make([]float64, len(after))
+	for i := range after {
+		memory[i] = after[i][metricRSS] / (1 << 20)
+	}
+	e, s := r.split(memory)
+	r.sample(phase, RoleEntry, "MiB resident", e)
+	r.sample(phase, RoleSidecar, "MiB resident", s)
+	for name, d := range map[string]uint64{
+		"reads/s": kvAfter.Reads - kvBefore.Reads, "writes/s": kvAfter.Writes - kvBefore.Writes,
+		"watches/s": kvAfter.Watches - kvBefore.Watches, "rejected/s": kvAfter.Rejected - kvBefore.Rejected,
+	} {
+		r.sample(phase, RoleKV, name, []float64{float64(d) / elapsed})
+	}
+	r.sample(phase, RoleKV, "waiting watches", []float64{float64(kvAfter.Waiting)})
+	return nil
+}
+
+func (r *capacityRun) rate(phase, name, metric string, before, after []values, elapsed float64) {
+	all := make([]float64, len(after))
+	for i := range after {
+		all[i] = (after[i][metric] - before[i][metric]) / elapsed
+	}
+	e, s := r.split(all)
+	r.sample(phase, RoleEntry, name, e)
+	r.sample(phase, RoleSidecar, name, s)
+}
--- a/internal/httpjson/client.go
+++ b/internal/httpjson/client.go
@@ -14,6 +14,7 @@
 	"net/url"
 	"time"
 
+	"github.com/quetzallug/quetzallug/internal/traffic"
 	"github.com/quetzallug/quetzallug/kernel"
 )
 
@@ -52,14 +53,20 @@
 	base *url.URL
 	addr string
 	http *http.Client
+	// traffic counts the bytes of later connections; nil counts nothing.
+	traffic *traffic.Counter
 }
 
+// CountTraffic counts the bytes of the connections that are made from now on. Call it before
+// the first request.
+func (c *Client) CountTraffic(t *traffic.Counter) { c.traffic = t }
+
 // Provision reads the setting "address", an http or https URL.
 func (c *Client) Provision(_ context.Context, s kernel.Settings) error {
 	c.addr = s["address"]
 	c.http = &http.Client{
 		Transport: &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+			DialContext:         c.dial,
 			MaxIdleConnsPerHost: maxIdleConns,
 			IdleConnTimeout:     idleConnTimeout,
 			DisableCompression:  true,
@@ -70,6 +77,14 @@
 	return nil
 }
 
+func (c *Client) dial(ctx context.Context, network, addr string) (net.Conn, error) {
+	conn, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, network, addr)
+	if err != nil {
+		return nil, err
+	}
+	return traffic.Conn(conn, c.traffic), nil
+}
+
 // Validate checks the address.
 func (c *Client) Validate() error {
 	u, err := url.Parse(c.addr)
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -14,6 +14,10 @@
 	FormatJSON = "json"
 )
 
+// timestampFormat has milliseconds, because the time until a document is in force everywhere is
+// read from the log lines of several processes.
+const timestampFormat = "2006-01-02T15:04:05.000Z07:00"
+
 // New returns a logger that writes lines of the given level and format to w.
 func New(w io.Writer, level, format string) (*logrus.Logger, error) {
 	l, err := logrus.ParseLevel(level)
@@ -25,9 +29,9 @@
 	log.SetLevel(l)
 	switch format {
 	case FormatText:
-		log.SetFormatter(&logrus.TextFormatter{FullTimestamp: true})
+		log.SetFormatter(&logrus.TextFormatter{FullTimestamp: true, TimestampFormat: timestampFormat})
 	case FormatJSON:
-		log.SetFormatter(&logrus.JSONFormatter{})
+		log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: timestampFormat})
 	default:
 		return nil, fmt.Errorf("log format: found %q, allowed are %q and %q", format, FormatText, FormatJSON)
 	}
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -6,12 +6,12 @@
 	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
 
 	"github.com/quetzallug/quetzallug/gen/quetzallug/v1/quetzallugv1connect"
+	"github.com/quetzallug/quetzallug/internal/traffic"
 )
 
 const (
@@ -41,9 +41,20 @@
 	}
 }
 
-// Traffic counts bytes on connections.
-type Traffic struct {
-	In, Out atomic.Int64
+// WorkerOptions are the options of the handler of WorkerService.
+func WorkerOptions(interceptors ...connect.Interceptor) []connect.HandlerOption {
+	return []connect.HandlerOption{
+		connect.WithInterceptors(interceptors...),
+		connect.WithReadMaxBytes(MaxMessageBytes),
+	}
+}
+
+// PeerOptions are the options of the handler of PeerService.
+func PeerOptions(interceptors ...connect.Interceptor) []connect.HandlerOption {
+	return []connect.HandlerOption{
+		connect.WithInterceptors(interceptors...),
+		connect.WithReadMaxBytes(MaxMessageBytes),
+	}
 }
 
 // Clients holds one client per address and kind of service.
@@ -57,7 +68,7 @@
 }
 
 // NewClients returns clients that count the bytes they move in t, which may be nil.
-func NewClients(t *Traffic, interceptors ...connect.Interceptor) *Clients {
+func NewClients(t *traffic.Counter, interceptors ...connect.Interceptor) *Clients {
 	var p http.Protocols
 	p.SetUnencryptedHTTP2(true)
 	dialer := &net.Dialer{Timeout: dialTimeout}
@@ -65,10 +76,10 @@
 		Protocols: &p,
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			conn, err := dialer.DialContext(ctx, network, addr)
-			if err != nil || t == nil {
-				return conn, err
+			if err != nil {
+				return nil, err
 			}
-			return &countedConn{Conn: conn, traffic: t}, nil
+			return traffic.Conn(conn, t), nil
 		},
 		IdleConnTimeout: idleTimeout,
 		HTTP2:           &http.HTTP2Config{SendPingTimeout: pingInterval, PingTimeout: pingTimeout},
@@ -118,38 +129,3 @@
 	m[address] = v
 	return v
 }
-
-type countedConn struct {
-	net.Conn
-	traffic *Traffic
-}
-
-func (c *countedConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	c.traffic.In.Add(int64(n))
-	return n, err
-}
-
-func (c *countedConn) Write(b []byte) (int, error) {
-	n, err := c.Conn.Write(b)
-	c.traffic.Out.Add(int64(n))
-	return n, err
-}
-
-// CountListener counts the bytes of accepted connections in t.
-func CountListener(l net.Listener, t *Traffic) net.Listener {
-	return &countedListener{Listener: l, traffic: t}
-}
-
-type countedListener struct {
-	net.Listener
-	traffic *Traffic
-}
-
-func (l *countedListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return &countedConn{Conn: conn, traffic: l.traffic}, nil
-}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -42,6 +42,7 @@
 	LogLevel         string        `mapstructure:"log-level"`
 	LogFormat        string        `mapstructure:"log-format"`
 	DrainTimeout     time.Duration `mapstructure:"drain-timeout"`
+	Profile          bool          `mapstructure:"profile"`
 }
 
 // Entry are the settings of an entry.
@@ -87,6 +88,7 @@
 	f.String("log-level", "info", "least level logged: debug, info, warning or error")
 	f.String("log-format", logging.FormatText, "format of log lines: text or json")
 	f.Duration("drain-timeout", 60*time.Second, "bound on a graceful shutdown")
+	f.Bool("profile", false, "serve CPU and heap profiles under /debug/pprof on the listener of the role")
 }
 
 // AddEntry adds the flags of an entry.
