Do not compress the frames of answers

A profile of a sidecar at 500 requests/s showed 62% of its processor time in gzip, because connect compresses each message for a client that accepts it, and a frame carries a few tokens. WorkerService now has no compression; PeerService compresses messages of 1 KiB and more, such as documents.

--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -25,6 +25,10 @@
 	pingTimeout  = 2 * time.Second
 	// MaxMessageBytes bounds one message.
 	MaxMessageBytes = 8 << 20
+	// compressMinBytes is above the size of answers to probes and polls without news. Below it, gzip
+	// costs more processor time than all other work of such a call.
+	compressMinBytes = 1 << 10
+	compression      = "gzip"
 )
 
 // NewServer returns a server for cleartext HTTP/2 and HTTP/1.
@@ -41,17 +45,20 @@
 	}
 }
 
-// WorkerOptions are the options of the handler of WorkerService.
+// WorkerOptions are the options of the handler of WorkerService. Its frames carry a few tokens each;
+// compressing them took 62% of a sidecar's processor time.
 func WorkerOptions(interceptors ...connect.Interceptor) []connect.HandlerOption {
 	return []connect.HandlerOption{
+		connect.WithCompression(compression, nil, nil),
 		connect.WithInterceptors(interceptors...),
 		connect.WithReadMaxBytes(MaxMessageBytes),
 	}
 }
 
-// PeerOptions are the options of the handler of PeerService.
+// PeerOptions are the options of the handler of PeerService, which compresses documents.
 func PeerOptions(interceptors ...connect.Interceptor) []connect.HandlerOption {
 	return []connect.HandlerOption{
+		connect.WithCompressMinBytes(compressMinBytes),
 		connect.WithInterceptors(interceptors...),
 		connect.WithReadMaxBytes(MaxMessageBytes),
 	}
