--- a/entry/relay_test.go
+++ b/entry/relay_test.go
@@ -45,7 +45,9 @@
 	return &tokenStream{max: r.MaxTokens}, nil
 }
 
-func (tokenEngine) Load(context.Context) (platform.EngineLoad, error) { return platform.EngineLoad{}, nil }
+func (tokenEngine) Load(context.Context) (platform.EngineLoad, error) {
+	return platform.EngineLoad{}, nil
+}
 
 type tokenStream struct{ next, max int }
 
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -1,6 +1,7 @@
 package sidecar_test
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -49,7 +50,7 @@
 func (f *frames) Send(m *v1.Frame) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.list = append(f.list, &v1.Frame{Offset: m.GetOffset(), Tokens: m.GetTokens(), Data: m.GetData(), Final: m.GetFinal()})
+	f.list = append(f.list, &v1.Frame{Offset: m.GetOffset(), Tokens: m.GetTokens(), Data: bytes.Clone(m.GetData()), Final: m.GetFinal()})
 	return nil
 }
 
