--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 # Generous bound: the whole suite runs in well under a minute on 10 cores.
 TEST_TIMEOUT := 8m
 
-.PHONY: build run test e2e lint fmt vet generate check-generated ci bench-policy bench-latency bench-capacity bench-decisions
+.PHONY: build run test soak e2e lint fmt vet generate check-generated ci bench-policy bench-latency bench-capacity bench-decisions
 
 build:
 	go build -o bin/ ./cmd/...
@@ -18,6 +18,14 @@
 test:
 	go test -timeout $(TEST_TIMEOUT) -count=1 ./...
 
+# Property-based tests with a random seed and more checks. The seed is printed first.
+SOAK_SEED   ?= $(shell od -An -N4 -tu4 /dev/urandom | tr -d ' ')
+SOAK_CHECKS ?= 2000
+soak:
+	@echo "seed $(SOAK_SEED), checks $(SOAK_CHECKS)"
+	QUETZALLUG_RAPID_SEED=$(SOAK_SEED) QUETZALLUG_RAPID_CHECKS=$(SOAK_CHECKS) \
+	go test -timeout 30m -count=1 $$(go list ./... | grep -v -e /test/ -e /internal/bench)
+
 e2e:
 	go test -timeout $(TEST_TIMEOUT) -count=1 ./test/e2e/...
 
--- a/sidecar/execute.go
+++ b/sidecar/execute.go
@@ -16,7 +16,6 @@
 // Sender sends the frames of one attempt to the entry.
 type Sender interface {
 	// Send must not keep the frame: it and its data are reused for the next one.
-	// Send must not keep the frame after it returns.
 	Send(f *v1.Frame) error
 }
 
