--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 # Generous bound: the whole suite runs in well under a minute on 10 cores.
 TEST_TIMEOUT := 8m
 
-.PHONY: build run test e2e lint fmt vet generate check-generated ci
+.PHONY: build run test e2e fuzz lint fmt vet generate check-generated ci
 
 build:
 	go build -o bin/ ./cmd/...
@@ -20,6 +20,9 @@
 e2e:
 	go test -timeout $(TEST_TIMEOUT) -count=1 ./test/e2e/...
 
+fuzz:
+	go test ./document -run '^$$' -fuzz FuzzParse -fuzztime 45s
+
 fmt:
 	go tool gofumpt -l -w $$(git ls-files --cached --others --exclude-standard '*.go' | grep -v '^gen/')
 
--- a/document/document_test.go
+++ b/document/document_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"os"
 	"path/filepath"
+	"reflect"
 	"strings"
 	"testing"
 	"time"
@@ -209,3 +210,36 @@
 		require.NoError(t, s.Validate())
 	})
 }
+
+// BenchmarkParse measures what a process pays for a new document.
+func BenchmarkParse(b *testing.B) {
+	body := examples(b)["halte-llm"]
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := document.Parse(body); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// Guards against a field that the reference does not describe.
+func TestReferenceDescribesEveryField(t *testing.T) {
+	page, err := os.ReadFile("../docs/document.md")
+	require.NoError(t, err)
+	var visit func(prefix string, typ reflect.Type)
+	visit = func(prefix string, typ reflect.Type) {
+		for i := range typ.NumField() {
+			f := typ.Field(i)
+			name, _, _ := strings.Cut(f.Tag.Get("yaml"), ",")
+			path, ft := prefix+name, f.Type
+			if ft.Kind() == reflect.Slice {
+				path, ft = path+"[]", ft.Elem()
+			}
+			require.Contains(t, string(page), "| `"+path+"` |")
+			if ft.Kind() == reflect.Struct {
+				visit(path+".", ft)
+			}
+		}
+	}
+	visit("", reflect.TypeFor[document.Service]())
+}
