--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 # Generous bound: the whole suite runs in well under a minute on 10 cores.
 TEST_TIMEOUT := 8m
 
-.PHONY: build run test soak e2e lint fmt vet generate check-generated ci bench-policy bench-latency bench-capacity bench-decisions
+.PHONY: build run test soak e2e lint fmt vet generate check-generated ci bench-policy bench-latency bench-capacity bench-decisions fuzz
 
 build:
 	go build -o bin/ ./cmd/...
@@ -51,6 +51,9 @@
 bench-decisions:
 	go test -run '^$$' -bench . -benchmem ./routing ./admission ./placement ./membership ./once
 
+fuzz:
+	go test ./document -run '^$$' -fuzz FuzzParse -fuzztime 45s
+
 fmt:
 	go tool gofumpt -l -w $$(git ls-files --cached --others --exclude-standard '*.go' | grep -v '^gen/')
 
