Prove lease and order under faults

Cause: invariants I1, I2 and I3 must hold under any fault at any protocol step, and each guard must be seen to fail without its check.

Change: standin/fault models processes that are paused, killed or cut off at a call; internal/faultmatrix is the registry of cells, internal/tools/faultmatrix writes docs/fault-matrix.md from the cells whose test passed; internal/tools/mutants removes each guard in a scratch copy. Property tests with rapid for the state machine, the whole order protocol and the lease. The state machine now refuses every event but Claim on a record that does not exist (found by rapid). The planner repeats the notice of an order that has not begun.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 # Generous bound: the whole suite runs in well under a minute on 10 cores.
 TEST_TIMEOUT := 8m
 
-.PHONY: build run test e2e lint fmt vet generate check-generated ci
+.PHONY: build run test e2e lint fmt vet generate check-generated ci mutants fault-matrix
 
 build:
 	go build -o bin/ ./cmd/...
@@ -40,3 +40,11 @@
 	git diff --exit-code -- gen
 
 ci: check-fmt vet lint check-generated test
+
+# Removes each guard in a scratch copy and demands that its test fails.
+mutants:
+	go run ./internal/tools/mutants
+
+# Runs the fault tables and writes docs/fault-matrix.md from the cells that passed.
+fault-matrix:
+	go run ./internal/tools/faultmatrix
--- /dev/null
+++ b/internal/faultmatrix/faultmatrix.go
@@ -0,0 +1,143 @@
+// Package faultmatrix is the table of protocol steps and faults that the proofs cover. A test
+// declares its cells, runs the ones it covers, and reports them. internal/tools/faultmatrix runs
+// the tests, merges the reports and writes docs/fault-matrix.md.
+package faultmatrix
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+)
+
+// ReportDirEnv names the environment variable with the directory for reports. Without it, tests
+// write no reports.
+const ReportDirEnv = "QUETZALLUG_FAULTMATRIX_DIR"
+
+// Cell is one protocol step under one or more faults.
+type Cell struct {
+	Protocol  string   `json:"protocol"`
+	Step      string   `json:"step"`
+	Faults    []string `json:"faults"`
+	Invariant string   `json:"invariant"`
+	// Covered is true only after the cell's test has run and passed.
+	Covered bool `json:"covered"`
+	// Test is the name of the test that covers the cell.
+	Test string `json:"test,omitempty"`
+	// Reason says why a declared cell is not covered.
+	Reason string `json:"reason,omitempty"`
+}
+
+// Name identifies the cell within all protocols.
+func (c Cell) Name() string {
+	return c.Protocol + "/" + c.Step + "/" + strings.Join(c.Faults, "+")
+}
+
+// Registry holds the cells of one test.
+type Registry struct {
+	mu    sync.Mutex
+	cells map[string]Cell
+}
+
+// NewRegistry returns an empty registry.
+func NewRegistry() *Registry { return &Registry{cells: map[string]Cell{}} }
+
+// Declare adds cells that are not covered yet.
+func (r *Registry) Declare(cells ...Cell) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, c := range cells {
+		c.Covered, c.Test = false, ""
+		r.cells[c.Name()] = c
+	}
+}
+
+// Run runs a declared cell as a parallel subtest. The cell is covered if the subtest ran to its end
+// and passed.
+func (r *Registry) Run(t *testing.T, c Cell, test func(t *testing.T)) {
+	t.Helper()
+	r.mu.Lock()
+	declared, ok := r.cells[c.Name()]
+	r.mu.Unlock()
+	if !ok {
+		t.Errorf("cell %q is not declared", c.Name())
+		return
+	}
+	t.Run(strings.ReplaceAll(c.Name(), " ", "_"), func(t *testing.T) {
+		t.Parallel()
+		t.Cleanup(func() {
+			declared.Covered, declared.Test = !t.Failed() && !t.Skipped(), strings.Split(t.Name(), "/")[0]
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			r.cells[c.Name()] = declared
+		})
+		test(t)
+	})
+}
+
+// Cells returns the cells in order of name.
+func (r *Registry) Cells() []Cell {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var all []Cell
+	for _, c := range r.cells {
+		all = append(all, c)
+	}
+	Sort(all)
+	return all
+}
+
+// Sort orders cells by name.
+func Sort(cells []Cell) {
+	slices.SortFunc(cells, func(a, b Cell) int { return strings.Compare(a.Name(), b.Name()) })
+}
+
+// Report writes the registry's cells to the report directory, if one is set.
+func (r *Registry) Report(t *testing.T) {
+	t.Helper()
+	dir := os.Getenv(ReportDirEnv)
+	if dir == "" {
+		return
+	}
+	data, err := json.Marshal(r.Cells())
+	if err == nil {
+		err = os.WriteFile(filepath.Join(dir, strings.ReplaceAll(t.Name(), "/", "_")+".json"), data, 0o600)
+	}
+	if err != nil {
+		t.Errorf("write fault matrix report: %v", err)
+	}
+}
+
+// Load merges the reports in a directory. A cell is covered if any report covers it.
+func Load(dir string) ([]Cell, error) {
+	files, err := filepath.Glob(filepath.Join(dir, "*.json"))
+	if err != nil {
+		return nil, fmt.Errorf("list reports: %w", err)
+	}
+	merged := map[string]Cell{}
+	for _, f := range files {
+		data, err := os.ReadFile(f)
+		if err != nil {
+			return nil, fmt.Errorf("read report: %w", err)
+		}
+		var cells []Cell
+		if err := json.Unmarshal(data, &cells); err != nil {
+			return nil, fmt.Errorf("report %q: %w", f, err)
+		}
+		for _, c := range cells {
+			if old, ok := merged[c.Name()]; !ok || !old.Covered {
+				merged[c.Name()] = c
+			}
+		}
+	}
+	var all []Cell
+	for _, c := range merged {
+		all = append(all, c)
+	}
+	Sort(all)
+	return all, nil
+}
--- a/order/errors.go
+++ b/order/errors.go
@@ -8,6 +8,8 @@
 	ErrUnsettled = errors.New("last order is not settled")
 	// ErrWrongPhase means that the event does not fit the record's phase or order number.
 	ErrWrongPhase = errors.New("event does not fit the order's phase")
+	// ErrNotClaimed means that no sidecar has claimed the engine yet.
+	ErrNotClaimed = errors.New("no sidecar has claimed the engine")
 	// ErrSuperseded means that another sidecar with a higher incarnation has claimed the engine.
 	ErrSuperseded = errors.New("another sidecar has claimed the engine")
 	// ErrStaleFence means that the fence number is lower than one already seen.
@@ -20,8 +22,6 @@
 	ErrNoAuthority = errors.New("authority over the pool is not valid")
 	// ErrNotSealed means that the engine is not sealed under the fence number in question.
 	ErrNotSealed = errors.New("engine is not sealed under this fence number")
-	// ErrNotClaimed means that no sidecar has claimed the engine yet.
-	ErrNotClaimed = errors.New("no sidecar has claimed the engine")
 )
 
 // Errors of the executor.
--- a/order/machine.go
+++ b/order/machine.go
@@ -14,6 +14,9 @@
 // Next returns the record after an event. It neither changes r nor performs I/O. The caller sets
 // the write ID.
 func Next(r Record, e Event) (Record, error) {
+	if _, claim := e.(Claim); r.Phase == "" && !claim {
+		return r, ErrNotClaimed
+	}
 	n, err := e.next(r)
 	if err != nil {
 		return r, fmt.Errorf("%T on order %d in phase %q: %w", e, r.Number, r.Phase, err)
--- a/order/planner.go
+++ b/order/planner.go
@@ -95,9 +95,6 @@
 		if err != nil {
 			return v, err
 		}
-		if v.version == 0 {
-			return v, ErrNotClaimed
-		}
 		n, err := s.write(ctx, v, Adopt{Fence: a.Fence}, func() error { return valid(a) })
 		if !errors.Is(err, ErrConflict) {
 			return n, err
@@ -120,17 +117,25 @@
 	return p.issue(ctx, a, engine, v, config)
 }
 
-// Reconcile issues the recorded configuration again if the engine's state is not the recorded one.
-// It reports whether it issued an order.
+// Reconcile issues the recorded configuration again if the engine's state is not the recorded one,
+// and reports whether it did. It repeats the notice of an order that has not begun.
 func (p *Planner) Reconcile(ctx context.Context, a lease.Authority, engine string) (Record, bool, error) {
 	if err := p.checkOwned(a, engine); err != nil {
 		return Record{}, false, err
 	}
 	s := store{kv: p.kv, key: Key(a.Pool, engine)}
 	v, err := s.read(ctx)
-	if err != nil || !v.Unknown || !v.Phase.Settled() {
+	if err != nil {
 		return v.Record, false, err
 	}
+	if v.Phase == PhasePlanned {
+		if err := p.notify(ctx, a, engine, v.Record); err != nil {
+			p.log.WithFields(logrus.Fields{"engine": engine, "order": v.Number}).WithError(err).Warn("notice not delivered")
+		}
+	}
+	if !v.Unknown || !v.Phase.Settled() {
+		return v.Record, false, nil
+	}
 	r, err := p.issue(ctx, a, engine, v, v.Config)
 	return r, err == nil, err
 }
@@ -142,9 +147,6 @@
 }
 
 func (p *Planner) issue(ctx context.Context, a lease.Authority, engine string, v versioned, config platform.EngineConfig) (Record, error) {
-	if v.version == 0 {
-		return Record{}, ErrNotClaimed
-	}
 	s := store{kv: p.kv, key: Key(a.Pool, engine)}
 	n, err := s.write(ctx, v, Issue{Fence: a.Fence, Config: config}, func() error { return valid(a) })
 	if err != nil {
