--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 # Generous bound: the whole suite runs in well under a minute on 10 cores.
 TEST_TIMEOUT := 8m
 
-.PHONY: build run test soak e2e lint fmt vet generate check-generated ci bench-policy bench-latency bench-capacity bench-decisions fuzz
+.PHONY: build run test soak e2e lint fmt vet generate check-generated ci bench-policy bench-latency bench-capacity bench-decisions fuzz mutants fault-matrix
 
 build:
 	go build -o bin/ ./cmd/...
@@ -74,3 +74,11 @@
 	git diff --exit-code -- gen
 
 ci: check-fmt vet lint check-generated test
+
+# Removes each guard in a scratch copy and demands that its test fails.
+mutants:
+	go run ./internal/tools/mutants
+
+# Runs the fault tables and writes docs/fault-matrix.md from the cells that passed.
+fault-matrix:
+	go run ./internal/tools/faultmatrix
