--- a/internal/policybench/workload.go
+++ b/internal/policybench/workload.go
@@ -1,8 +1,10 @@
 package policybench
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/quetzallug/quetzallug/placement"
@@ -250,6 +252,7 @@
 			}
 		}
 	}
+	slices.SortStableFunc(out, func(a, b *request) int { return cmp.Compare(a.arrived, b.arrived) })
 	return out
 }
 
