--- a/placement/split.go
+++ b/placement/split.go
@@ -95,19 +95,6 @@
 	return cost * w.RoleChanges * (1 + p.cfg.Margin)
 }
 
-// transition is the work lost, in engine-seconds, while the engines in change are missing.
-func (p *Planner) transition(t *lossTable, from, to split) float64 {
-	var both split
-	seconds := 0.0
-	for _, r := range roles {
-		both.add(r, min(from.of(r), to.of(r)))
-		if from.of(r) > to.of(r) {
-			seconds = max(seconds, p.changeCost(r))
-		}
-	}
-	return seconds * max(0, t.lost(both)-t.lost(from))
-}
-
 // tieSeconds is the preference, per mixed engine, for a split with dedicated engines when the
 // losses are equal.
 const tieSeconds = 0.01
@@ -128,7 +115,6 @@
 			if cost >= bestTotal {
 				continue
 			}
-			cost += p.transition(&l.samples[0], pool.current, to) * w.Goodput
 			if total := l.value(to)*w.Goodput + cost + tieSeconds*float64(mixed); total < bestTotal {
 				best, bestTotal, bestCost = to, total, cost
 			}
