--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 # Generous bound: the whole suite runs in well under a minute on 10 cores.
 TEST_TIMEOUT := 8m
 
-.PHONY: build run test soak e2e lint fmt vet generate check-generated ci bench-policy bench-latency bench-capacity bench-decisions fuzz mutants fault-matrix
+.PHONY: build run test soak e2e lint fmt vet generate check-generated ci bench-policy bench-latency bench-capacity bench-decisions fuzz mutants faults
 
 build:
 	go build -o bin/ ./cmd/...
@@ -80,5 +80,5 @@
 	go run ./internal/tools/mutants
 
 # Runs the fault tables and writes docs/fault-matrix.md from the cells that passed.
-fault-matrix:
+faults:
 	go run ./internal/tools/faultmatrix
