Send undecided claims to a second choice instead of committing everywhere

After an outage of the key-value service of 5 s at 12,000 requests/s with 10% unrepeatable, the entries that had fallen back to their own commits kept the service over its limit: 15,155 calls over it, 1,603 claims refused from 2 s after the outage. Undecided claims now go to the shard's second choice, in another data centre if possible, and owners answer before the forwarder's timeout; none were refused then. Requests that wait behind a failing batch now join it instead of waiting for its end.

--- a/once/commit.go
+++ b/once/commit.go
@@ -17,26 +17,38 @@
 	fresh bool
 }
 
-// commit decides all requests of the batch.
-func (w *shardWorker) commit(batch []*op) {
+// advance makes one try to decide the requests and returns those that are to be tried again.
+// Requests that have waited for their time are ended, so that the caller learns the outcome while it
+// can still use it.
+func (w *shardWorker) advance(ops []*op, pause *pauser) []*op {
 	ctx, cancel := context.WithTimeout(context.Background(), w.c.set.CommitTimeout)
 	defer cancel()
-	pause := w.c.newBackoff()
-	pending := batch
-	for {
-		var err error
-		pending, err = w.step(ctx, w.dropGone(pending))
-		if len(pending) == 0 {
-			return
-		}
-		if err != nil {
-			w.record = nil
-			if errors.Is(err, ErrRecordInvalid) || errors.Is(err, ErrRecordMissing) || !pause.sleep(ctx) {
-				w.fail(pending, err)
-				return
-			}
+	pending, err := w.step(ctx, w.dropGone(ops))
+	if err == nil {
+		pause.reset()
+		return pending
+	}
+	w.record = nil
+	if errors.Is(err, ErrRecordInvalid) || errors.Is(err, ErrRecordMissing) {
+		w.fail(pending, err)
+		return nil
+	}
+	now := time.Now()
+	var left, expired []*op
+	for _, o := range pending {
+		if now.Before(o.expires) {
+			left = append(left, o)
+		} else {
+			expired = append(expired, o)
 		}
 	}
+	if len(expired) > 0 {
+		w.fail(expired, err)
+	}
+	if len(left) > 0 {
+		pause.sleep(context.Background())
+	}
+	return left
 }
 
 func (w *shardWorker) dropGone(ops []*op) []*op {
--- a/once/committer.go
+++ b/once/committer.go
@@ -56,9 +56,10 @@
 
 // op is a request on its way to the record.
 type op struct {
-	req    Request
-	due    time.Time
-	result chan Result
+	req Request
+	// due is the latest time of the first try, expires the time after which no further try is made.
+	due, expires time.Time
+	result       chan Result
 	// taken and gone are guarded by shardWorker.mu.
 	taken, gone bool
 	// sent means that a write with this request may have reached the service. Only the goroutine
@@ -238,10 +239,14 @@
 
 // pauser is a jittered exponential back-off.
 type pauser struct {
-	next, limit time.Duration
+	next, first, limit time.Duration
 }
 
-func (c *Committer) newBackoff() *pauser { return &pauser{next: c.set.RetryMin, limit: c.set.RetryMax} }
+func (c *Committer) newBackoff() *pauser {
+	return &pauser{next: c.set.RetryMin, first: c.set.RetryMin, limit: c.set.RetryMax}
+}
+
+func (p *pauser) reset() { p.next = p.first }
 
 // sleep returns false when ctx ends first.
 func (p *pauser) sleep(ctx context.Context) bool {
--- a/once/measure_test.go
+++ b/once/measure_test.go
@@ -57,10 +57,22 @@
 	share     float64
 	duration  time.Duration
 	set       once.Settings
+	// fault is in force from second 5 to second 10.
+	fault kv.FaultState
 }
 
+// Bounds of the fault, and the time after which claims are counted as made after it.
+const (
+	faultFrom  = 5 * time.Second
+	faultUntil = 10 * time.Second
+	recovered  = 12 * time.Second
+)
+
 type figures struct {
 	claims, refused int
+	// refusedAfter counts the claims that started after recovery and were refused.
+	refusedAfter    int
+	rejected, reads uint64
 	writes, bytes   float64 // per second
 	opsPerWrite     float64
 	largest         int
@@ -81,6 +93,10 @@
 	var f figures
 	var wg sync.WaitGroup
 	start := time.Now()
+	if s.fault != (kv.FaultState{}) {
+		time.AfterFunc(faultFrom, func() { kvs.Faults().Set(s.fault) })
+		time.AfterFunc(faultUntil, func() { kvs.Faults().Set(kv.FaultState{}) })
+	}
 	for time.Since(start) < s.duration {
 		time.Sleep(time.Duration(rng.ExpFloat64() / (s.perSecond * s.share) * float64(time.Second)))
 		id, err := uuid.NewRandomFromReader(randReader{rng})
@@ -98,6 +114,9 @@
 			took = append(took, d)
 			if state != once.StateGranted {
 				f.refused++
+				if begin.Sub(start) > recovered {
+					f.refusedAfter++
+				}
 			}
 			mu.Unlock()
 			if state == once.StateGranted {
@@ -113,6 +132,7 @@
 	f.writes = float64(kvs.Calls().Writes) / seconds
 	f.bytes = float64(kvs.bytes) / seconds
 	f.largest = kvs.largest
+	f.rejected, f.reads = kvs.Calls().Rejected, kvs.Calls().Reads
 	f.opsPerWrite = float64(2*f.claims) / float64(max(1, kvs.Calls().Writes))
 	f.p50, f.p99 = took[len(took)/2], took[len(took)*99/100]
 	return f
@@ -236,7 +256,7 @@
 		}
 	}
 	for _, l := range loads {
-		s := simulation{l.perSecond, l.share, l.duration, once.DefaultSettings()}
+		s := simulation{perSecond: l.perSecond, share: l.share, duration: l.duration, set: once.DefaultSettings()}
 		name := fmt.Sprintf("%5.0f requests/s, %4.1f%% unrepeatable", l.perSecond, 100*l.share)
 		synctest.Test(t, func(t *testing.T) {
 			f := s.batched(t)
@@ -253,13 +273,24 @@
 		repeated, ranAgain := sidecarMemory(perSecond)
 		t.Logf("sidecar memory, %.1f unrepeatable requests/s: in a day %d repeated, %d of them ran again", perSecond, repeated, ranAgain)
 	}
+	for _, fault := range []kv.FaultState{{Down: true}, {SlowMS: 100}, {SlowMS: 300}, {SlowMS: 900}} {
+		for _, share := range []float64{0.01, 0.1} {
+			s := simulation{perSecond: 12000, share: share, duration: 20 * time.Second, set: once.DefaultSettings(), fault: fault}
+			synctest.Test(t, func(t *testing.T) {
+				f := s.batched(t)
+				t.Logf("%.0f%%, key-value service %+v for 5 s: %s; %d reads, %d calls over its limit, %d refused from 2 s after the fault",
+					100*share, fault, f, f.reads, f.rejected, f.refusedAfter)
+				require.Zero(t, f.refusedAfter)
+			})
+		}
+	}
 	for _, shards := range []int{1, 2, 4, 8, 16, 32} {
-		s := simulation{12000, 0.1, 20 * time.Second, once.DefaultSettings()}
+		s := simulation{perSecond: 12000, share: 0.1, duration: 20 * time.Second, set: once.DefaultSettings()}
 		s.set.Shards = shards
 		synctest.Test(t, func(t *testing.T) { t.Logf("10%%, %d shards: %s", shards, s.batched(t)) })
 	}
 	for _, rotate := range []int{32, 64, 128, 256} {
-		s := simulation{12000, 0.1, 120 * time.Second, once.DefaultSettings()}
+		s := simulation{perSecond: 12000, share: 0.1, duration: 120 * time.Second, set: once.DefaultSettings()}
 		s.set.RotateBytes = rotate << 10
 		synctest.Test(t, func(t *testing.T) { t.Logf("10%%, sealed at %d KiB: %s", rotate, s.batched(t)) })
 	}
--- a/once/protocol_test.go
+++ b/once/protocol_test.go
@@ -13,6 +13,7 @@
 
 	quetzallugv1 "github.com/quetzallug/quetzallug/gen/quetzallug/v1"
 	"github.com/quetzallug/quetzallug/once"
+	"github.com/quetzallug/quetzallug/platform"
 	"github.com/quetzallug/quetzallug/standin/kv"
 )
 
@@ -238,9 +239,9 @@
 		c := newCluster(2, testSettings())
 		owner, ok := c.entries[0].router.Owner(service, "k")
 		require.True(t, ok)
-		sender := c.entries[0]
+		sender, other := c.entries[0], c.entries[1]
 		if owner.ID == sender.id {
-			sender = c.entries[1]
+			sender, other = other, sender
 		}
 		sender.serve(t.Context(), "warm", 1)
 		sender.inject("forward", lostResponse)
@@ -248,10 +249,67 @@
 			refused, refused, refused, refused, refused, refused, refused, refused, refused, refused, refused)
 		require.Equal(t, once.StateUnknown, sender.router.Do(t.Context(), claim("k", "a")).State)
 		settle()
-		require.Equal(t, once.StateHeld, c.entries[0].commit.Do(t.Context(), claim("k", "b")).State)
+		require.Equal(t, once.StateHeld, other.commit.Do(t.Context(), claim("k", "b")).State)
 	})
 }
 
+// Guards against a shard that is unavailable because its owner alone cannot reach the key-value
+// service.
+func TestOwnerWithoutServiceIsPassedOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(3, testSettings())
+		owner, ok := c.entries[0].router.Owner(service, "k")
+		require.True(t, ok)
+		for _, e := range c.entries {
+			for range 100 {
+				if e.id == owner.ID {
+					e.inject("layout.get", refused)
+					e.inject("open.get", refused)
+					e.inject("open.swap", refused)
+				}
+			}
+		}
+		for i, e := range c.entries {
+			require.Equal(t, once.StateGranted, e.router.Do(t.Context(), claim(fmt.Sprint("k", i), "a")).State)
+		}
+	})
+}
+
+// recorder is a forwarder whose entries all answer that the key-value service is unavailable.
+type recorder struct{ asked []platform.Instance }
+
+func (r *recorder) Forward(_ context.Context, to platform.Instance, _ once.Request) (once.Result, error) {
+	r.asked = append(r.asked, to)
+	return once.Result{State: once.StateUnavailable}, nil
+}
+
+// Guards against a second choice that fails together with the owner's data centre, and against more
+// than two processes that write to a shard's record after an outage.
+func TestChoicesOfAShard(t *testing.T) {
+	var list []platform.Instance
+	for i := range 12 {
+		list = append(list, platform.Instance{
+			ID: fmt.Sprint("entry-", i), Role: platform.RoleEntry, State: platform.InstanceLive, DataCentre: fmt.Sprint("dc-", i%3),
+		})
+	}
+	store := kv.NewStore(kv.Limits{})
+	for shards := range 20 {
+		set := once.DefaultSettings()
+		set.Shards = shards + 1
+		c, err := once.NewCommitter(store, set, silentLog())
+		require.NoError(t, err)
+		r := &recorder{}
+		router := once.NewRouter("caller", func() []platform.Instance { return list }, r, c)
+		key := fmt.Sprint("key-", shards)
+		require.Equal(t, once.StateUnavailable, router.Do(t.Context(), claim(key, "a")).State)
+		require.Len(t, r.asked, 2)
+		owner, _ := router.Owner(service, key)
+		require.Equal(t, owner, r.asked[0])
+		require.NotEqual(t, owner.DataCentre, r.asked[1].DataCentre)
+	}
+	require.Zero(t, store.Calls().Writes)
+}
+
 // Guards against "not run" after a claim write with an unknown outcome, and against "unknown" when no
 // claim write was sent.
 func TestServiceDown(t *testing.T) {
--- a/once/queue.go
+++ b/once/queue.go
@@ -36,7 +36,8 @@
 	if r.Action != ActionClaim {
 		wait = max(wait, w.c.set.CompletionDelay)
 	}
-	o := &op{req: r, due: time.Now().Add(wait), result: make(chan Result, 1)}
+	now := time.Now()
+	o := &op{req: r, due: now.Add(wait), expires: now.Add(wait + w.c.set.CommitTimeout), result: make(chan Result, 1)}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.queue = append(w.queue, o)
@@ -80,18 +81,24 @@
 }
 
 func (w *shardWorker) run() {
+	pause := w.c.newBackoff()
+	var pending []*op
 	for {
-		wait, ok := w.nextDue()
-		if !ok {
-			return
+		if len(pending) == 0 {
+			wait, ok := w.nextDue()
+			if !ok {
+				return
+			}
+			if wait > 0 {
+				w.waitFor(wait)
+				continue
+			}
 		}
-		if wait > 0 {
-			w.waitFor(wait)
-			continue
-		}
-		// Waiting for the write budget lets more requests join the batch.
+		// Waiting for the write budget lets more requests join the batch. Requests that arrive while
+		// others are tried again join them.
 		_ = w.limiter.Wait(context.Background())
-		w.commit(w.take())
+		pending = append(pending, w.take(w.c.set.MaxBatch-len(pending))...)
+		pending = w.advance(pending, pause)
 	}
 }
 
@@ -125,11 +132,11 @@
 	}
 }
 
-// take removes the next batch from the queue.
-func (w *shardWorker) take() []*op {
+// take removes up to limit requests from the queue.
+func (w *shardWorker) take(limit int) []*op {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	n := min(len(w.queue), w.c.set.MaxBatch)
+	n := min(len(w.queue), limit)
 	batch := w.queue[:n:n]
 	w.queue = slices.Clone(w.queue[n:])
 	for _, o := range batch {
--- a/once/router.go
+++ b/once/router.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -32,52 +33,107 @@
 	return &Router{self: self, entries: entries, forward: f, commit: c}
 }
 
-// Do sends the request to the shard owner. If the owner was certainly not reached, the request is
-// committed here. If the outcome is not known, the record is read and the request committed here
-// unless it is there already; both writes carry the same request ID, so only one takes effect.
+// Do sends the request to the shard owner, and settles it elsewhere if the owner does not decide it.
+//
+//   - If the owner was certainly not reached, the request is committed here.
+//   - If the outcome is not known, or the owner cannot reach the key-value service, it goes to the
+//     shard's second choice, in another data centre if possible. If that one does not answer either,
+//     it is committed here.
+//
+// Each of these reads the record first and writes only if the request ID is not there, so that one
+// claim is recorded at most. With the second choice, at most two processes write to a shard's record
+// when the key-value service comes back after an outage; when all entries fell back to their own
+// commits, their conflicts kept the service over its rate after the outage had ended.
 func (r *Router) Do(ctx context.Context, req Request) Result {
 	if err := req.Validate(); err != nil {
 		return Result{State: StateUnavailable, Err: err}
 	}
-	owner, ok := r.Owner(req.Service, req.Key)
-	if !ok || owner.ID == r.self {
-		return r.commit.Do(ctx, req)
+	var last Result
+	maybeRecorded := false
+	for i, to := range r.targets(&req) {
+		res, answered := r.ask(ctx, to, req)
+		if res.State != StateUnknown && res.State != StateUnavailable {
+			return res
+		}
+		maybeRecorded = maybeRecorded || res.State == StateUnknown
+		last = Result{State: res.State, Err: errors.Join(last.Err, res.Err)}
+		if answered && i > 0 {
+			break
+		}
+		if errors.Is(res.Err, ErrNotSent) {
+			res = r.commit.Do(ctx, req)
+			if res.State != StateUnavailable {
+				return res
+			}
+			last = res
+			break
+		}
 	}
-	forwardCtx, cancel := context.WithTimeout(ctx, r.commit.set.ForwardTimeout)
-	res, err := r.forward.Forward(forwardCtx, owner, req)
-	cancel()
-	if err == nil && res.State != StateUnknown && res.State != StateUnavailable {
-		return res
+	if maybeRecorded && last.State == StateUnavailable {
+		last.State = StateUnknown
 	}
-	local := r.commit.Do(ctx, req)
-	certain := errors.Is(err, ErrNotSent) || err == nil && res.State == StateUnavailable
-	if local.State == StateUnavailable && !certain {
-		// The owner may have recorded the request.
-		local.State = StateUnknown
-		local.Err = errors.Join(local.Err, err)
+	return last
+}
+
+// targets returns the IDs of the shard's first and second choice and this entry, without repetition.
+func (r *Router) targets(req *Request) []platform.Instance {
+	entries := r.entries()
+	self := platform.Instance{ID: r.self}
+	first, second := rendezvous(shardKey(req.Service, ShardOf(req.Key, r.commit.Shards(req.Service))), entries)
+	targets := make([]platform.Instance, 0, 3)
+	for _, in := range []platform.Instance{first, second, self} {
+		if in.ID != "" && !slices.ContainsFunc(targets, func(o platform.Instance) bool { return o.ID == in.ID }) {
+			targets = append(targets, in)
+		}
 	}
-	return local
+	return targets
+}
+
+// ask sends the request to an entry and reports whether that entry answered.
+func (r *Router) ask(ctx context.Context, to platform.Instance, req Request) (Result, bool) {
+	if to.ID == r.self {
+		return r.commit.Do(ctx, req), true
+	}
+	ctx, cancel := context.WithTimeout(ctx, r.commit.set.ForwardTimeout)
+	defer cancel()
+	res, err := r.forward.Forward(ctx, to, req)
+	switch {
+	case errors.Is(err, ErrNotSent):
+		return Result{State: StateUnavailable, Err: err}, false
+	case err != nil:
+		return Result{State: StateUnknown, Err: err}, false
+	}
+	return res, true
 }
 
 // Owner returns the entry that owns the key's shard by rendezvous hashing, and false without entries.
 func (r *Router) Owner(service, key string) (platform.Instance, bool) {
-	shard := shardKey(service, ShardOf(key, r.commit.Shards(service)))
-	return rendezvous(shard, r.entries())
+	first, _ := rendezvous(shardKey(service, ShardOf(key, r.commit.Shards(service))), r.entries())
+	return first, first.ID != ""
+}
+
+// rendezvous returns the live entry with the highest hash of subject and instance ID, and the highest
+// of the others, preferably in another data centre.
+func rendezvous(subject string, instances []platform.Instance) (first, second platform.Instance) {
+	first = highest(subject, instances, func(platform.Instance) bool { return true })
+	second = highest(subject, instances, func(in platform.Instance) bool { return in.DataCentre != first.DataCentre })
+	if second.ID == "" {
+		second = highest(subject, instances, func(in platform.Instance) bool { return in.ID != first.ID })
+	}
+	return first, second
 }
 
-// rendezvous returns the instance with the highest hash of subject and instance ID.
-func rendezvous(subject string, instances []platform.Instance) (platform.Instance, bool) {
+func highest(subject string, instances []platform.Instance, allowed func(platform.Instance) bool) platform.Instance {
 	var best platform.Instance
 	var bestHash uint64
-	found := false
 	for _, in := range instances {
-		if in.Role != platform.RoleEntry || in.State != platform.InstanceLive {
+		if in.Role != platform.RoleEntry || in.State != platform.InstanceLive || !allowed(in) {
 			continue
 		}
 		h := xxhash.Sum64String(subject + "\x00" + in.ID)
-		if !found || h > bestHash || h == bestHash && in.ID < best.ID {
-			best, bestHash, found = in, h, true
+		if best.ID == "" || h > bestHash || h == bestHash && in.ID < best.ID {
+			best, bestHash = in, h
 		}
 	}
-	return best, found
+	return best
 }
--- a/once/settings.go
+++ b/once/settings.go
@@ -30,9 +30,10 @@
 	Skew time.Duration
 	// CallTimeout bounds one call of the key-value service.
 	CallTimeout time.Duration
-	// CommitTimeout bounds the time spent on one batch, including repetitions.
+	// CommitTimeout is the time after which a request is no longer tried again.
 	CommitTimeout time.Duration
-	// ForwardTimeout bounds a forwarded request, so that time remains to settle it here.
+	// ForwardTimeout bounds a forwarded request. It must leave the owner the time to answer that the
+	// key-value service is unavailable; otherwise an outage looks like the loss of the owner.
 	ForwardTimeout time.Duration
 	// RetryMin and RetryMax bound the jittered back-off between repetitions.
 	RetryMin, RetryMax time.Duration
@@ -59,8 +60,8 @@
 		Retention:      24 * time.Hour,
 		Skew:           time.Minute,
 		CallTimeout:    500 * time.Millisecond,
-		CommitTimeout:  2 * time.Second,
-		ForwardTimeout: 500 * time.Millisecond,
+		CommitTimeout:  time.Second,
+		ForwardTimeout: 2500 * time.Millisecond,
 		RetryMin:       5 * time.Millisecond,
 		RetryMax:       250 * time.Millisecond,
 	}
@@ -83,6 +84,8 @@
 		return fmt.Errorf("once: want 0 < skew < retention")
 	case s.CallTimeout <= 0 || s.CommitTimeout <= 0 || s.ForwardTimeout <= 0:
 		return fmt.Errorf("once: timeouts must be positive")
+	case s.ForwardTimeout < s.CommitTimeout+2*s.CallTimeout:
+		return fmt.Errorf("once: forward timeout must be at least the commit timeout and two call timeouts")
 	case s.RetryMin <= 0 || s.RetryMax < s.RetryMin:
 		return fmt.Errorf("once: want 0 < retry min <= retry max")
 	}
