--- a/Makefile
+++ b/Makefile
@@ -28,12 +28,7 @@
 fmt:
 	go tool gofumpt -l -w $$(git ls-files --cached --others --exclude-standard '*.go' | grep -v '^gen/')
 
-check-# Prints the figures of docs/at-most-once.md and docs/membership.md; takes about five minutes.
-measure:
-	go test -count=1 -timeout $(TEST_TIMEOUT) -run Measure -v ./once -measure
-	go test -count=1 -timeout $(TEST_TIMEOUT) -run Measure -v ./membership -measure
-
-fmt:
+check-fmt:
 	@out=$$(go tool gofumpt -l $$(git ls-files '*.go' | grep -v '^gen/')); \
 	if [ -n "$$out" ]; then echo "not formatted:"; echo "$$out"; exit 1; fi
 
