--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 # Generous bound: the whole suite runs in well under a minute on 10 cores.
 TEST_TIMEOUT := 8m
 
-.PHONY: build run test soak e2e lint fmt vet generate check-generated ci bench-policy bench-latency bench-capacity bench-decisions fuzz mutants faults
+.PHONY: build run test soak e2e lint fmt vet generate check-generated ci bench-policy bench-latency bench-capacity bench-decisions fuzz mutants faults measure
 
 build:
 	go build -o bin/ ./cmd/...
@@ -54,6 +54,11 @@
 fuzz:
 	go test ./document -run '^$$' -fuzz FuzzParse -fuzztime 45s
 
+# Prints the figures of docs/at-most-once.md and docs/membership.md; takes about five minutes.
+measure:
+	go test -count=1 -timeout $(TEST_TIMEOUT) -run Measure -v ./once -measure
+	go test -count=1 -timeout $(TEST_TIMEOUT) -run Measure -v ./membership -measure
+
 fmt:
 	go tool gofumpt -l -w $$(git ls-files --cached --others --exclude-standard '*.go' | grep -v '^gen/')
 
