--- a/order/doc.go
+++ b/order/doc.go
@@ -21,8 +21,15 @@
 //   - An engine whose state is not the recorded one is marked in the record. The planner issues
 //     the recorded configuration under a new number.
 //
+// An order costs 5 reads and 4 writes of the key-value service in all, and a handover 2 reads and 1
+// write per engine. A sidecar without orders makes 1 read per 30 s.
+//
 // One gap remains: the process may be paused between the last check of EffectBound and the send
 // of the order on loopback. A sidecar paused there acknowledges no seal, so no new planner owns
 // the engine before the order is sent. If a second sidecar has claimed the slot in the meantime,
 // only an engine that checks fence numbers refuses the late order.
+//
+// A sidecar that another one has superseded notices at its next write or read of the record, 36 s
+// at most. The drain of the new sidecar does not wait for requests that still run through the
+// earlier one.
 package order
--- a/order/planner.go
+++ b/order/planner.go
@@ -5,11 +5,13 @@
 	"errors"
 	"fmt"
 	"io"
+	"strings"
 	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/quetzallug/quetzallug/internal/cas"
 	"github.com/quetzallug/quetzallug/lease"
 	"github.com/quetzallug/quetzallug/platform"
 )
@@ -146,6 +148,30 @@
 	return v.Record, err
 }
 
+// Records returns the records of a pool by engine name, in one call to the key-value service. A
+// planner that looks after many engines calls Reconcile only for those that are marked unknown or
+// still planned.
+func (p *Planner) Records(ctx context.Context, pool string) (map[string]Record, error) {
+	ctx, cancel := context.WithTimeout(ctx, cas.DefaultCallTimeout)
+	defer cancel()
+	prefix := Key(pool, "")
+	entries, _, err := p.kv.List(ctx, prefix)
+	if err != nil {
+		return nil, fmt.Errorf("list %q: %w: %w", prefix, ErrStore, err)
+	}
+	records := make(map[string]Record, len(entries))
+	for _, e := range entries {
+		v, err := decode(e)
+		if err != nil {
+			// One malformed record must not stop the planning of the other engines.
+			p.log.WithError(err).Error("order record ignored")
+			continue
+		}
+		records[strings.TrimPrefix(e.Key, prefix)] = v.Record
+	}
+	return records, nil
+}
+
 func (p *Planner) issue(ctx context.Context, a lease.Authority, engine string, v versioned, config platform.EngineConfig) (Record, error) {
 	s := store{kv: p.kv, key: Key(a.Pool, engine)}
 	n, err := s.write(ctx, v, Issue{Fence: a.Fence, Config: config}, func() error { return valid(a) })
