placement: hedge a split against mixes that were not seen yet

Cause: with goodput-heavy weights a calm of five minutes moved the pool to 10 prefill engines of 11, for gains below one percent of the work. Change: each comparison also counts, with a weight of 15 s, the slow average with its prefill share halved and half as large again, the daily movement that docs/design.md expects.

--- a/placement/loss.go
+++ b/placement/loss.go
@@ -42,6 +42,16 @@
 	samples []lossTable
 }
 
+// hedgeParts are the changes of the prefill share for which a split is hedged: the share is
+// expected to move by half of its value in a day.
+var hedgeParts = [...]float64{0.5, 1.5}
+
+// shifted is the same amount of work with the share of long prompts multiplied by a factor.
+func (d demand) shifted(factor float64) demand {
+	move := min(d.long*(factor-1), d.decode)
+	return demand{long: d.long + move, short: d.short, decode: d.decode - move}
+}
+
 // maxPool bounds the table; a pool is at most a few dozen engines.
 const maxPool = 64
 
@@ -59,6 +69,9 @@
 	l := &p.tables
 	l.samples = l.samples[:0]
 	l.add(p, f, p.cfg.Horizon.Seconds(), size)
+	for _, part := range hedgeParts {
+		l.add(p, p.slow.shifted(part), p.cfg.Hedge.Seconds()/float64(len(hedgeParts)), size)
+	}
 	for i := range p.history.count {
 		l.add(p, p.history.samples[i], p.cfg.Memory.Seconds()/float64(p.history.count), size)
 	}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -22,6 +22,7 @@
 	DefaultSlow         = 60 * time.Second
 	DefaultHorizon      = 60 * time.Second
 	DefaultMemory       = 60 * time.Second
+	DefaultHedge        = 15 * time.Second
 	DefaultTrend        = 0.5
 	DefaultMargin       = 0.3
 	DefaultDwell        = 30 * time.Second
@@ -42,6 +43,9 @@
 	// Memory is the weight, as a time, of the mixes seen in the last 20 minutes. It makes the
 	// planner prefer a split that also suits a mix that is likely to return.
 	Memory time.Duration
+	// Hedge is the weight, as a time, of mixes that were not seen but may come. It keeps a long
+	// calm from moving the whole pool to one mix.
+	Hedge time.Duration
 	// Trend damps the extrapolation: 0 is none, 1 is a straight line.
 	Trend float64
 	// Margin is the share by which a gain must exceed the cost of the changes.
@@ -72,6 +76,7 @@
 		{&c.Slow, DefaultSlow},
 		{&c.Horizon, DefaultHorizon},
 		{&c.Memory, DefaultMemory},
+		{&c.Hedge, DefaultHedge},
 		{&c.Dwell, DefaultDwell},
 		{&c.WarmUp, DefaultWarmUp},
 		{&c.Change, DefaultChange},
