--- a/internal/policybench/run.go
+++ b/internal/policybench/run.go
@@ -47,6 +47,10 @@
 	weights placement.Weights
 }
 
+func (c *Case) id() string {
+	return fmt.Sprint(c.Fleet, " ", c.Workload, " ", c.Policy, " ", c.Weights, " ", c.Lag)
+}
+
 // Result has the figures of one run of a case.
 type Result struct {
 	Seed                 int
--- a/internal/policybench/targets.go
+++ b/internal/policybench/targets.go
@@ -85,7 +85,8 @@
 		add("role changes of threshold", ownChanges, v*targetChanges, ownChanges <= v*targetChanges)
 	}
 	if c.Workload == "steady" {
-		add("no role changes", ownChanges, 0, ownChanges == 0)
+		most := t.mostChanges(c)
+		add("no role changes", most, 0, most == 0)
 	}
 	if c.load.shifts {
 		checkWeights(value, add)
@@ -93,6 +94,16 @@
 	return out
 }
 
+// mostChanges is that of the seed with the most role changes: one seed is enough to miss "none".
+func (t *table) mostChanges(c *Case) float64 {
+	for i := range t.cases {
+		if t.cases[i].id() == c.id() {
+			return spreadOf(t.results[i], changes).most
+		}
+	}
+	return 0
+}
+
 // checkWeights checks that the goodput-heavy document gets at least the goodput, and the document that
 // is heavy on role changes at most the changes, of the other.
 func checkWeights(
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -27,7 +27,7 @@
 	DefaultMargin       = 0.3
 	DefaultDwell        = 30 * time.Second
 	DefaultShareChange  = 0.3
-	DefaultWarmUp       = 10 * time.Second
+	DefaultWarmUp       = 30 * time.Second
 	DefaultChange       = 5 * time.Second
 	DefaultShortPrefill = 512
 	DefaultMixedUse     = 0.3
