Take probes for load reports as evidence of membership

The entry already probes each worker for its load every 10 s, and every 2 s while it considers it; these outcomes now count as answers, refusals and silence.

--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -315,9 +315,7 @@
 		}
 		m := s.members[w.ID]
 		go func() {
-			ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
-			defer cancel()
-			_, _ = f.Probe(ctx, m)
+			f.refresh(context.Background(), m)
 			f.mu.Lock()
 			defer f.mu.Unlock()
 			delete(f.probing, m.ID)
--- a/entry/refresh.go
+++ b/entry/refresh.go
@@ -46,22 +46,30 @@
 			return
 		case <-t.C:
 		}
-		if peers := f.teachers(); len(peers) > 0 && time.Since(learned) >= learnEvery {
+		if peers := f.reportSources(); len(peers) > 0 && time.Since(learned) >= learnEvery {
 			learned = time.Now()
 			f.learn(ctx, peers[rand.IntN(len(peers))]) //nolint:gosec // a choice between peers needs no secrecy
 		}
 		var wg sync.WaitGroup
 		for _, m := range f.due(time.Now()) {
 			wg.Go(func() {
-				call, cancel := context.WithTimeout(ctx, probeTimeout)
-				defer cancel()
-				_, _ = f.Probe(call, m)
+				f.refresh(ctx, m)
 			})
 		}
 		wg.Wait()
 	}
 }
 
+// refresh probes a member and takes the outcome as evidence about it, so that a worker that gets
+// little traffic is also found to be dead or paused.
+func (f *Fleet) refresh(ctx context.Context, m membership.Member) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	started := time.Now()
+	res, err := f.Probe(ctx, m)
+	f.view.ObserveProbe(m, started, res, err)
+}
+
 // due returns the members to probe now, the longest overdue first.
 func (f *Fleet) due(now time.Time) []membership.Member {
 	type candidate struct {
@@ -92,8 +100,8 @@
 	return due
 }
 
-// teachers returns the live entries if many workers have no report yet, otherwise none.
-func (f *Fleet) teachers() []platform.Instance {
+// reportSources returns the live entries if many workers have no report yet, otherwise none.
+func (f *Fleet) reportSources() []platform.Instance {
 	snapshot := f.view.Snapshot()
 	unknown := 0
 	f.mu.RLock()
--- a/membership/runner.go
+++ b/membership/runner.go
@@ -98,6 +98,11 @@
 	ctx, cancel := context.WithTimeout(ctx, r.view.set.SilenceAfter)
 	defer cancel()
 	res, err := r.prober.Probe(ctx, m)
+	r.view.ObserveProbe(m, started, res, err)
+}
+
+// ObserveProbe joins the outcome of a probe. A probe that this process has cancelled says nothing.
+func (v *View) ObserveProbe(m Member, started time.Time, res ProbeResult, err error) {
 	if errors.Is(err, context.Canceled) {
 		return
 	}
@@ -110,7 +115,7 @@
 	case res.Draining:
 		e.Kind = Draining
 	}
-	r.view.Observe(time.Now(), e)
+	v.Observe(time.Now(), e)
 }
 
 // jitter returns a time between half and one and a half of d.
