--- a/order/world_test.go
+++ b/order/world_test.go
@@ -26,6 +26,7 @@
 	engineName = "e1"
 	// changesEnd is the time after which the wanted configuration stays as it is.
 	changesEnd = 60 * time.Second
+	lateCrash  = 110 * time.Second
 	worldEnd   = 150 * time.Second
 	testSeed   = "20261204"
 )
@@ -326,14 +327,17 @@
 
 func (g *gatedDrainer) EndDrain() { g.s.drainer.EndDrain() }
 
-// run plays a world to its end and returns the violations, and whether the last wanted
-// configuration was reached.
+// run plays a world to its end and returns the violations. It counts as one if the last wanted
+// configuration was not reached.
 func (w *world) run() []string {
 	w.startSidecar()
 	time.Sleep(time.Second)
 	w.startEntry()
 	time.Sleep(3 * time.Second)
 	w.startEntry()
+	// After the last change, a crash must lead back to the recorded configuration.
+	time.Sleep(lateCrash - time.Since(w.began))
+	w.engine.crash()
 	time.Sleep(worldEnd - time.Since(w.began))
 	bad := check(w.journal.all())
 	state, _ := w.engine.current()
