--- a/routing/prefix.go
+++ b/routing/prefix.go
@@ -40,6 +40,9 @@
 	prefixMemory = 5 * time.Minute
 	// sentConfidence is the confidence that a prefix which this router sent is still cached.
 	sentConfidence = 0.8
+	// maxFound bounds the known blocks that are looked at, longest first: shorter prefixes rarely
+	// add a worker.
+	maxFound = 4
 	// gapFactor reduces the confidence in a worker's earlier events when events were lost.
 	gapFactor = 0.5
 )
@@ -137,11 +140,13 @@
 func (t *prefixTable) cached(blocks []uint64, candidates []*Worker, saved []float64, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for n := len(blocks); n > 0; n-- {
+	found := 0
+	for n := len(blocks); n > 0 && found < maxFound; n-- {
 		s := &t.slots[mix(blocks[n-1])%prefixSlots]
 		if s.prefix != blocks[n-1] {
 			continue
 		}
+		found++
 		for _, way := range s.ways {
 			age := now.Sub(way.at)
 			if way.worker == 0 || age > prefixMemory {
