Check the lease TTL against the safety margin in the settings

Change: the settings refuse 3s and less and name the setting. Before: 'settings' accepts 2s, the entry does not start.

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -15,6 +15,7 @@
 	"github.com/spf13/viper"
 
 	"github.com/quetzallug/quetzallug/internal/logging"
+	"github.com/quetzallug/quetzallug/lease"
 )
 
 // EnvPrefix starts the environment variable of each setting: --kv-address is
@@ -27,6 +28,9 @@
 	BackendPlain  = "plain"
 )
 
+// minLeaseTTL is exceeded by each lease TTL: the safety margin must stay below a third of it.
+const minLeaseTTL = 3 * lease.DefaultSafetyMargin
+
 // Common are the settings of each role.
 type Common struct {
 	Cluster          string        `mapstructure:"cluster"`
@@ -169,8 +173,8 @@
 		atLeast("once-shards", s.OnceShards, 1), positive("once-retention", s.OnceRetention),
 		atLeast("max-pools", s.MaxPools, 0),
 	)
-	if s.LeaseTTL < time.Second {
-		errs = append(errs, fmt.Errorf("setting lease-ttl: found %s, allowed are 1s and more", s.LeaseTTL))
+	if s.LeaseTTL <= minLeaseTTL {
+		errs = append(errs, fmt.Errorf("setting lease-ttl: found %s, allowed are durations above %s", s.LeaseTTL, minLeaseTTL))
 	}
 	if s.RetryShare < 0 || s.RetryShare > 1 {
 		errs = append(errs, fmt.Errorf("setting retry-share: found %g, allowed are 0 to 1", s.RetryShare))
