Let a replacement take work when the list catches up; report an engine's role

Two faults, found by test/faults.

A sidecar that starts while the lagging list still gives its slot as leaving took no work for good. Cause: followLeaving called Leave, which nothing takes back. Ruled out: the order record and the engine, which were settled; the entries, which were told 'draining' by the sidecar. Change: the listing is a state of its own that ends with the listing. A stop or an operator's drain still holds.

An engine that does not answer reported neither role nor models, as a plain backend server does, which to the router serves any model. Change: a sidecar of an engine always reports a role.

Tests: TestListedLeavingEndsWithTheListing, TestReportOfAnEngineAlwaysHasARole.

--- a/internal/app/sidecar.go
+++ b/internal/app/sidecar.go
@@ -166,14 +166,14 @@
 	})
 }
 
-// followLeaving stops new work once the platform lists this instance as leaving.
+// followLeaving stops new work while the platform lists this instance as leaving.
 func followLeaving(lc fx.Lifecycle, id identity, view *membership.View, sc *sidecar.Sidecar) {
 	background(lc, func(ctx context.Context) {
 		t := time.NewTicker(leavingPoll)
 		defer t.Stop()
 		for {
-			if m, ok := view.Snapshot().Member(id.self.ID); ok && m.State == platform.InstanceLeaving && m.Address == id.self.Address {
-				sc.Leave()
+			if m, ok := view.Snapshot().Member(id.self.ID); ok && m.Address == id.self.Address {
+				sc.Listed(m.State == platform.InstanceLeaving)
 			}
 			select {
 			case <-ctx.Done():
--- a/sidecar/drain.go
+++ b/sidecar/drain.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+
+	"github.com/sirupsen/logrus"
 )
 
 // errInterrupted is the cause of the cancellation of an interruptible attempt.
@@ -25,6 +27,18 @@
 	s.leaving = false
 }
 
+// Listed follows the platform's list: new work is refused while the list gives this slot as
+// leaving. The list lags, so a replacement may find the slot still listed as leaving when it
+// starts; it takes work once the list has caught up.
+func (s *Sidecar) Listed(leaving bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.listed != leaving {
+		s.listed = leaving
+		s.log.WithFields(logrus.Fields{"leaving": leaving, "in_flight": len(s.inFlight)}).Info("the list's state of this slot changed")
+	}
+}
+
 // BeginDrain stops new work for a planned change and interrupts the attempts that allow it.
 func (s *Sidecar) BeginDrain(_ context.Context) error {
 	s.mu.Lock()
@@ -73,5 +87,8 @@
 func (s *Sidecar) Draining() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.leaving || s.ordered
+	return s.drainingLocked()
 }
+
+// drainingLocked reports whether new work is refused. The caller holds mu.
+func (s *Sidecar) drainingLocked() bool { return s.leaving || s.listed || s.ordered }
--- a/sidecar/execute.go
+++ b/sidecar/execute.go
@@ -139,7 +139,7 @@
 		Instance: s.cfg.Instance, Incarnation: s.cfg.Incarnation, Sequence: s.sequence.Add(1),
 	}
 	s.mu.Lock()
-	r.Draining = s.leaving || s.ordered
+	r.Draining = s.drainingLocked()
 	r.Running = uint32(len(s.inFlight))
 	pieces := 0
 	for _, a := range s.inFlight {
@@ -149,8 +149,10 @@
 	}
 	s.mu.Unlock()
 	r.TotalPieces = uint32(s.cfg.MaxInFlight)
+	if s.engine != nil {
+		r.Role = string(s.role())
+	}
 	if v := s.state.Load(); v != nil {
-		r.Role = string(v.state.Config.Role)
 		for _, m := range v.state.Config.Models {
 			r.Models = append(r.Models, m.Name)
 		}
--- /dev/null
+++ b/sidecar/report_test.go
@@ -0,0 +1,76 @@
+package sidecar
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	v1 "github.com/quetzallug/quetzallug/gen/quetzallug/v1"
+	"github.com/quetzallug/quetzallug/platform"
+	"github.com/quetzallug/quetzallug/standin/engine"
+)
+
+type noDocuments struct{}
+
+func (noDocuments) Revision(string) uint64 { return 1 }
+func (noDocuments) Observe(string, uint64) {}
+
+type noMetrics struct{}
+
+func (noMetrics) Attempt(v1.Outcome, v1.Reason) {}
+func (noMetrics) InFlight(int)                  {}
+
+// newTestSidecar returns a sidecar beside an engine with the model "m".
+func newTestSidecar(t *testing.T) (*Sidecar, *engine.Engine) {
+	t.Helper()
+	e := engine.New(engine.Config{OrderTime: time.Millisecond, Initial: platform.EngineConfig{
+		Role: platform.RoleDecode, Models: []platform.ModelVersion{{Name: "m", Version: "1"}},
+	}})
+	t.Cleanup(func() { require.NoError(t, e.Close()) })
+	log := logrus.New()
+	log.SetOutput(t.Output())
+	s, err := New(Config{Cluster: "c", Instance: "i", Service: "s", Incarnation: "1", MaxInFlight: 8, Attempts: 64},
+		e, nil, noDocuments{}, noMetrics{}, log)
+	require.NoError(t, err)
+	return s, e
+}
+
+// Guards against a report by which an engine that does not answer looks like a plain backend
+// server, which takes any request.
+func TestReportOfAnEngineAlwaysHasARole(t *testing.T) {
+	s, e := newTestSidecar(t)
+	ctx := context.Background()
+	r := s.Report(ctx)
+	require.Equal(t, string(platform.RoleMixed), r.GetRole())
+	require.Empty(t, r.GetModels())
+
+	require.NoError(t, s.RefreshState(ctx))
+	require.Equal(t, []string{"m"}, s.Report(ctx).GetModels())
+
+	e.Crash()
+	require.Error(t, s.RefreshState(ctx))
+	r = s.Report(ctx)
+	require.Equal(t, string(platform.RoleDecode), r.GetRole())
+	require.Empty(t, r.GetModels())
+}
+
+// Guards against a replacement that starts while the lagging list still gives its slot as leaving
+// and then refuses work for good, and against a list that undoes a stop.
+func TestListedLeavingEndsWithTheListing(t *testing.T) {
+	s, _ := newTestSidecar(t)
+	s.Listed(true)
+	require.True(t, s.Draining())
+	require.True(t, s.Report(context.Background()).GetDraining())
+	s.Listed(false)
+	require.False(t, s.Draining())
+
+	s.Leave()
+	s.Listed(true)
+	s.Listed(false)
+	require.True(t, s.Draining())
+	s.Stay()
+	require.False(t, s.Draining())
+}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -55,8 +55,9 @@
 	inFlight map[attemptKey]*attempt
 	seen     *attemptLog
 	work     map[string]*v1.KindWork
-	leaving  bool
-	ordered  bool
+	leaving  bool // for good: by a signal, an operator or a lost slot
+	listed   bool // as leaving in the platform's list
+	ordered  bool // during an order
 	idle     chan struct{}
 }
 
@@ -121,7 +122,7 @@
 	if s.seen.has(key) {
 		return nil, &refusal{v1.Outcome_OUTCOME_UNKNOWN, v1.Reason_REASON_DUPLICATE_ATTEMPT, "attempt was received before"}
 	}
-	if s.leaving || s.ordered {
+	if s.drainingLocked() {
 		return nil, notRun(v1.Reason_REASON_DRAINING, "backend server takes no new work")
 	}
 	if len(s.inFlight) >= s.cfg.MaxInFlight {
@@ -212,6 +213,15 @@
 	s.idle = make(chan struct{})
 }
 
+// role returns the engine's role as last read, and mixed before that. An engine always has a role
+// in reports, which tells it from a plain backend server.
+func (s *Sidecar) role() platform.Role {
+	if v := s.state.Load(); v != nil && v.state.Config.Role != "" {
+		return v.state.Config.Role
+	}
+	return platform.RoleMixed
+}
+
 // RefreshState reads the engine's configuration.
 func (s *Sidecar) RefreshState(ctx context.Context) error {
 	if s.engine == nil {
@@ -220,7 +230,9 @@
 	st, err := s.engine.State(ctx)
 	if err != nil {
 		// An engine that does not answer serves nothing until it is seen again.
-		s.state.Store(nil)
+		s.state.Store(&engineView{
+			state: platform.EngineState{Config: platform.EngineConfig{Role: s.role()}}, at: time.Now(),
+		})
 		return err
 	}
 	s.state.Store(&engineView{state: st, at: time.Now()})
