--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -122,7 +122,7 @@
 		w.Draining = true
 		return w
 	}
-	w.Draining = r.GetDraining()
+	w.Draining = r.GetDraining() || withoutModels(r)
 	w.Models = r.GetModels()
 	if r.GetRole() != "" {
 		w.Role = platform.Role(r.GetRole())
@@ -130,6 +130,10 @@
 	return w
 }
 
+// withoutModels reports whether a worker is an engine that has no model loaded, or that does not
+// answer. To the router, no models mean a plain backend server, which takes any request.
+func withoutModels(r *v1.LoadReport) bool { return r.GetRole() != "" && len(r.GetModels()) == 0 }
+
 // Pick implements Picker.
 func (f *Fleet) Pick(p PickRequest) (Worker, string, error) {
 	s := f.service(p.Service)
@@ -206,7 +210,9 @@
 	switch {
 	case r.Refused:
 		e.Kind = membership.Refused
-	case r.Silent && r.Tokens == 0:
+	case (r.Silent || r.Broken) && r.Tokens == 0:
+		// A connection that breaks before any frame is no answer: something other than the worker may
+		// accept connections at its address.
 		e.Kind = membership.Silent
 	case r.Load.GetDraining():
 		e.Kind = membership.Draining
@@ -238,6 +244,26 @@
 	}
 }
 
+// Reported reports whether a worker of each listed service has reported. Before that, the router
+// offers no worker of the service.
+func (f *Fleet) Reported() bool {
+	snapshot := f.view.Snapshot()
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	services := map[string]bool{}
+	for _, m := range snapshot.Members {
+		if m.Role == platform.RoleSidecar {
+			services[m.Service] = services[m.Service] || f.reports[m.ID] != nil
+		}
+	}
+	for _, reported := range services {
+		if !reported {
+			return false
+		}
+	}
+	return len(services) > 0
+}
+
 // probeOld asks the workers whose reports are old for fresh ones, in the background.
 func (f *Fleet) probeOld(s *serviceFleet, d *routing.Decision) {
 	for _, w := range d.Probe {
--- a/entry/refresh.go
+++ b/entry/refresh.go
@@ -39,13 +39,29 @@
 			wg.Go(func() {
 				call, cancel := context.WithTimeout(ctx, probeTimeout)
 				defer cancel()
-				_, _ = f.Probe(call, m)
+				f.refresh(call, m)
 			})
 		}
 		wg.Wait()
 	}
 }
 
+// refresh probes a member and tells membership of its answer. Membership's own probes back off up
+// to 15 s, so an engine that has been changed a few times would stay unused for seconds after its
+// change is done. Failures are left to membership.
+func (f *Fleet) refresh(ctx context.Context, m membership.Member) {
+	e := membership.Evidence{ID: m.ID, Kind: membership.Answered, Address: m.Address, Started: time.Now()}
+	r, err := f.Probe(ctx, m)
+	if err != nil {
+		return
+	}
+	e.Incarnation = r.Incarnation
+	if r.Draining {
+		e.Kind = membership.Draining
+	}
+	f.view.Observe(time.Now(), e)
+}
+
 // due returns the members to probe now, the longest overdue first.
 func (f *Fleet) due(now time.Time) []membership.Member {
 	type candidate struct {
@@ -60,7 +76,7 @@
 		}
 		r := f.reports[m.ID]
 		limit := refreshReady
-		if r == nil || r.GetDraining() || r.GetRole() != "" && len(r.GetModels()) == 0 {
+		if r == nil || r.GetDraining() || withoutModels(r) {
 			limit = refreshUnready
 		}
 		if over := now.Sub(f.reported[m.ID]) - limit; over >= 0 {
--- /dev/null
+++ b/entry/run_test.go
@@ -0,0 +1,241 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"github.com/quetzallug/quetzallug/document"
+	v1 "github.com/quetzallug/quetzallug/gen/quetzallug/v1"
+	"github.com/quetzallug/quetzallug/gen/quetzallug/v1/quetzallugv1connect"
+	"github.com/quetzallug/quetzallug/internal/rpc"
+	"github.com/quetzallug/quetzallug/membership"
+	"github.com/quetzallug/quetzallug/platform"
+)
+
+// scriptedWorker ends each attempt as its script says.
+type scriptedWorker struct {
+	quetzallugv1connect.UnimplementedWorkerServiceHandler
+
+	mu     sync.Mutex
+	script []*v1.Final
+}
+
+func (w *scriptedWorker) Execute(_ context.Context, r *connect.Request[v1.ExecuteRequest], out *connect.ServerStream[v1.Frame]) error {
+	w.mu.Lock()
+	f := w.script[0]
+	w.script = w.script[1:]
+	w.mu.Unlock()
+	m := r.Msg
+	offset := m.GetOffset()
+	if f.GetOutcome() != v1.Outcome_OUTCOME_NOT_RUN {
+		if err := out.Send(&v1.Frame{RequestId: m.GetRequestId(), Attempt: m.GetAttempt(), Offset: offset, Tokens: 1, Data: []byte("x")}); err != nil {
+			return err
+		}
+		offset++
+	}
+	f.Total = offset
+	return out.Send(&v1.Frame{RequestId: m.GetRequestId(), Attempt: m.GetAttempt(), Offset: offset, Final: f})
+}
+
+// scarcePicker has one worker, which is not usable for the given number of picks after each attempt.
+type scarcePicker struct {
+	worker  Worker
+	missing int
+	left    int
+	// picks counts the choices made.
+	picks int
+}
+
+func (p *scarcePicker) Pick(r PickRequest) (Worker, string, error) {
+	if p.left > 0 || len(r.Tried) > 0 {
+		p.left--
+		return Worker{}, "", errNoWorker
+	}
+	p.picks++
+	p.left = p.missing
+	return p.worker, "", nil
+}
+func (*scarcePicker) Sent(Worker, PickRequest)         {}
+func (*scarcePicker) Done(Worker, PickRequest, Result) {}
+
+type spentBudget struct{}
+
+func (spentBudget) Fresh(time.Time)     {}
+func (spentBudget) Take(time.Time) bool { return false }
+
+type noMetrics struct{}
+
+func (noMetrics) Request(string, string, string, Reason, bool, time.Duration) {}
+func (noMetrics) FirstToken(string, string, time.Duration)                    {}
+func (noMetrics) BetweenTokens(string, string, time.Duration)                 {}
+func (noMetrics) Retry(string, v1.Reason)                                     {}
+
+type noDocuments struct{}
+
+func (noDocuments) Lookup(string) (*document.Service, uint64) { return nil, 0 }
+func (noDocuments) Services() []*document.Service             { return nil }
+func (noDocuments) Observe(string, uint64)                    {}
+
+// runScript runs a repeatable chat request against a worker that follows a script.
+func runScript(t *testing.T, p *scarcePicker, script ...*v1.Final) (string, *Error) {
+	t.Helper()
+	mux := http.NewServeMux()
+	mux.Handle(quetzallugv1connect.NewWorkerServiceHandler(&scriptedWorker{script: script}))
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	srv := rpc.NewServer(mux)
+	go func() { _ = srv.Serve(l) }()
+	t.Cleanup(func() { _ = srv.Close() })
+	clients := rpc.NewClients(nil)
+	t.Cleanup(clients.Close)
+	p.worker = Worker{Instance: "w", Address: l.Addr().String()}
+	log := logrus.New()
+	log.SetOutput(t.Output())
+	e := New(Config{}, Options{
+		Documents: noDocuments{}, Picker: p, Clients: clients, Budget: spentBudget{},
+		Metrics: noMetrics{}, Log: log, Decisions: NewDecisionLog(16),
+	})
+	c := &call{
+		id: "r", service: &document.Service{Service: "s"}, kind: &document.Kind{Name: "chat", Repeatable: true, Interruptible: true},
+		model: &v1.ModelRequest{Model: "m"}, started: time.Now(), deadline: time.Now().Add(time.Minute),
+	}
+	out := &wholeSink{}
+	_, runErr := e.run(t.Context(), c, out)
+	return out.buf.String(), runErr
+}
+
+func final(o v1.Outcome, r v1.Reason) *v1.Final { return &v1.Final{Outcome: o, Reason: r} }
+
+// Guards against an answer that is cut by a planned change: all engines but those that have just
+// changed are draining, the retry budget is spent, or the only worker was tried before.
+func TestPlannedChangeMovesAnAnswer(t *testing.T) {
+	interrupted := func() *v1.Final { return final(v1.Outcome_OUTCOME_UNKNOWN, v1.Reason_REASON_DRAINING) }
+	p := &scarcePicker{missing: 3}
+	text, err := runScript(t, p, interrupted(), interrupted(),
+		final(v1.Outcome_OUTCOME_NOT_RUN, v1.Reason_REASON_MODEL_NOT_LOADED),
+		final(v1.Outcome_OUTCOME_NOT_RUN, v1.Reason_REASON_WRONG_INCARNATION),
+		final(v1.Outcome_OUTCOME_COMPLETE, 0))
+	require.Nil(t, err)
+	require.Equal(t, "xxx", text)
+	require.Equal(t, 5, p.picks)
+}
+
+// Guards against retries that the budget does not allow after failures and overload, and against
+// a wait without bound for a worker.
+func TestRetryIsBounded(t *testing.T) {
+	for _, f := range []*v1.Final{
+		final(v1.Outcome_OUTCOME_UNKNOWN, v1.Reason_REASON_BACKEND_FAILED),
+		final(v1.Outcome_OUTCOME_NOT_RUN, v1.Reason_REASON_QUEUE_FULL),
+	} {
+		_, err := runScript(t, &scarcePicker{}, f)
+		require.Equal(t, ReasonRetryBudget, err.Reason)
+	}
+	_, err := runScript(t, &scarcePicker{missing: 1 << 20}, final(v1.Outcome_OUTCOME_UNKNOWN, v1.Reason_REASON_DRAINING))
+	require.Equal(t, ReasonNoWorker, err.Reason)
+	require.Equal(t, OutcomeUnknown, err.Outcome)
+
+	// The first attempt is not waited for: another entry may have a worker.
+	started := &scarcePicker{left: 1 << 20}
+	_, err = runScript(t, started)
+	require.Equal(t, OutcomeNotRun, err.Outcome)
+	require.Equal(t, 1<<20-1, started.left)
+}
+
+// Guards against an engine without models, or one that does not answer, that attracts all
+// requests because it looks like a plain backend server without load.
+func TestEngineWithoutModelsIsNotOffered(t *testing.T) {
+	require.True(t, withoutModels(&v1.LoadReport{Role: "mixed"}))
+	require.False(t, withoutModels(&v1.LoadReport{Role: "mixed", Models: []string{"m"}}))
+	require.False(t, withoutModels(&v1.LoadReport{}), "a plain backend server has neither")
+}
+
+// Guards against an entry that takes requests right after its start and refuses them all, because
+// no worker has reported yet.
+func TestReportedNeedsEachService(t *testing.T) {
+	view, err := membership.NewView(membership.DefaultSettings(), rand.New(rand.NewPCG(1, 2)))
+	require.NoError(t, err)
+	f := NewFleet("c", "d", view, rpc.NewClients(nil), 1)
+	require.False(t, f.Reported(), "the list has not been read")
+	sidecar := func(id, service string) platform.Instance {
+		return platform.Instance{ID: id, Role: platform.RoleSidecar, Service: service, Address: "127.0.0.1:1", State: platform.InstanceLive}
+	}
+	now := time.Now()
+	view.ApplyList(now, platform.InstanceSnapshot{Version: 1, Instances: []platform.Instance{sidecar("a", "s"), sidecar("b", "s"), sidecar("c", "t")}})
+	f.Report(&v1.LoadReport{Instance: "a"}, now)
+	require.False(t, f.Reported(), "service t has no report")
+	f.Report(&v1.LoadReport{Instance: "c"}, now)
+	require.True(t, f.Reported())
+}
+
+// Guards against a worker that stays in use although each connection to it breaks: something else
+// accepts connections at its address, and every unrepeatable request there ends as unknown.
+func TestBrokenConnectionIsNoAnswer(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_ = c.Close()
+		}
+	}()
+	clients := rpc.NewClients(nil)
+	defer clients.Close()
+	s, err := clients.Worker(l.Addr().String()).Execute(t.Context(), connect.NewRequest(&v1.ExecuteRequest{}))
+	if err == nil {
+		require.False(t, s.Receive())
+		err = s.Err()
+	}
+	res := failed(t.Context(), err, time.Now())
+	require.Equal(t, v1.Outcome_OUTCOME_UNKNOWN, res.Outcome)
+	w := Worker{Instance: "w", Address: l.Addr().String()}
+	require.Equal(t, membership.Silent, evidence(w, res, time.Now()).Kind)
+	res.Tokens = 1
+	require.Equal(t, membership.Answered, evidence(w, res, time.Now()).Kind, "a frame has arrived")
+}
+
+// Probe implements WorkerService. The worker has ended its drain.
+func (*scriptedWorker) Probe(context.Context, *connect.Request[v1.ProbeRequest]) (*connect.Response[v1.ProbeResponse], error) {
+	return connect.NewResponse(&v1.ProbeResponse{Load: &v1.LoadReport{Instance: "a", Incarnation: "1", Models: []string{"m"}}}), nil
+}
+
+// Guards against an engine that stays unused after its change, because membership's own probes
+// have backed off and the refreshed report does not reach membership.
+func TestRefreshEndsADrainInMembership(t *testing.T) {
+	mux := http.NewServeMux()
+	mux.Handle(quetzallugv1connect.NewWorkerServiceHandler(&scriptedWorker{}))
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	srv := rpc.NewServer(mux)
+	go func() { _ = srv.Serve(l) }()
+	defer srv.Close()
+	view, err := membership.NewView(membership.DefaultSettings(), rand.New(rand.NewPCG(1, 2)))
+	require.NoError(t, err)
+	clients := rpc.NewClients(nil)
+	defer clients.Close()
+	f := NewFleet("c", "d", view, clients, 1)
+	now := time.Now()
+	address := l.Addr().String()
+	view.ApplyList(now, platform.InstanceSnapshot{Version: 1, Instances: []platform.Instance{
+		{ID: "a", Role: platform.RoleSidecar, Service: "s", Address: address, State: platform.InstanceLive},
+	}})
+	view.Observe(now, membership.Evidence{ID: "a", Kind: membership.Draining, Address: address, Incarnation: "1", Started: now})
+	m, ok := view.Snapshot().Member("a")
+	require.True(t, ok)
+	require.Equal(t, membership.StateLeaving, m.View)
+	f.refresh(t.Context(), m)
+	m, _ = view.Snapshot().Member("a")
+	require.Equal(t, membership.StateLive, m.View)
+}
--- a/internal/app/entry.go
+++ b/internal/app/entry.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -147,11 +148,11 @@
 	})
 }
 
-func serveEntry(lc fx.Lifecycle, sd fx.Shutdowner, s *settings.Entry, e *entry.Entry, p *entry.Peer, store *dissemination.Store, ctl *control, m *telemetry.Metrics, log logrus.FieldLogger) {
+func serveEntry(lc fx.Lifecycle, sd fx.Shutdowner, s *settings.Entry, e *entry.Entry, p *entry.Peer, f *entry.Fleet, store *dissemination.Store, ctl *control, m *telemetry.Metrics, log logrus.FieldLogger) {
 	peers := http.NewServeMux()
 	peers.Handle(quetzallugv1connect.NewPeerServiceHandler(p,
 		connect.WithInterceptors(newAuth(&s.Common, log)), connect.WithReadMaxBytes(rpc.MaxMessageBytes)))
-	h := &health{ready: func() (bool, string) { return hasDocuments(store), "no document is in force" }}
+	h := &health{ready: entryReady(store, f, time.Now())}
 	h.register(peers, m)
 	peerServer := rpc.NewServer(peers)
 	count := func(l net.Listener) net.Listener { return rpc.CountListener(l, ctl.traffic) }
@@ -161,16 +162,34 @@
 	callers := http.NewServeMux()
 	h.register(callers, m)
 	callers.Handle("/", e.Handler())
-	srv := rpc.NewServer(callers)
+	srv := rpc.NewServer(h.closeWhenStopping(callers))
 	serve(lc, sd, log, srv, s.Listen, plainListener, func(ctx context.Context) {
 		h.stopping.Store(true)
-		// Each response now closes its connection, while the balancer learns of the stop.
-		srv.SetKeepAlivesEnabled(false)
 		log.WithField("for", s.LameDuck.String()).Info("stopping: the readiness check fails, requests are still served")
 		sleep(ctx, s.LameDuck)
 	})
 }
 
+// reportWait bounds how long an entry waits for reports before it is ready, so that a service
+// whose workers are all down does not keep new entries from serving the others.
+const reportWait = 5 * time.Second
+
+// entryReady returns the readiness check of an entry: it needs documents, and reports of workers.
+func entryReady(store *dissemination.Store, f *entry.Fleet, started time.Time) func() (bool, string) {
+	var reported atomic.Bool
+	return func() (bool, string) {
+		if !hasDocuments(store) {
+			return false, "no document is in force"
+		}
+		if !reported.Load() && !f.Reported() && time.Since(started) < reportWait {
+			return false, "workers have not reported yet"
+		}
+		// Workers that fail later do not make the entry unready: the others have the same view.
+		reported.Store(true)
+		return true, ""
+	}
+}
+
 func hasDocuments(store *dissemination.Store) bool {
 	for _, f := range store.Snapshot() {
 		if f.Parsed != nil {
--- a/internal/app/health.go
+++ b/internal/app/health.go
@@ -30,3 +30,14 @@
 	}
 	_, _ = w.Write([]byte("ready\n"))
 }
+
+// closeWhenStopping makes each response close its connection while the balancer learns of the
+// stop. Idle connections stay open: closing one breaks a request that its caller has just sent.
+func (h *health) closeWhenStopping(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if h.stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
