--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -125,8 +125,7 @@
 		w.Draining = true
 		return w
 	}
-	// The router takes an empty list of models as any model.
-	w.Draining = r.GetDraining() || !r.GetPlain() && len(r.GetModels()) == 0
+	w.Draining = r.GetDraining() || withoutModels(r)
 	w.Models = r.GetModels()
 	if r.GetRole() != "" {
 		w.Role = platform.Role(r.GetRole())
@@ -134,6 +133,10 @@
 	return w
 }
 
+// withoutModels reports whether a worker is an engine that has no model loaded, or that does not
+// answer. To the router, no models mean a plain backend server, which takes any request.
+func withoutModels(r *v1.LoadReport) bool { return !r.GetPlain() && len(r.GetModels()) == 0 }
+
 // Pick implements Picker.
 func (f *Fleet) Pick(p PickRequest) (Worker, string, error) {
 	s := f.service(p.Service)
@@ -238,7 +241,9 @@
 	switch {
 	case r.Refused:
 		e.Kind = membership.Refused
-	case r.Silent && r.Tokens == 0:
+	case (r.Silent || r.Broken) && r.Tokens == 0:
+		// A connection that breaks before any frame is no answer: something other than the worker may
+		// accept connections at its address.
 		e.Kind = membership.Silent
 	case r.Load.GetDraining():
 		e.Kind = membership.Draining
@@ -300,6 +305,26 @@
 	}
 }
 
+// Reported reports whether a worker of each listed service has reported. Before that, the router
+// offers no worker of the service.
+func (f *Fleet) Reported() bool {
+	snapshot := f.view.Snapshot()
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	services := map[string]bool{}
+	for _, m := range snapshot.Members {
+		if m.Role == platform.RoleSidecar {
+			services[m.Service] = services[m.Service] || f.reports[m.ID] != nil
+		}
+	}
+	for _, reported := range services {
+		if !reported {
+			return false
+		}
+	}
+	return len(services) > 0
+}
+
 // probeOld asks the workers whose reports are old for fresh ones, in the background.
 func (f *Fleet) probeOld(s *serviceFleet, d *routing.Decision) {
 	for _, w := range d.Probe {
--- a/sidecar/execute.go
+++ b/sidecar/execute.go
@@ -139,7 +139,7 @@
 		Plain: s.backend != nil,
 	}
 	s.mu.Lock()
-	r.Draining = s.leaving || s.ordered
+	r.Draining = s.drainingLocked()
 	r.Running = uint32(len(s.inFlight))
 	r.CacheEvents = s.cacheEvents
 	pieces := 0
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -60,8 +60,9 @@
 	work     map[string]*v1.KindWork
 	// cacheEvents is replaced, never changed, so that reports can share it.
 	cacheEvents []*v1.CacheEvent
-	leaving     bool
-	ordered     bool
+	leaving     bool // for good: by a signal, an operator or a lost slot
+	listed      bool // as leaving in the platform's list
+	ordered     bool // during an order
 	idle        chan struct{}
 }
 
@@ -128,7 +129,7 @@
 	if s.seen.has(key) {
 		return &refusal{v1.Outcome_OUTCOME_UNKNOWN, v1.Reason_REASON_DUPLICATE_ATTEMPT, "attempt was received before"}
 	}
-	if s.leaving || s.ordered {
+	if s.drainingLocked() {
 		return notRun(v1.Reason_REASON_DRAINING, "backend server takes no new work")
 	}
 	if len(s.inFlight) >= s.cfg.MaxInFlight {
