Stop a sidecar that has lost its slot

order.Executor returns ErrSuperseded once another sidecar has claimed the engine. The process refused work from then on but stayed; it now drains and ends with exit code 1.

--- a/internal/app/sidecar.go
+++ b/internal/app/sidecar.go
@@ -96,7 +96,7 @@
 }
 
 // newExecutor returns the executor of orders, nil beside a plain backend server.
-func newExecutor(lc fx.Lifecycle, s *settings.Sidecar, b *backends, kv platform.KV, sc *sidecar.Sidecar, store *dissemination.Store, log logrus.FieldLogger) (*order.Executor, error) {
+func newExecutor(lc fx.Lifecycle, sd fx.Shutdowner, s *settings.Sidecar, b *backends, kv platform.KV, sc *sidecar.Sidecar, store *dissemination.Store, log logrus.FieldLogger) (*order.Executor, error) {
 	if b.engine == nil {
 		return nil, nil
 	}
@@ -111,8 +111,9 @@
 	})
 	background(lc, func(ctx context.Context) {
 		if err := e.Run(ctx); err != nil && ctx.Err() == nil {
-			log.WithError(err).Error("this sidecar has lost its slot: it takes no more work and no orders")
+			log.WithError(err).Error("this sidecar has lost its slot: it finishes its work and stops")
 			sc.Leave()
+			_ = sd.Shutdown(fx.ExitCode(1))
 		}
 	})
 	return e, nil
