policybench: search hindsight longer and without extrapolation of other routers

Change: steps of 0.05; all splits for 40 s, then the best six with three seeds of 90 s; SetRouters(1) for reports without age.

--- a/internal/policybench/data.go
+++ b/internal/policybench/data.go
@@ -43,7 +43,7 @@
 	p := plot.New()
 	p.Title.Text = fmt.Sprintf("%s: goodput, reports 1 s old, median of the seeds", f.name)
 	p.Y.Label.Text = "% of offered requests"
-	p.Y.Min, p.Y.Max = 0, 115
+	p.Y.Min, p.Y.Max = 0, 150 // room for the legend
 	p.Legend.Top, p.Legend.Left = true, false
 	const width = 9
 	names := make([]string, len(workloads))
--- a/internal/policybench/project.go
+++ b/internal/policybench/project.go
@@ -61,6 +61,16 @@
 	return p
 }
 
+// newFreshProject is the policy without a planner, for reports without any age: what other
+// routers did is in the report, so it is not extrapolated.
+func newFreshProject(w *world, weights placement.Weights) *project {
+	p := newProject(w, nil, weights)
+	for _, e := range p.entries {
+		e.tracker.SetRouters(1)
+	}
+	return p
+}
+
 // snapshot rebuilds the fleet of an entry after a change of membership or roles.
 func (p *project) snapshot(e *entry) *routing.Fleet {
 	if e.version == p.w.version {
--- a/internal/policybench/run.go
+++ b/internal/policybench/run.go
@@ -1,9 +1,11 @@
 package policybench
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -175,7 +177,7 @@
 	case Project:
 		p = newProject(w, placement.New(placement.Config{Change: changeTime}), c.weights)
 	default:
-		b := &hindsight{project: newProject(w, nil, c.weights), splits: h.schedule(c.fleet, &c.load)}
+		b := &hindsight{project: newFreshProject(w, c.weights), splits: h.schedule(c.fleet, &c.load)}
 		w.after(0, func() { b.plan(nil) })
 		p = b
 	}
@@ -201,7 +203,7 @@
 type hindsightKey struct {
 	fleet         string
 	alive         int
-	share         int // in tenths
+	share         int // in twentieths
 	useTwentieths int
 }
 
@@ -217,7 +219,7 @@
 		middle := min(from+l.phase/2, l.duration)
 		key := hindsightKey{
 			fleet: f.name, alive: alive,
-			share: int(math.Round(10 * l.share(middle))), useTwentieths: int(math.Round(20 * l.use(middle))),
+			share: int(math.Round(20 * l.share(middle))), useTwentieths: int(math.Round(20 * l.use(middle))),
 		}
 		h.mu.Lock()
 		e := h.splits[key]
@@ -231,29 +233,55 @@
 	}
 }
 
-// searchTime is long enough for about a thousand requests per trial, after the warm-up.
-const searchTime = 60 * time.Second
+// The search tries all splits for a short time, and the best of them longer with several seeds,
+// because many splits differ by less than the noise of a short run.
+const (
+	searchWarmUp   = 10 * time.Second
+	searchShort    = 50 * time.Second
+	searchLong     = 100 * time.Second
+	searchFinal    = 6
+	searchSeeds    = 3
+	searchSeedBase = 100 // differs from the seeds of the cases
+)
 
 func search(f *fleet, key hindsightKey) platformSplit {
-	l := workload{
-		duration: searchTime, share: constant(float64(key.share) / 10), use: constant(float64(key.useTwentieths) / 20),
-		phase: searchTime,
+	type candidate struct {
+		split   platformSplit
+		goodput float64
 	}
-	best, most := platformSplit{}, -1.0
+	var all []candidate
 	for prefill := 0; prefill <= key.alive; prefill++ {
 		for mixed := 0; mixed <= key.alive-prefill; mixed++ {
 			s := platformSplit{prefill, mixed, key.alive - prefill - mixed}
 			if mixed == 0 && (prefill == 0 || s.decode == 0) {
 				continue
 			}
-			w := newWorld(f, &l, 0, 100, s)
-			for _, e := range w.engines[key.alive:] {
-				e.state = dead
-			}
-			if g := w.run(newProject(w, nil, f.weights), 100).goodput(""); g > most {
-				best, most = s, g
-			}
+			all = append(all, candidate{s, trial(f, key, s, searchShort, searchSeedBase)})
+		}
+	}
+	better := func(a, b candidate) int { return cmp.Compare(b.goodput, a.goodput) }
+	slices.SortStableFunc(all, better)
+	all = all[:min(len(all), searchFinal)]
+	for i := range all {
+		all[i].goodput = 0
+		for seed := range uint64(searchSeeds) {
+			all[i].goodput += trial(f, key, all[i].split, searchLong, searchSeedBase+1+seed)
 		}
 	}
-	return best
+	slices.SortStableFunc(all, better)
+	return all[0].split
+}
+
+// trial is the goodput of a fixed split on a constant mix.
+func trial(f *fleet, key hindsightKey, s platformSplit, duration time.Duration, seed uint64) float64 {
+	l := workload{
+		duration: duration, phase: duration,
+		share: constant(float64(key.share) / 20), use: constant(float64(key.useTwentieths) / 20),
+	}
+	w := newWorld(f, &l, 0, seed, s)
+	w.stats.warmUp = searchWarmUp
+	for _, e := range w.engines[key.alive:] {
+		e.state = dead
+	}
+	return w.run(newFreshProject(w, f.weights), seed).goodput("")
 }
--- a/internal/policybench/stats.go
+++ b/internal/policybench/stats.go
@@ -7,6 +7,7 @@
 
 // stats are the figures of one run, counted for requests that arrive after the warm-up.
 type stats struct {
+	warmUp   time.Duration
 	duration time.Duration
 	offered  map[string]int
 	good     map[string]int
@@ -23,19 +24,19 @@
 	if s.offered == nil {
 		s.offered, s.good = make(map[string]int), make(map[string]int)
 	}
-	if r.arrived >= warmUp {
+	if r.arrived >= s.warmUp {
 		s.offered[r.kind.name]++
 	}
 }
 
 func (s *stats) refuse(r *request, reason string) {
-	if r.arrived >= warmUp {
+	if r.arrived >= s.warmUp {
 		s.refusals[reason]++
 	}
 }
 
 func (s *stats) finish(r *request) {
-	if r.arrived < warmUp {
+	if r.arrived < s.warmUp {
 		return
 	}
 	s.completed++
--- a/internal/policybench/world.go
+++ b/internal/policybench/world.go
@@ -74,7 +74,7 @@
 
 func newWorld(f *fleet, l *workload, lag time.Duration, seed uint64, s platformSplit) *world {
 	w := &world{fleet: f, load: l, lag: lag, noise: rand.New(rand.NewPCG(seed, 2))}
-	w.stats.refusals = make(map[string]int)
+	w.stats.refusals, w.stats.warmUp = make(map[string]int), warmUp
 	speeds := rand.New(rand.NewPCG(seed, 3))
 	for i := range f.engines {
 		w.engines = append(w.engines, &engine{
@@ -102,7 +102,7 @@
 	}
 	const tail = 30 * time.Second
 	w.runUntil(w.load.duration + tail)
-	w.stats.duration = w.load.duration - warmUp
+	w.stats.duration = w.load.duration - w.stats.warmUp
 	return &w.stats
 }
 
