--- a/load/load.go
+++ b/load/load.go
@@ -21,6 +21,9 @@
 	// transit is how long a request may be under way to a worker. A report does not include
 	// requests sent less than this before it was made.
 	transit = 2 * time.Millisecond
+	// fullScaleSeconds is the age of a report from which the other routers are expected to have
+	// sent as much as this one.
+	fullScaleSeconds = 2.0
 	// sequenceReset is the age from which a lower sequence number is taken as a restarted worker
 	// rather than as a delayed report.
 	sequenceReset = 2 * time.Second
@@ -183,7 +186,7 @@
 		e.sequences = 1
 	}
 	w.add(e)
-	return Ticket{Work: work, sentAt: now, ahead: w.prefill, sequences: w.decoding()}
+	return Ticket{Work: work, sentAt: now, ahead: w.prefill, sequences: w.decoding(now)}
 }
 
 // FirstToken records that the worker delivered the first token of a request that it prefilled,
@@ -202,7 +205,7 @@
 func (w *Worker) BetweenTokens(mean time.Duration, now time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.learner.step(w.decoding(), mean.Seconds())
+	w.learner.step(w.decoding(now), mean.Seconds())
 }
 
 // Finished records that a request ended on the worker, whatever its outcome.
@@ -239,7 +242,7 @@
 func (w *Worker) apply(e event) {
 	w.sequences += e.sequences
 	w.pieces += e.pieces
-	w.prefill = w.queuedPrefill(e.at) + e.prefill*w.routers()
+	w.prefill = w.queuedPrefill(e.at) + e.prefill*w.routers(e.at)
 	w.prefillAt = e.at
 }
 
@@ -252,13 +255,18 @@
 	if elapsed <= 0 {
 		return w.prefill
 	}
-	return max(0, w.prefill-elapsed/w.learner.speed.prefillTokenSeconds(w.decoding()))
+	return max(0, w.prefill-elapsed/w.learner.speed.prefillTokenSeconds(w.decoding(now)))
 }
 
-func (w *Worker) routers() float64 { return math.Float64frombits(w.scale.Load()) }
+// routers is the number of routers whose sends a correction stands for at a time. It grows with
+// the age of the report: right after one, a few own sends say little about the others.
+func (w *Worker) routers(at time.Time) float64 {
+	n := math.Float64frombits(w.scale.Load())
+	return 1 + (n-1)*min(1, max(0, at.Sub(w.madeAt).Seconds()/fullScaleSeconds))
+}
 
-func (w *Worker) decoding() int {
-	n := w.report.Running + int(float64(w.sequences)*w.routers())
+func (w *Worker) decoding(now time.Time) int {
+	n := w.report.Running + int(float64(w.sequences)*w.routers(now))
 	if w.role != platform.RolePrefill {
 		n += w.report.Queued
 	}
@@ -270,8 +278,8 @@
 	w.mu.Lock()
 	e := Estimate{
 		PrefillTokens: w.queuedPrefill(now),
-		Sequences:     w.decoding(),
-		FreePieces:    max(0, w.report.FreePieces+int(float64(w.pieces)*w.routers())),
+		Sequences:     w.decoding(now),
+		FreePieces:    max(0, w.report.FreePieces+int(float64(w.pieces)*w.routers(now))),
 		TotalPieces:   w.report.TotalPieces,
 		Speed:         w.learner.speed,
 		Known:         !w.madeAt.IsZero(),
