Read the instance list in deltas

Each process read the whole list at every change and at every thirtieth poll. The service now names its start with an epoch and answers with what has changed since a version; the adapter keeps the list and hands the whole of it to its callers, also when they ask for all of it.

Test with 500 instances: the first answer has more than 20 KB, later ones, also to requests for the whole list, less than 1 KB.

--- /dev/null
+++ b/membership/bench_test.go
@@ -0,0 +1,72 @@
+package membership_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/quetzallug/quetzallug/membership"
+	"github.com/quetzallug/quetzallug/platform"
+)
+
+// fullSize is the instance list at the target size: 640 sidecars of 8 services and 340 entries.
+func fullSize() platform.InstanceSnapshot {
+	s := platform.InstanceSnapshot{Version: 1}
+	for i := range 640 {
+		s.Instances = append(s.Instances, platform.Instance{
+			ID: fmt.Sprintf("worker-%d", i), Role: platform.RoleSidecar, Service: fmt.Sprintf("model-%d", i%8),
+			DataCentre: fmt.Sprintf("dc-%d", i%5), Address: fmt.Sprintf("10.0.%d.%d:8000", i/250, i%250), State: platform.InstanceLive,
+		})
+	}
+	for i := range 340 {
+		s.Instances = append(s.Instances, platform.Instance{
+			ID: fmt.Sprintf("entry-%d", i), Role: platform.RoleEntry,
+			DataCentre: fmt.Sprintf("dc-%d", i%5), Address: fmt.Sprintf("10.1.%d.%d:8000", i/250, i%250), State: platform.InstanceLive,
+		})
+	}
+	return s
+}
+
+func fullView(b *testing.B) *membership.View {
+	v, err := membership.NewView(membership.DefaultSettings(), rand.New(rand.NewPCG(1, 1)))
+	require.NoError(b, err)
+	require.True(b, v.ApplyList(time.Now(), fullSize()))
+	return v
+}
+
+// BenchmarkSnapshot reads the snapshot, as each routing decision does.
+func BenchmarkSnapshot(b *testing.B) {
+	v := fullView(b)
+	b.ReportAllocs()
+	for b.Loop() {
+		if len(v.Snapshot().Usable("model-3")) != 80 {
+			b.Fatal("wrong number of usable members")
+		}
+	}
+}
+
+// BenchmarkObserve takes an answer of a member that changes nothing visible, as each attempt does.
+func BenchmarkObserve(b *testing.B) {
+	v := fullView(b)
+	e := membership.Evidence{ID: "worker-77", Address: "10.0.0.77:8000", Incarnation: "1", Kind: membership.Answered}
+	b.ReportAllocs()
+	for b.Loop() {
+		now := time.Now()
+		e.Started = now
+		v.Observe(now, e)
+	}
+}
+
+// BenchmarkApplyList joins a list in which one instance has changed.
+func BenchmarkApplyList(b *testing.B) {
+	v, s := fullView(b), fullSize()
+	b.ReportAllocs()
+	for b.Loop() {
+		s.Version++
+		s.Instances[5].Address = fmt.Sprintf("10.2.0.%d:8000", s.Version%250)
+		v.ApplyList(time.Now(), s)
+	}
+}
--- a/modules/instanceshttp/instanceshttp.go
+++ b/modules/instanceshttp/instanceshttp.go
@@ -4,9 +4,15 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"maps"
 	"net/http"
+	"net/url"
+	"slices"
 	"strconv"
+	"strings"
+	"sync"
 	"time"
 
 	"github.com/quetzallug/quetzallug/internal/httpjson"
@@ -22,8 +28,16 @@
 
 func init() { kernel.Register(&Client{}) }
 
-// Client calls the instance list.
-type Client struct{ httpjson.Client }
+// Client calls the instance list. It keeps the last list and asks for changes only: at 980 instances
+// the whole list has about 150 KB, which each process would otherwise read at every change.
+type Client struct {
+	httpjson.Client
+
+	mu      sync.Mutex
+	epoch   string
+	version uint64
+	known   map[string]platform.Instance
+}
 
 var _ platform.InstanceList = (*Client)(nil)
 
@@ -32,12 +46,54 @@
 	return kernel.ModuleInfo{ID: ID, New: func() kernel.Module { return &Client{} }}
 }
 
-// Instances implements platform.InstanceList.
+// Instances implements platform.InstanceList. A service that has started again has another epoch
+// and answers with its whole list, also if its version is not above after.
 func (c *Client) Instances(ctx context.Context, after uint64) (platform.InstanceSnapshot, error) {
-	var s platform.InstanceSnapshot
-	path := instancewire.PathList + "?after=" + strconv.FormatUint(after, 10)
-	err := c.call(ctx, http.MethodGet, path, nil, &s)
-	return s, err
+	epoch, version := c.held()
+	var l instancewire.List
+	path := instancewire.PathList + "?after=" + strconv.FormatUint(version, 10) + "&epoch=" + url.QueryEscape(epoch)
+	if err := c.call(ctx, http.MethodGet, path, nil, &l); err != nil {
+		return platform.InstanceSnapshot{}, err
+	}
+	return c.take(&l, after, epoch)
+}
+
+func (c *Client) held() (epoch string, version uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.epoch, c.version
+}
+
+// errChanges means that changes came for another list than the one that is held.
+var errChanges = errors.New("instance list: changes do not follow the list that is held")
+
+// take joins an answer with the list that is held.
+func (c *Client) take(l *instancewire.List, after uint64, asked string) (platform.InstanceSnapshot, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case l.Since == 0:
+		c.known = make(map[string]platform.Instance, len(l.Instances))
+	case l.Epoch != c.epoch || l.Since > c.version:
+		c.epoch, c.version, c.known = "", 0, nil
+		return platform.InstanceSnapshot{}, errChanges
+	case l.Version < c.version:
+		// An older answer than that of a call that ran at the same time.
+		l.Instances, l.Removed, l.Version = nil, nil, c.version
+	}
+	for _, in := range l.Instances {
+		c.known[in.ID] = in
+	}
+	for _, id := range l.Removed {
+		delete(c.known, id)
+	}
+	restarted := asked != "" && l.Epoch != asked
+	c.epoch, c.version = l.Epoch, l.Version
+	if l.Version == after && !restarted {
+		return platform.InstanceSnapshot{Version: after}, nil
+	}
+	all := slices.SortedFunc(maps.Values(c.known), func(a, b platform.Instance) int { return strings.Compare(a.ID, b.ID) })
+	return platform.InstanceSnapshot{Version: l.Version, Instances: all}, nil
 }
 
 // Register registers an instance for a time to live; repeat it to stay in the list.
--- a/modules/instanceshttp/instanceshttp_test.go
+++ b/modules/instanceshttp/instanceshttp_test.go
@@ -1,7 +1,10 @@
 package instanceshttp_test
 
 import (
+	"fmt"
+	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -79,3 +82,48 @@
 	_, err = c.Instances(t.Context(), 0)
 	require.Error(t, err)
 }
+
+// Guards against a list that differs from the service's after changes, removals and a restart of
+// the service, and against whole lists on the wire where changes are enough.
+func TestChangesGiveTheWholeList(t *testing.T) {
+	l := instances.New(0)
+	var handler atomic.Pointer[http.Handler]
+	serve := func(l *instances.List) { h := l.Handler(); handler.Store(&h) }
+	serve(l)
+	var sent atomic.Int64
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		rec := httptest.NewRecorder()
+		(*handler.Load()).ServeHTTP(rec, r)
+		n, _ := w.Write(rec.Body.Bytes())
+		sent.Store(int64(n))
+	}))
+	defer srv.Close()
+	c, err := kernel.Load[*instanceshttp.Client](t.Context(), instanceshttp.ID, kernel.Settings{"address": srv.URL})
+	require.NoError(t, err)
+	defer func() { _ = c.Cleanup() }()
+	for i := range 500 {
+		l.Register(platform.Instance{ID: fmt.Sprintf("w%d", i), Address: "127.0.0.1:1"}, 0)
+	}
+	check := func(l *instances.List, after uint64) uint64 {
+		want, err := l.Instances(t.Context(), 0)
+		require.NoError(t, err)
+		got, err := c.Instances(t.Context(), after)
+		require.NoError(t, err)
+		require.Equal(t, want, got)
+		return got.Version
+	}
+	version := check(l, 0)
+	require.Greater(t, sent.Load(), int64(20_000))
+	l.Leave("w7")
+	l.Remove("w9")
+	l.Register(platform.Instance{ID: "new", Address: "127.0.0.1:2"}, 0)
+	version = check(l, version)
+	require.Less(t, sent.Load(), int64(1000))
+	check(l, 0)
+	require.Less(t, sent.Load(), int64(1000), "a request for the whole list is answered from changes")
+
+	again := instances.New(0)
+	again.Register(worker, 0)
+	serve(again)
+	require.Less(t, check(again, version), version, "the list of a service that has started again is lower")
+}
--- a/standin/instances/instances.go
+++ b/standin/instances/instances.go
@@ -4,6 +4,7 @@
 import (
 	"cmp"
 	"context"
+	"crypto/rand"
 	"errors"
 	"maps"
 	"slices"
@@ -11,6 +12,7 @@
 	"time"
 
 	"github.com/quetzallug/quetzallug/platform"
+	"github.com/quetzallug/quetzallug/platform/instancewire"
 )
 
 // ErrDown means that the list cannot be read.
@@ -34,8 +36,17 @@
 	pending []change
 	visible map[string]platform.Instance
 	version uint64
+
+	// epoch names this start. changed holds the version of the last change of each instance, gone
+	// ones included, back to version floor.
+	epoch   string
+	changed map[string]uint64
+	floor   uint64
 }
 
+// maxChanges bounds the memory of gone instances.
+const maxChanges = 1 << 14
+
 var _ platform.InstanceList = (*List)(nil)
 
 // New returns an empty list on which a change shows after the given lag.
@@ -45,6 +56,8 @@
 		actual:  map[string]platform.Instance{},
 		expires: map[string]time.Time{},
 		visible: map[string]platform.Instance{},
+		epoch:   rand.Text(),
+		changed: map[string]uint64{},
 	}
 }
 
@@ -117,21 +130,56 @@
 func (l *List) Instances(ctx context.Context, after uint64) (platform.InstanceSnapshot, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if err := ctx.Err(); err != nil {
+	if err := l.refresh(ctx); err != nil {
 		return platform.InstanceSnapshot{}, err
 	}
+	if l.version <= after {
+		return platform.InstanceSnapshot{Version: after}, nil
+	}
+	return platform.InstanceSnapshot{Version: l.version, Instances: l.all()}, nil
+}
+
+// Changes returns what has changed after a version of an epoch, or the whole list if the epoch is
+// another one or the version is too old.
+func (l *List) Changes(ctx context.Context, epoch string, after uint64) (instancewire.List, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err := l.refresh(ctx); err != nil {
+		return instancewire.List{}, err
+	}
+	out := instancewire.List{Epoch: l.epoch, Version: l.version}
+	if epoch != l.epoch || after == 0 || after < l.floor || after > l.version {
+		out.Instances = l.all()
+		return out, nil
+	}
+	out.Since = after
+	for _, id := range slices.Sorted(maps.Keys(l.changed)) {
+		if l.changed[id] <= after {
+			continue
+		}
+		if in, ok := l.visible[id]; ok {
+			out.Instances = append(out.Instances, in)
+		} else {
+			out.Removed = append(out.Removed, id)
+		}
+	}
+	return out, nil
+}
+
+func (l *List) refresh(ctx context.Context) error {
+	if err := ctx.Err(); err != nil {
+		return err
+	}
 	if l.down {
-		return platform.InstanceSnapshot{}, ErrDown
+		return ErrDown
 	}
 	l.expire()
 	l.settle()
-	if l.version <= after {
-		return platform.InstanceSnapshot{Version: after}, nil
-	}
-	all := slices.SortedFunc(maps.Values(l.visible), func(a, b platform.Instance) int {
-		return cmp.Compare(a.ID, b.ID)
-	})
-	return platform.InstanceSnapshot{Version: l.version, Instances: all}, nil
+	return nil
+}
+
+func (l *List) all() []platform.Instance {
+	return slices.SortedFunc(maps.Values(l.visible), func(a, b platform.Instance) int { return cmp.Compare(a.ID, b.ID) })
 }
 
 func (l *List) put(in platform.Instance) {
@@ -175,6 +223,11 @@
 			l.visible[c.id] = *c.update
 		}
 		l.version++
+		l.changed[l.pending[n].id] = l.version
+	}
+	if len(l.changed) > maxChanges {
+		clear(l.changed)
+		l.floor = l.version
 	}
 	l.pending = slices.Delete(l.pending, 0, n)
 }
--- a/standin/instances/server.go
+++ b/standin/instances/server.go
@@ -53,10 +53,10 @@
 			return
 		}
 	}
-	snapshot, err := l.Instances(r.Context(), after)
+	list, err := l.Changes(r.Context(), r.URL.Query().Get("epoch"), after)
 	if err != nil {
 		fail(w, err)
 		return
 	}
-	httpjson.Write(w, http.StatusOK, snapshot)
+	httpjson.Write(w, http.StatusOK, list)
 }
