Send no pings on control connections; bound the pools of an entry by its share

Control clients pinged each idle connection every two seconds, though all their calls have short timeouts. An entry that has probed 640 sidecars would send and receive about 5 KB/s of pings.

An entry that polled first after a restart of all could take eight pools, whose probes and record reads exceed its 4 KB/s. It now takes at most twice the mean number of pools per entry.

--- a/entry/relay_test.go
+++ b/entry/relay_test.go
@@ -130,7 +130,7 @@
 		}},
 	}}
 	address := serveWorker(b, docs, m, log)
-	clients := rpc.NewClients(nil, benchAuth(log))
+	clients := rpc.NewClients(benchAuth(log))
 	defer clients.Close()
 	h := entry.New(entry.Config{Cluster: "bench", Instance: "e0", MaxBodyBytes: 1 << 20, WriteTimeout: time.Minute}, entry.Options{
 		Documents: docs, Picker: onePicker{address}, Clients: clients, Admitter: admitAll{},
--- a/internal/app/common.go
+++ b/internal/app/common.go
@@ -125,7 +125,7 @@
 func newControl(lc fx.Lifecycle, c *settings.Common, m *telemetry.Metrics, log logrus.FieldLogger) (*control, error) {
 	t := &traffic.Counter{}
 	err := observeTraffic(m, "control", "Control", t)
-	clients := rpc.NewClients(t, newAuth(c, log))
+	clients := rpc.NewControlClients(t, newAuth(c, log))
 	lc.Append(fx.StopHook(clients.Close))
 	return &control{clients: clients, traffic: t}, err
 }
--- a/internal/app/entry.go
+++ b/internal/app/entry.go
@@ -97,10 +97,20 @@
 		Holder: s.Instance + "/" + id.incarnation, TTL: s.LeaseTTL, MaxPools: s.MaxPools,
 		PoolNames:   func() []string { return entry.Pools(docs.Services()) },
 		Competitors: func() int { return len(view.Snapshot().Entries()) },
+		Share:       func() int { return poolShare(len(entry.Pools(docs.Services())), len(view.Snapshot().Entries())) },
 		Log:         log,
 	})
 }
 
+// poolShare is the number of pools that one of several entries may hold. It is twice the mean, so
+// that all pools find a holder while half of the entries are gone and still listed. Without it, the
+// first entries to poll after a restart of all would take max-pools each, and the probes of eight
+// pools of 32 engines exceed an entry's 4 KB/s for control.
+func poolShare(pools, entries int) int {
+	entries = max(1, entries)
+	return max(1, (2*pools+entries-1)/entries)
+}
+
 func newPlanning(s *settings.Entry, leases *lease.Manager, store *dissemination.Store, view *membership.View, f *entry.Fleet, kv platform.KV, ctl *control, m *telemetry.Metrics, d *entry.DecisionLog, log logrus.FieldLogger) *planning.Loop {
 	return planning.New(planning.Config{
 		Interval: s.PlanInterval, Leases: leases, KV: kv,
@@ -121,7 +131,7 @@
 
 func newEntry(lc fx.Lifecycle, s *settings.Entry, cfg entry.Config, store *dissemination.Store, agent *dissemination.Agent, f *entry.Fleet, claims *once.Router, m *telemetry.Metrics, d *entry.DecisionLog, log logrus.FieldLogger) *entry.Entry {
 	// Answers travel on their own connections, so that control traffic can be counted.
-	clients := rpc.NewClients(nil, newAuth(&s.Common, log))
+	clients := rpc.NewClients(newAuth(&s.Common, log))
 	lc.Append(fx.StopHook(clients.Close))
 	return entry.New(cfg, entry.Options{
 		Documents: &entry.DocumentsInForce{Store: store, Agent: agent},
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -19,7 +19,10 @@
 	maxConcurrentStreams = 4096
 	readHeaderTimeout    = 5 * time.Second
 	idleTimeout          = 2 * time.Minute
-	dialTimeout          = 1 * time.Second
+	// controlIdleTimeout keeps the connections of a planner, which probes every few seconds, and
+	// closes those of probes that go round the fleet in minutes.
+	controlIdleTimeout = 15 * time.Second
+	dialTimeout        = 1 * time.Second
 	// pingInterval and pingTimeout detect a peer that is cut off while a stream is silent.
 	pingInterval = 2 * time.Second
 	pingTimeout  = 2 * time.Second
@@ -74,8 +77,21 @@
 	peers   map[string]quetzallugv1connect.PeerServiceClient
 }
 
-// NewClients returns clients that count the bytes they move in t, which may be nil.
-func NewClients(t *traffic.Counter, interceptors ...connect.Interceptor) *Clients {
+// NewClients returns clients for answers. They detect a peer that is cut off while a stream is
+// silent.
+func NewClients(interceptors ...connect.Interceptor) *Clients {
+	pings := &http.HTTP2Config{SendPingTimeout: pingInterval, PingTimeout: pingTimeout}
+	return newClients(nil, pings, idleTimeout, interceptors)
+}
+
+// NewControlClients returns clients for calls that have a short timeout of their own. They count
+// the bytes they move in t. They send no pings, which on an idle connection to each of 640
+// sidecars would take 5 KB/s, more than all other control traffic of an entry.
+func NewControlClients(t *traffic.Counter, interceptors ...connect.Interceptor) *Clients {
+	return newClients(t, nil, controlIdleTimeout, interceptors)
+}
+
+func newClients(t *traffic.Counter, h2 *http.HTTP2Config, idle time.Duration, interceptors []connect.Interceptor) *Clients {
 	var p http.Protocols
 	p.SetUnencryptedHTTP2(true)
 	dialer := &net.Dialer{Timeout: dialTimeout}
@@ -88,8 +104,8 @@
 			}
 			return traffic.Conn(conn, t), nil
 		},
-		IdleConnTimeout: idleTimeout,
-		HTTP2:           &http.HTTP2Config{SendPingTimeout: pingInterval, PingTimeout: pingTimeout},
+		IdleConnTimeout: idle,
+		HTTP2:           h2,
 	}
 	return &Clients{
 		http: &http.Client{Transport: transport},
--- a/lease/manager.go
+++ b/lease/manager.go
@@ -49,7 +49,10 @@
 	TTL          time.Duration
 	SafetyMargin time.Duration
 	// MaxPools bounds the number of pools that this process holds at once.
-	MaxPools    int
+	MaxPools int
+	// Share, if set, lowers MaxPools to the number of pools that is this process's share now. It is
+	// read before each poll. A pool that is held already is not given up when the share falls.
+	Share       func() int
 	PollSpacing time.Duration
 	// Competitors returns the number of processes that compete for these pools; nil means 1.
 	Competitors func() int
@@ -155,7 +158,7 @@
 // vacant returns the pools without a holder that this process may take now.
 func (m *Manager) vacant(ctx context.Context) []string {
 	m.mu.Lock()
-	room := m.cfg.MaxPools - len(m.held)
+	room := m.maxPools() - len(m.held)
 	held := make([]string, 0, len(m.held))
 	for p := range m.held {
 		held = append(held, p)
@@ -178,6 +181,13 @@
 	return free[:min(room, len(free))]
 }
 
+func (m *Manager) maxPools() int {
+	if m.cfg.Share == nil {
+		return m.cfg.MaxPools
+	}
+	return min(m.cfg.MaxPools, m.cfg.Share())
+}
+
 func (m *Manager) pools() []string {
 	if m.cfg.PoolNames != nil {
 		return m.cfg.PoolNames()
