Learn the reports of workers from a peer after a start

A started entry offers only workers that have reported, and probes at most six a second: at 640 workers it would take 107 s to go round them, while the first ones get all of its work. An entry that lacks the reports of more than twelve workers now asks a random entry for its status every five seconds and takes those it lacks, as old ones that are due for a refresh. Fleets of up to twelve workers are not affected.

The figure is computed (640 workers / 6 probes/s); the test shows that one answer covers all workers of a list of 40.

--- a/entry/refresh.go
+++ b/entry/refresh.go
@@ -3,10 +3,14 @@
 import (
 	"cmp"
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
 
+	"connectrpc.com/connect"
+
+	v1 "github.com/quetzallug/quetzallug/gen/quetzallug/v1"
 	"github.com/quetzallug/quetzallug/membership"
 	"github.com/quetzallug/quetzallug/platform"
 )
@@ -21,6 +25,13 @@
 	// cannot take work, or that can, is refreshed.
 	refreshUnready = time.Second
 	refreshReady   = 10 * time.Second
+	// learnAbove is the number of workers without a report above which an entry asks a peer. Probes
+	// alone would take 107 s to go round 640 workers, while the first ones get all work.
+	learnAbove = 2 * refreshProbes
+	// learnEvery bounds the questions to peers. An answer about 640 workers has some 20 KB, which
+	// keeps an entry that is learning near its budget of 4 KB/s.
+	learnEvery   = 5 * time.Second
+	learnTimeout = 2 * time.Second
 )
 
 // Run refreshes the reports of workers that traffic does not reach, such as those that are
@@ -28,12 +39,17 @@
 func (f *Fleet) Run(ctx context.Context) {
 	t := time.NewTicker(refreshInterval)
 	defer t.Stop()
+	var learned time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-t.C:
 		}
+		if peers := f.teachers(); len(peers) > 0 && time.Since(learned) >= learnEvery {
+			learned = time.Now()
+			f.learn(ctx, peers[rand.IntN(len(peers))]) //nolint:gosec // a choice between peers needs no secrecy
+		}
 		var wg sync.WaitGroup
 		for _, m := range f.due(time.Now()) {
 			wg.Go(func() {
@@ -75,3 +91,51 @@
 	}
 	return due
 }
+
+// teachers returns the live entries if many workers have no report yet, otherwise none.
+func (f *Fleet) teachers() []platform.Instance {
+	snapshot := f.view.Snapshot()
+	unknown := 0
+	f.mu.RLock()
+	for _, m := range snapshot.Members {
+		if m.Role == platform.RoleSidecar && m.View == membership.StateLive && f.reports[m.ID] == nil {
+			unknown++
+		}
+	}
+	f.mu.RUnlock()
+	if unknown <= learnAbove {
+		return nil
+	}
+	return snapshot.Entries()
+}
+
+// learn takes a peer's reports about workers that have none here. Their age is not known, so they
+// count as due for a refresh: they tell what a worker serves, and hardly how loaded it is.
+func (f *Fleet) learn(ctx context.Context, peer platform.Instance) {
+	ctx, cancel := context.WithTimeout(ctx, learnTimeout)
+	defer cancel()
+	resp, err := f.clients.Peer(peer.Address).Status(ctx, connect.NewRequest(&v1.StatusRequest{Cluster: f.cluster}))
+	if err != nil {
+		return // probes go on, and the next question goes to another peer
+	}
+	now := time.Now()
+	snapshot := f.view.Snapshot()
+	for _, w := range resp.Msg.GetWorkers() {
+		r := w.GetLoad()
+		m, ok := snapshot.Member(r.GetInstance())
+		if !ok || m.Address != w.GetAddress() || f.hasReport(m.ID) {
+			continue
+		}
+		r.AgeMs = max(r.GetAgeMs(), uint32(refreshReady.Milliseconds()))
+		f.Report(r, now)
+		f.mu.Lock()
+		f.reported[m.ID] = now.Add(-refreshReady)
+		f.mu.Unlock()
+	}
+}
+
+func (f *Fleet) hasReport(id string) bool {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	return f.reports[id] != nil
+}
--- /dev/null
+++ b/entry/refresh_test.go
@@ -0,0 +1,82 @@
+package entry
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/quetzallug/quetzallug/dissemination"
+	v1 "github.com/quetzallug/quetzallug/gen/quetzallug/v1"
+	"github.com/quetzallug/quetzallug/gen/quetzallug/v1/quetzallugv1connect"
+	"github.com/quetzallug/quetzallug/internal/rpc"
+	"github.com/quetzallug/quetzallug/membership"
+	"github.com/quetzallug/quetzallug/platform"
+)
+
+const learnWorkers = 40
+
+// fleetOf returns a fleet of one entry and some workers.
+func fleetOf(t *testing.T, peer string) *Fleet {
+	view, err := membership.NewView(membership.DefaultSettings(), rand.New(rand.NewPCG(1, 1)))
+	require.NoError(t, err)
+	list := platform.InstanceSnapshot{Version: 1, Instances: []platform.Instance{
+		{ID: "entry-0", Role: platform.RoleEntry, Address: peer, State: platform.InstanceLive},
+	}}
+	for i := range learnWorkers {
+		list.Instances = append(list.Instances, platform.Instance{
+			ID: fmt.Sprintf("w%d", i), Role: platform.RoleSidecar, Service: "s", Address: workerAddress(i), State: platform.InstanceLive,
+		})
+	}
+	require.True(t, view.ApplyList(time.Now(), list))
+	clients := rpc.NewClients()
+	t.Cleanup(clients.Close)
+	return NewFleet("c", "dc", view, clients, 1)
+}
+
+func workerAddress(i int) string { return fmt.Sprintf("10.0.0.%d:1", i) }
+
+func workerStatus(i int, sequence uint64) *v1.WorkerStatus {
+	return &v1.WorkerStatus{Instance: fmt.Sprintf("w%d", i), Address: workerAddress(i), Load: &v1.LoadReport{
+		Instance: fmt.Sprintf("w%d", i), Incarnation: "1", Sequence: sequence, Models: []string{"m"}, Role: "mixed",
+	}}
+}
+
+// Guards against an entry that knows few workers for minutes after its start, and against a peer's
+// report that replaces a worker's own or that belongs to another process.
+func TestLearnFromPeer(t *testing.T) {
+	var workers []*v1.WorkerStatus
+	for i := range learnWorkers {
+		workers = append(workers, workerStatus(i, 9))
+	}
+	workers[3].Address = "10.9.9.9:1"
+	workers = append(workers, &v1.WorkerStatus{Instance: "unknown"})
+	peer := NewPeer(Config{}, PeerOptions{
+		Store: dissemination.NewStore(nil), Workers: func() []*v1.WorkerStatus { return workers }, Pools: func() []string { return nil },
+	})
+	mux := http.NewServeMux()
+	mux.Handle(quetzallugv1connect.NewPeerServiceHandler(peer, rpc.PeerOptions()...))
+	srv := rpc.NewServer(mux)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	go func() { _ = srv.Serve(l) }()
+	defer srv.Close()
+
+	f := fleetOf(t, l.Addr().String())
+	own := workerStatus(5, 4).GetLoad()
+	f.Report(own, time.Now())
+	peers := f.teachers()
+	require.Len(t, peers, 1)
+	f.learn(t.Context(), peers[0])
+	assert.Empty(t, f.teachers())
+	assert.Same(t, own, f.reports["w5"])
+	assert.Nil(t, f.reports["w3"])
+	assert.Len(t, f.reports, learnWorkers-1)
+	assert.GreaterOrEqual(t, f.reports["w7"].GetAgeMs(), uint32(refreshReady.Milliseconds()))
+	assert.Len(t, f.due(time.Now()), refreshProbes, "learned reports are due for a refresh")
+}
