Read a pool's order records only when they may have changed

A planner listed the records of its pool in each round of five seconds, 540 B for one engine. For 32 engines that is about 2.5 KB/s and 0.2 reads/s per pool, 40 pools 8 reads/s. It now lists them after a change that a probe, an order of its own or an unsettled record shows, for 15 s after that, and every 30 s. Package order reads a record again before each write, so that no order is based on the kept ones. A changed engine whose sidecar and loaded models are as before is reconciled up to 30 s later than before.

--- a/planning/planning.go
+++ b/planning/planning.go
@@ -138,6 +138,7 @@
 			continue
 		}
 		e.owned = true
+		p.changed(time.Now())
 	}
 }
 
@@ -153,7 +154,7 @@
 			continue
 		}
 		if issued {
-			e.record = r
+			p.wrote(e, r)
 			l.decided(p, e, "reconciled: the engine's state differed from its record")
 		}
 	}
@@ -203,7 +204,7 @@
 		l.cfg.Log.WithFields(logrus.Fields{"pool": p.name, "engine": e.id}).WithError(err).Warn("order not issued")
 		return
 	}
-	e.record = r
+	p.wrote(e, r)
 	if from != c.Role && from != "" {
 		l.cfg.RoleChange(p.name, string(from), string(c.Role))
 	}
--- a/planning/pool.go
+++ b/planning/pool.go
@@ -22,6 +22,15 @@
 // probeTimeout bounds the question for one sidecar's work.
 const probeTimeout = time.Second
 
+const (
+	// recordsEvery is the time between reads of the order records of a pool without changes. A read
+	// at each round takes 2.5 KB/s for 32 engines, more than half of an entry's budget for control.
+	recordsEvery = 30 * time.Second
+	// unsettledFor is the time for which each round reads the records after a change, because a
+	// sidecar writes its record some seconds after a probe shows the cause.
+	unsettledFor = 15 * time.Second
+)
+
 // pool is what the planner duty knows of one pool under one fence.
 type pool struct {
 	name       string
@@ -33,6 +42,11 @@
 	interval   time.Duration
 	observed   time.Time
 	explained  string
+
+	// records are the order records at recordsAt. They are read again in each round until unsettled.
+	records   map[string]order.Record
+	recordsAt time.Time
+	unsettled time.Time
 }
 
 // engine is one engine of a pool.
@@ -46,6 +60,7 @@
 	since     time.Time
 	// incarnation and work are those of the last probe, from which the next one's work is counted.
 	incarnation string
+	seen        string // what the last probe told about the engine's configuration
 	work        map[string]placement.KindWork
 }
 
@@ -71,21 +86,10 @@
 // config is the engine's configuration as recorded, or as reported before its first order.
 func (e *engine) config() platform.EngineConfig { return e.record.Config }
 
-// observe refreshes the pool's engines: one read of all order records and a probe of each sidecar.
+// observe refreshes the pool's engines: a probe of each sidecar, and one read of all order records
+// if they may have changed.
 func (l *Loop) observe(ctx context.Context, p *pool, members []*v1.WorkerStatus) error {
-	entries, _, err := l.cfg.KV.List(ctx, order.Key(p.name, ""))
-	if err != nil {
-		return fmt.Errorf("read order records of pool %q: %w", p.name, err)
-	}
-	records := map[string]order.Record{}
-	for _, kv := range entries {
-		var r order.Record
-		if err := json.Unmarshal(kv.Value, &r); err != nil {
-			return fmt.Errorf("decode order record %q: %w", kv.Key, err)
-		}
-		records[strings.TrimPrefix(kv.Key, order.Key(p.name, ""))] = r
-	}
-	p.update(members, records)
+	p.update(members, p.records)
 	now := time.Now()
 	if !p.observed.IsZero() {
 		p.interval = now.Sub(p.observed)
@@ -95,9 +99,34 @@
 	for e, resp := range l.probeAll(ctx, p) {
 		p.count(e, resp)
 	}
+	if !p.recordsDue(now) {
+		return nil
+	}
+	records, err := l.readRecords(ctx, p)
+	if err != nil {
+		return err
+	}
+	p.records, p.recordsAt = records, now
+	p.update(members, records)
 	return nil
 }
 
+func (l *Loop) readRecords(ctx context.Context, p *pool) (map[string]order.Record, error) {
+	entries, _, err := l.cfg.KV.List(ctx, order.Key(p.name, ""))
+	if err != nil {
+		return nil, fmt.Errorf("read order records of pool %q: %w", p.name, err)
+	}
+	records := map[string]order.Record{}
+	for _, kv := range entries {
+		var r order.Record
+		if err := json.Unmarshal(kv.Value, &r); err != nil {
+			return nil, fmt.Errorf("decode order record %q: %w", kv.Key, err)
+		}
+		records[strings.TrimPrefix(kv.Key, order.Key(p.name, ""))] = r
+	}
+	return records, nil
+}
+
 // update brings the list of engines to the present members. An engine that is not listed any
 // more counts as withdrawn and is left out.
 func (p *pool) update(members []*v1.WorkerStatus, records map[string]order.Record) {
@@ -122,6 +151,42 @@
 	p.engines = engines
 }
 
+// recordsDue reports whether the order records may differ from those that were read. Records change
+// by this planner's orders, by a sidecar that executes one, and by a sidecar or engine that starts
+// again; all but the last show here or in a probe. An order is never based on these records:
+// package order reads the record again before each write.
+func (p *pool) recordsDue(now time.Time) bool {
+	for _, e := range p.engines {
+		if seen := e.observation(); seen != e.seen {
+			e.seen = seen
+			p.changed(now)
+		}
+		if !e.settled() || e.record.Unknown || !e.owned || len(e.config().Models) == 0 {
+			p.changed(now)
+		}
+	}
+	return p.records == nil || now.Before(p.unsettled) || now.Sub(p.recordsAt) >= recordsEvery
+}
+
+// wrote takes over a record that this planner has written.
+func (p *pool) wrote(e *engine, r order.Record) {
+	e.record = r
+	p.records[e.id] = r
+	p.changed(time.Now())
+}
+
+// changed makes the next rounds read the records.
+func (p *pool) changed(now time.Time) { p.unsettled = now.Add(unsettledFor) }
+
+// observation tells whether an engine has changed since its last probe.
+func (e *engine) observation() string {
+	if !e.reachable {
+		return ""
+	}
+	r := e.report
+	return fmt.Sprint(r.GetIncarnation(), r.GetDraining(), r.GetRole(), r.GetModels())
+}
+
 // probeAll asks each sidecar for its load and work at the same time.
 func (l *Loop) probeAll(ctx context.Context, p *pool) map[*engine]*v1.ProbeResponse {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
--- /dev/null
+++ b/planning/pool_test.go
@@ -0,0 +1,63 @@
+package planning
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	v1 "github.com/quetzallug/quetzallug/gen/quetzallug/v1"
+	"github.com/quetzallug/quetzallug/order"
+	"github.com/quetzallug/quetzallug/platform"
+)
+
+// Guards against records that are read in each round of a quiet pool, and against records that are
+// kept although an engine, its sidecar or this planner has changed something.
+func TestRecordsAreReadWhenTheyMayHaveChanged(t *testing.T) {
+	for name, change := range map[string]func(p *pool, e *engine){
+		"sidecar started again": func(_ *pool, e *engine) { e.report = &v1.LoadReport{Incarnation: "2", Models: []string{"m"}} },
+		"sidecar unreachable":   func(_ *pool, e *engine) { e.reachable = false },
+		"engine lost its model": func(_ *pool, e *engine) { e.report = &v1.LoadReport{Incarnation: "1"} },
+		"engine drains": func(_ *pool, e *engine) {
+			e.report = &v1.LoadReport{Incarnation: "1", Models: []string{"m"}, Draining: true}
+		},
+		"order written": func(p *pool, e *engine) { p.wrote(e, e.record) },
+		"not owned":     func(_ *pool, e *engine) { e.owned = false },
+		"unknown state": func(_ *pool, e *engine) { e.record.Unknown = true },
+		"engine added":  func(p *pool, _ *engine) { p.engines = append(p.engines, &engine{id: "e1"}) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p, e := quietPool()
+				require.True(t, p.recordsDue(time.Now()), "a change was just seen")
+				time.Sleep(unsettledFor)
+				p.recordsAt = time.Now()
+				require.False(t, p.recordsDue(time.Now()))
+				change(p, e)
+				require.True(t, p.recordsDue(time.Now()))
+				p.recordsAt = time.Now()
+				time.Sleep(unsettledFor - time.Second)
+				require.True(t, p.recordsDue(time.Now()), "the sidecar may still write")
+			})
+		})
+	}
+	synctest.Test(t, func(t *testing.T) {
+		p, _ := quietPool()
+		p.recordsDue(time.Now())
+		p.recordsAt = time.Now()
+		time.Sleep(recordsEvery)
+		require.True(t, p.recordsDue(time.Now()))
+	})
+}
+
+func quietPool() (*pool, *engine) {
+	e := &engine{
+		id: "e0", owned: true, reachable: true, recorded: true,
+		record: order.Record{Number: 1, Phase: order.PhaseDone, Config: platform.EngineConfig{
+			Models: []platform.ModelVersion{{Name: "m"}},
+		}},
+		report: &v1.LoadReport{Incarnation: "1", Models: []string{"m"}},
+	}
+	return &pool{engines: []*engine{e}, records: map[string]order.Record{"e0": e.record}}, e
+}
