--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -42,6 +42,13 @@
 	// kinds holds the options of each kind of request, by kindKey. They are built once, because
 	// building them costs four allocations for each token.
 	kinds sync.Map
+	// outcomes holds the options of each end of an attempt, by outcomeKey.
+	outcomes sync.Map
+}
+
+type outcomeKey struct {
+	outcome v1.Outcome
+	reason  v1.Reason
 }
 
 type kindKey struct{ service, kind string }
@@ -167,8 +174,13 @@
 
 // Attempt implements sidecar.Metrics.
 func (m *Metrics) Attempt(outcome v1.Outcome, reason v1.Reason) {
-	m.attempts.Add(context.Background(), 1, metric.WithAttributes(
-		attribute.String("outcome", outcome.String()), attribute.String("reason", reason.String())))
+	key := outcomeKey{outcome, reason}
+	o, ok := m.outcomes.Load(key)
+	if !ok {
+		set := attribute.NewSet(attribute.String("outcome", outcome.String()), attribute.String("reason", reason.String()))
+		o, _ = m.outcomes.LoadOrStore(key, []metric.AddOption{metric.WithAttributeSet(set)})
+	}
+	m.attempts.Add(context.Background(), 1, o.([]metric.AddOption)...)
 }
 
 // InFlight implements sidecar.Metrics.
