Measure single control calls; take test ports outside the ephemeral range

quetzallug-bench calls reports bytes and processor time of each call that the processes repeat at rest. A port from the system's range for outgoing connections was taken by another connection before the program listened in two of four starts of 163 processes.

--- a/cmd/quetzallug-bench/main.go
+++ b/cmd/quetzallug-bench/main.go
@@ -24,7 +24,7 @@
 	root := &cobra.Command{Use: "quetzallug-bench", Short: "Measure the product on loopback", SilenceUsage: true}
 	root.PersistentFlags().String("data", "", "folder for CSV files; empty for none")
 	root.PersistentFlags().String("bin", "", "folder of built programs; empty builds them")
-	root.AddCommand(latencyCommand(), capacityCommand())
+	root.AddCommand(latencyCommand(), capacityCommand(), callsCommand())
 	err := root.ExecuteContext(ctx)
 	stop()
 	if err != nil {
@@ -111,10 +111,39 @@
 	f := cmd.Flags()
 	f.StringVar(&sizes, "sizes", "2x4,2x16,8x16,8x64,32x64", "comma-separated sizes: entries x sidecars")
 	f.DurationVar(&cfg.Phase, "phase", 20*time.Second, "length of the phases at rest, under load and after a restart")
+	f.StringSliceVar(&cfg.Phases, "phases", nil, "phases to run, such as rest; empty for all")
 	f.IntVar(&cfg.Singles, "singles", 4, "number of single changes")
 	return cmd
 }
 
+func callsCommand() *cobra.Command {
+	var n int
+	cmd := &cobra.Command{
+		Use: "calls", Short: "Measure the bytes and CPU of single control calls", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			bin, dir, remove, err := workspace(cmd)
+			if remove != nil {
+				defer remove()
+			}
+			if err != nil {
+				return err
+			}
+			costs, err := bench.Calls(cmd.Context(), bin, dir, n)
+			if err != nil {
+				return err
+			}
+			if data, _ := cmd.Flags().GetString("data"); data != "" {
+				if err := bench.WriteCalls(filepath.Join(data, "calls.csv"), costs); err != nil {
+					return err
+				}
+			}
+			return bench.PrintCalls(os.Stdout, costs)
+		},
+	}
+	cmd.Flags().IntVar(&n, "n", 2000, "number of calls of each kind")
+	return cmd
+}
+
 func report(cmd *cobra.Command, samples []bench.Sample) error {
 	fits := bench.Fits(samples)
 	if data, _ := cmd.Flags().GetString("data"); data != "" {
--- /dev/null
+++ b/internal/bench/calls.go
@@ -0,0 +1,197 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strconv"
+	"text/tabwriter"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/sirupsen/logrus"
+
+	v1 "github.com/quetzallug/quetzallug/gen/quetzallug/v1"
+	"github.com/quetzallug/quetzallug/internal/peerauth"
+	"github.com/quetzallug/quetzallug/internal/rpc"
+	"github.com/quetzallug/quetzallug/internal/testcluster"
+	"github.com/quetzallug/quetzallug/internal/traffic"
+	"github.com/quetzallug/quetzallug/kernel"
+	"github.com/quetzallug/quetzallug/modules/instanceshttp"
+	"github.com/quetzallug/quetzallug/modules/kvhttp"
+	"github.com/quetzallug/quetzallug/platform"
+)
+
+// CallCost is the mean cost of one control call without news.
+type CallCost struct {
+	Call string
+	// Sent and Received are bytes at the caller, without TCP and IP headers.
+	Sent, Received float64
+	// ServerCPU and ClientCPU are in microseconds. ServerCPU is 0 where the server is a stand-in.
+	ServerCPU, ClientCPU float64
+	Machine              string
+}
+
+// callConfig is one call to measure. Server is the listener whose process serves it.
+type callConfig struct {
+	name   string
+	server string
+	count  *traffic.Counter
+	do     func(ctx context.Context) error
+}
+
+// Calls measures the control calls against one entry, one sidecar and the stand-ins.
+func Calls(ctx context.Context, bin, dir string, n int) ([]CallCost, error) {
+	c, err := startCluster(ctx, clusterConfig{
+		bin: bin, dir: dir, size: Size{Entries: 1, Sidecars: 1}, engineArgs: []string{"--order-time", "200ms"},
+		// The calls follow each other faster than the service's limits allow.
+		kvArgs: []string{"--reads", "0", "--writes", "0"},
+	})
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = c.Stop() }()
+	configs, err := controlCalls(ctx, c)
+	if err != nil {
+		return nil, err
+	}
+	var costs []CallCost
+	for _, cfg := range configs {
+		cost, err := measureCall(ctx, cfg, n)
+		if err != nil {
+			return costs, fmt.Errorf("%s: %w", cfg.name, err)
+		}
+		costs = append(costs, cost)
+	}
+	return costs, nil
+}
+
+func measureCall(ctx context.Context, cfg callConfig, n int) (CallCost, error) {
+	cost := CallCost{Call: cfg.name, Machine: Machine()}
+	if err := cfg.do(ctx); err != nil { // makes the connection
+		return cost, err
+	}
+	in, out := cfg.count.In.Load(), cfg.count.Out.Load()
+	self, err := ownCPU()
+	if err != nil {
+		return cost, err
+	}
+	server, err := serverCPU(ctx, cfg.server)
+	if err != nil {
+		return cost, err
+	}
+	for range n {
+		if err := cfg.do(ctx); err != nil {
+			return cost, err
+		}
+	}
+	selfAfter, err := ownCPU()
+	if err != nil {
+		return cost, err
+	}
+	serverAfter, err := serverCPU(ctx, cfg.server)
+	if err != nil {
+		return cost, err
+	}
+	per := func(v float64) float64 { return v / float64(n) }
+	cost.Received, cost.Sent = per(float64(cfg.count.In.Load()-in)), per(float64(cfg.count.Out.Load()-out))
+	cost.ClientCPU, cost.ServerCPU = per((selfAfter-self)*1e6), per((serverAfter-server)*1e6)
+	return cost, nil
+}
+
+func serverCPU(ctx context.Context, address string) (float64, error) {
+	if address == "" {
+		return 0, nil
+	}
+	v, err := scrape(ctx, address)
+	return v[metricCPU], err
+}
+
+// controlCalls returns the calls that processes repeat at rest.
+func controlCalls(ctx context.Context, c *testcluster.Cluster) ([]callConfig, error) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	count := &traffic.Counter{}
+	clients := rpc.NewControlClients(count, peerauth.NewInterceptor(peerauth.Credentials{Cluster: testcluster.Name, Key: testcluster.Key}, log))
+	worker, peer := clients.Worker(c.Workers[0].Address), clients.Peer(c.Entries[0].PeerAddress)
+	list, err := kernel.Load[*instanceshttp.Client](ctx, instanceshttp.ID, kernel.Settings{"address": c.InstancesAddress()})
+	if err != nil {
+		return nil, err
+	}
+	list.CountTraffic(count)
+	kv, err := kernel.Load[*kvhttp.Client](ctx, kvhttp.ID, kernel.Settings{"address": c.KVAddress()})
+	if err != nil {
+		return nil, err
+	}
+	kv.CountTraffic(count)
+	lease, err := kv.GrantLease(ctx, time.Hour)
+	if err != nil {
+		return nil, err
+	}
+	var version uint64
+	have := map[string]uint64{service: 1}
+	return []callConfig{
+		{"probe of a sidecar", c.Workers[0].Address, count, func(ctx context.Context) error {
+			_, err := worker.Probe(ctx, connect.NewRequest(&v1.ProbeRequest{Cluster: testcluster.Name}))
+			return err
+		}},
+		{"document poll", c.Entries[0].Address, count, func(ctx context.Context) error {
+			_, err := peer.FetchDocuments(ctx, connect.NewRequest(&v1.FetchDocumentsRequest{Cluster: testcluster.Name, Have: have}))
+			return err
+		}},
+		{"status of an entry", c.Entries[0].Address, count, func(ctx context.Context) error {
+			_, err := peer.Status(ctx, connect.NewRequest(&v1.StatusRequest{Cluster: testcluster.Name}))
+			return err
+		}},
+		{"instance list poll", "", count, func(ctx context.Context) error {
+			s, err := list.Instances(ctx, version)
+			version = s.Version
+			return err
+		}},
+		{"key-value get", "", count, func(ctx context.Context) error {
+			_, err := kv.Get(ctx, "pool/"+service+"."+dataCentres[0]+"/fence")
+			return err
+		}},
+		{"key-value list of 1 order record", "", count, func(ctx context.Context) error {
+			_, _, err := kv.List(ctx, "order/")
+			return err
+		}},
+		{"key-value list of 1 pool", "", count, func(ctx context.Context) error {
+			_, _, err := kv.List(ctx, "pool/")
+			return err
+		}},
+		{"key-value keep-alive", "", count, func(ctx context.Context) error { return kv.KeepAlive(ctx, lease) }},
+		{"key-value compare-and-swap of 512 bytes", "", count, swapper(kv)},
+	}, nil
+}
+
+// swapper writes the next version of a record of 512 bytes.
+func swapper(kv platform.KV) func(ctx context.Context) error {
+	value := make([]byte, 512)
+	var version uint64
+	return func(ctx context.Context) error {
+		var err error
+		version, err = kv.CompareAndSwap(ctx, "bench/record", version, value, 0)
+		return err
+	}
+}
+
+// WriteCalls writes the costs as CSV.
+func WriteCalls(path string, costs []CallCost) error {
+	rows := [][]string{{"call", "bytes sent", "bytes received", "server us", "client us", "machine"}}
+	for _, c := range costs {
+		rows = append(rows, []string{c.Call, number(c.Sent), number(c.Received), number(c.ServerCPU), number(c.ClientCPU), c.Machine})
+	}
+	return writeCSV(path, rows)
+}
+
+// PrintCalls prints the costs as a table.
+func PrintCalls(out io.Writer, costs []CallCost) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "call\tbytes sent\tbytes received\tserver µs\tclient µs\tmachine")
+	for _, c := range costs {
+		fmt.Fprintf(w, "%s\t%.0f\t%.0f\t%s\t%.0f\t%s\n", c.Call, c.Sent, c.Received,
+			strconv.FormatFloat(c.ServerCPU, 'f', 0, 64), c.ClientCPU, c.Machine)
+	}
+	return w.Flush()
+}
--- a/internal/bench/machine.go
+++ b/internal/bench/machine.go
@@ -5,6 +5,8 @@
 	"os"
 	"runtime"
 	"strings"
+	"syscall"
+	"time"
 )
 
 // Machine describes the machine of a run: its cores and its load averages over 1, 5 and 15
@@ -18,3 +20,12 @@
 	}
 	return fmt.Sprintf("%d cores, load averages %s", runtime.NumCPU(), load)
 }
+
+// ownCPU returns the processor time of this process in seconds.
+func ownCPU() (float64, error) {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0, err
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano()).Seconds(), nil
+}
--- a/internal/bench/report.go
+++ b/internal/bench/report.go
@@ -40,14 +40,15 @@
 func WriteLatency(path string, rounds []LatencyRound) error {
 	rows := [][]string{{
 		"round", "direct p50 us", "direct p95 us", "direct p99 us", "product p50 us", "product p95 us", "product p99 us",
-		"added p99 us", "entry cores per 100 requests/s", "sidecar cores per 100 requests/s", "machine",
+		"added p99 us", "entry cores per 100 requests/s", "sidecar cores per 100 requests/s", "sent", "failed", "machine",
 	}}
 	for i, r := range rounds {
 		row := []string{strconv.Itoa(i + 1)}
 		for _, v := range []int64{r.Direct.P50, r.Direct.P95, r.Direct.P99, r.Product.P50, r.Product.P95, r.Product.P99, r.Added().P99} {
 			row = append(row, strconv.FormatInt(v, 10))
 		}
-		rows = append(rows, append(row, number(r.EntryCPU), number(r.SidecarCPU), r.Machine))
+		rows = append(rows, append(row, number(r.EntryCPU), number(r.SidecarCPU),
+			strconv.FormatInt(r.Sent, 10), strconv.FormatInt(r.Failed, 10), r.Machine))
 	}
 	return writeCSV(path, rows)
 }
@@ -82,10 +83,10 @@
 // PrintLatency prints the rounds and their medians as a table.
 func PrintLatency(out io.Writer, rounds []LatencyRound) error {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(w, "round\tdirect p50/p95/p99 µs\tproduct p50/p95/p99 µs\tadded p99 µs\tentry cores per 100/s\tsidecar cores per 100/s\tmachine")
+	fmt.Fprintln(w, "round\tdirect p50/p95/p99 µs\tproduct p50/p95/p99 µs\tadded p99 µs\tentry cores per 100/s\tsidecar cores per 100/s\tfailed\tmachine")
 	for i, r := range rounds {
-		fmt.Fprintf(w, "%d\t%d/%d/%d\t%d/%d/%d\t%d\t%.4f\t%.4f\t%s\n", i+1, r.Direct.P50, r.Direct.P95, r.Direct.P99,
-			r.Product.P50, r.Product.P95, r.Product.P99, r.Added().P99, r.EntryCPU, r.SidecarCPU, r.Machine)
+		fmt.Fprintf(w, "%d\t%d/%d/%d\t%d/%d/%d\t%d\t%.4f\t%.4f\t%d/%d\t%s\n", i+1, r.Direct.P50, r.Direct.P95, r.Direct.P99,
+			r.Product.P50, r.Product.P95, r.Product.P99, r.Added().P99, r.EntryCPU, r.SidecarCPU, r.Failed, r.Sent, r.Machine)
 	}
 	fmt.Fprintf(w, "median\t\t\t%d\t%.4f\t%.4f\t\n",
 		Median(rounds, func(r LatencyRound) int64 { return r.Added().P99 }),
--- a/internal/bench/scrape.go
+++ b/internal/bench/scrape.go
@@ -16,12 +16,12 @@
 const (
 	metricCPU          = "process_cpu_seconds_total"
 	metricRSS          = "process_resident_memory_bytes"
-	metricControlIn    = "quetzallug_control_bytes_in_bytes_total"
-	metricControlOut   = "quetzallug_control_bytes_out_bytes_total"
-	metricKVIn         = "quetzallug_kv_bytes_in_bytes_total"
-	metricKVOut        = "quetzallug_kv_bytes_out_bytes_total"
-	metricInstancesIn  = "quetzallug_instances_bytes_in_bytes_total"
-	metricInstancesOut = "quetzallug_instances_bytes_out_bytes_total"
+	metricControlIn    = "quetzallug_control_bytes_in_total"
+	metricControlOut   = "quetzallug_control_bytes_out_total"
+	metricKVIn         = "quetzallug_kv_bytes_in_total"
+	metricKVOut        = "quetzallug_kv_bytes_out_total"
+	metricInstancesIn  = "quetzallug_instances_bytes_in_total"
+	metricInstancesOut = "quetzallug_instances_bytes_out_total"
 	metricKVCalls      = "quetzallug_kv_calls_total"
 )
 
--- a/internal/testcluster/cluster.go
+++ b/internal/testcluster/cluster.go
@@ -22,9 +22,10 @@
 )
 
 const (
-	cluster = "test"
-	// key is the shared key of the test processes.
-	key = "test-key"
+	// Name is the cluster name of the processes.
+	Name = "test"
+	// Key is their shared key.
+	Key = "test-key"
 	// stopBound bounds the graceful stop of one process at the end of a run.
 	stopBound = 30 * time.Second
 	// readyBound is far above the time that a process needs on a busy machine.
@@ -150,7 +151,7 @@
 	p := &Process{
 		Name: name, LogPath: filepath.Join(c.cfg.Dir, name+".log"),
 		bin: filepath.Join(c.cfg.Bin, program), args: args,
-		env: []string{"QUETZALLUG_KEY=" + key, "GOMAXPROCS=2"},
+		env: []string{"QUETZALLUG_KEY=" + Key, "GOMAXPROCS=2"},
 	}
 	if err := p.start(); err != nil {
 		return nil, err
@@ -176,7 +177,7 @@
 		return err
 	}
 	sidecar := append([]string{
-		"sidecar", "--cluster", cluster, "--instance", id, "--data-centre", p.DataCentre, "--listen", w.Address,
+		"sidecar", "--cluster", Name, "--instance", id, "--data-centre", p.DataCentre, "--listen", w.Address,
 		"--service", p.Service, "--backend", map[bool]string{true: "plain", false: "engine"}[p.Plain],
 		"--backend-address", w.BackendAddress, "--weights-address", c.weights,
 		"--kv-address", c.kv, "--instances-address", c.instances,
@@ -202,7 +203,7 @@
 	}
 	dc := c.cfg.DataCentres[i%len(c.cfg.DataCentres)]
 	args := append([]string{
-		"entry", "--cluster", cluster, "--instance", e.ID, "--data-centre", dc,
+		"entry", "--cluster", Name, "--instance", e.ID, "--data-centre", dc,
 		"--listen", e.Address, "--peer-listen", e.PeerAddress, "--kv-address", c.kv,
 		"--instances-address", c.instances, "--instances-poll", "200ms", "--plan-interval", "1s", "--lame-duck", "500ms",
 	}, c.cfg.EntryArgs...)
@@ -234,6 +235,12 @@
 // KVCalls reads the accounting of the key-value service.
 func (c *Cluster) KVCalls(ctx context.Context, out any) error { return get(ctx, c.kv+"/calls", out) }
 
+// KVAddress is the URL of the key-value service.
+func (c *Cluster) KVAddress() string { return c.kv }
+
+// InstancesAddress is the URL of the instance list.
+func (c *Cluster) InstancesAddress() string { return c.instances }
+
 // KV returns a client of the key-value service.
 func (c *Cluster) KV(ctx context.Context) (platform.KV, error) {
 	return kernel.Load[platform.KV](ctx, kvhttp.ID, kernel.Settings{"address": c.kv})
--- a/internal/testcluster/process.go
+++ b/internal/testcluster/process.go
@@ -5,6 +5,7 @@
 import (
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -87,14 +88,25 @@
 // Restart starts the process again after it has ended.
 func (p *Process) Restart() error { return p.start() }
 
+const (
+	// firstPort and ports are a range below the one that the system takes outgoing connections
+	// from. A port from that one is sometimes taken by a connection before the program listens.
+	firstPort = 10_000
+	ports     = 20_000
+	portTries = 100
+)
+
 // freeAddress returns a loopback address that no process listens on.
 func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	var err error
+	for range portTries {
+		addr := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports)) //nolint:gosec // a port needs no secrecy
+		var l net.Listener
+		if l, err = net.Listen("tcp", addr); err == nil {
+			return addr, l.Close()
+		}
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return "", fmt.Errorf("no free port: %w", err)
 }
 
 // Build builds the programs into dir.
