--- a/Makefile
+++ b/Makefile
@@ -33,6 +33,7 @@
 # Cost of each role at five sizes, as separate processes on loopback. Takes about eight minutes.
 bench-capacity:
 	go run ./cmd/quetzallug-bench calls --data docs/data
+	go run ./cmd/quetzallug-bench fullsize --data docs/data
 	go run ./cmd/quetzallug-bench capacity --data docs/data
 
 # Decision costs at the target size in one process.
--- a/cmd/quetzallug-bench/main.go
+++ b/cmd/quetzallug-bench/main.go
@@ -24,7 +24,7 @@
 	root := &cobra.Command{Use: "quetzallug-bench", Short: "Measure the product on loopback", SilenceUsage: true}
 	root.PersistentFlags().String("data", "", "folder for CSV files; empty for none")
 	root.PersistentFlags().String("bin", "", "folder of built programs; empty builds them")
-	root.AddCommand(latencyCommand(), capacityCommand(), callsCommand())
+	root.AddCommand(latencyCommand(), capacityCommand(), callsCommand(), fullSizeCommand())
 	err := root.ExecuteContext(ctx)
 	stop()
 	if err != nil {
@@ -144,6 +144,37 @@
 	return cmd
 }
 
+func fullSizeCommand() *cobra.Command {
+	cfg := bench.CapacityConfig{}
+	var entries int
+	cmd := &cobra.Command{
+		Use: "fullsize", Short: "Measure real processes at rest in an instance list of the target size", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			bin, dir, remove, err := workspace(cmd)
+			if remove != nil {
+				defer remove()
+			}
+			if err != nil {
+				return err
+			}
+			cfg.Bin, cfg.Dir = bin, dir
+			samples, err := bench.FullSize(cmd.Context(), cfg, entries)
+			if err != nil {
+				return err
+			}
+			if data, _ := cmd.Flags().GetString("data"); data != "" {
+				if err := bench.WriteSamples(filepath.Join(data, "fullsize.csv"), samples); err != nil {
+					return err
+				}
+			}
+			return bench.PrintSamples(os.Stdout, samples)
+		},
+	}
+	cmd.Flags().DurationVar(&cfg.Phase, "phase", 60*time.Second, "length of the measurement")
+	cmd.Flags().IntVar(&entries, "entries", 3, "number of real entries")
+	return cmd
+}
+
 func report(cmd *cobra.Command, samples []bench.Sample) error {
 	fits := bench.Fits(samples)
 	if data, _ := cmd.Flags().GetString("data"); data != "" {
--- a/internal/app/entry.go
+++ b/internal/app/entry.go
@@ -106,8 +106,12 @@
 // that all pools find a holder while half of the entries are gone and still listed. Without it, the
 // first entries to poll after a restart of all would take max-pools each, and the probes of eight
 // pools of 32 engines exceed an entry's 4 KB/s for control.
+//
+// An entry whose list is still empty takes no pool: it knows neither its share nor the sidecars.
 func poolShare(pools, entries int) int {
-	entries = max(1, entries)
+	if entries == 0 {
+		return 0
+	}
 	return max(1, (2*pools+entries-1)/entries)
 }
 
--- a/internal/bench/report.go
+++ b/internal/bench/report.go
@@ -80,6 +80,16 @@
 	return w.Flush()
 }
 
+// PrintSamples prints samples as a table.
+func PrintSamples(out io.Writer, samples []Sample) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "phase\trole\tfigure\tmean\tmax\tmachine")
+	for _, s := range samples {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\n", s.Phase, s.Role, s.Metric, number(s.Mean), number(s.Max), s.Machine)
+	}
+	return w.Flush()
+}
+
 // PrintLatency prints the rounds and their medians as a table.
 func PrintLatency(out io.Writer, rounds []LatencyRound) error {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
