Merge engine events that have arrived already into one chunk

Each event became one frame, with one write at the sidecar, one at the entry and one at the caller, also if several events had been read from the engine at once. The adapter now joins buffered events that follow each other. It never waits for a second event, so an engine that sends a token per step is relayed as before.

--- a/modules/enginehttp/enginehttp_test.go
+++ b/modules/enginehttp/enginehttp_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -153,6 +155,53 @@
 	require.ErrorIs(t, err, platform.ErrEngineFailed)
 }
 
+// Guards against events that are lost, repeated, joined out of order or delayed when several have
+// arrived at once.
+func TestBufferedEventsAreMerged(t *testing.T) {
+	event := func(offset, tokens int, text string) string {
+		return fmt.Sprintf("data: {\"offset\":%d,\"tokens\":%d,\"text\":%q}\n\n", offset, tokens, text)
+	}
+	long := strings.Repeat("x", 9000)
+	body := ": comment\n\n" + event(0, 1, "a") + event(1, 2, "bc") + ": comment\n\n" + event(7, 1, "gap") +
+		event(8, 1, long) + event(9, 1, "") + "data: {\"offset\":10,\"tokens\":0,\"text\":\"\",\"finish_reason\":\"stop\"}\n\n"
+	c, _ := serve(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, body) }))
+	s, err := c.Generate(t.Context(), request("a", 10))
+	require.NoError(t, err)
+	defer s.Close()
+	first, err := s.Next()
+	require.NoError(t, err)
+	require.Equal(t, platform.TokenChunk{Offset: 0, Tokens: 3, Text: "abc"}, first)
+	rest := platform.TokenChunk{Offset: 7}
+	for rest.FinishReason == "" {
+		next, err := s.Next()
+		require.NoError(t, err)
+		require.Equal(t, rest.Offset+rest.Tokens, next.Offset)
+		rest.Tokens, rest.Text, rest.FinishReason = rest.Tokens+next.Tokens, rest.Text+next.Text, next.FinishReason
+	}
+	require.Equal(t, platform.TokenChunk{Offset: 7, Tokens: 3, Text: "gap" + long, FinishReason: "stop"}, rest)
+	_, err = s.Next()
+	require.ErrorIs(t, err, io.EOF)
+}
+
+// Guards against a chunk that is held back until the next event comes.
+func TestMergeDoesNotWait(t *testing.T) {
+	release := make(chan struct{})
+	c, _ := serve(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "data: {\"offset\":0,\"tokens\":1,\"text\":\"a\"}\n\ndata: {\"off")
+		_ = http.NewResponseController(w).Flush()
+		<-release
+	}))
+	s, err := c.Generate(t.Context(), request("a", 10))
+	require.NoError(t, err)
+	first, err := s.Next()
+	require.NoError(t, err)
+	require.Equal(t, "a", first.Text)
+	close(release)
+	_, err = s.Next()
+	require.ErrorIs(t, err, platform.ErrEngineFailed)
+	require.NoError(t, s.Close())
+}
+
 // BenchmarkStream reports the cost of one token, engine and adapter together.
 func BenchmarkStream(b *testing.B) {
 	c, _ := serve(b, newEngine(b, engine.Config{Instant: true, JournalLimit: 100}).Handler())
--- a/modules/enginehttp/stream.go
+++ b/modules/enginehttp/stream.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -17,14 +18,26 @@
 // maxLineBytes bounds one event. Engines send a few tokens per event.
 const maxLineBytes = 64 << 10
 
-var dataPrefix = []byte(enginewire.DataPrefix)
+var (
+	dataPrefix = []byte(enginewire.DataPrefix)
+	newline    = []byte{'\n'}
+
+	errLineTooLong = fmt.Errorf("event is longer than %d bytes", maxLineBytes)
+)
 
 // stream reads the server-sent events of one generation.
 type stream struct {
 	cancel context.CancelFunc
 	body   io.ReadCloser
-	lines  *bufio.Scanner
+	lines  *bufio.Reader
 	done   bool
+
+	// next and nextErr are an event that was read and could not be merged, if hasNext is set.
+	hasNext bool
+	next    platform.TokenChunk
+	nextErr error
+	// text holds the merged text between its collection and its copy.
+	text []byte
 }
 
 // Generate implements platform.Engine.
@@ -57,18 +70,77 @@
 		_ = resp.Body.Close()
 		return nil, err
 	}
-	lines := bufio.NewScanner(resp.Body)
-	lines.Buffer(nil, maxLineBytes)
-	return &stream{body: resp.Body, lines: lines}, nil
+	return &stream{body: resp.Body, lines: bufio.NewReader(resp.Body)}, nil
 }
 
-// Next implements platform.TokenStream.
+// Next implements platform.TokenStream. Events that have arrived already are returned as one chunk,
+// so that a burst costs one frame on the way to the caller. It never waits for a second event.
 func (s *stream) Next() (platform.TokenChunk, error) {
+	c, err := s.first()
+	if err != nil {
+		return platform.TokenChunk{}, err
+	}
+	s.merge(&c)
+	s.done = c.FinishReason != ""
+	return c, nil
+}
+
+// first returns the event that was left over, or waits for the next one.
+func (s *stream) first() (platform.TokenChunk, error) {
 	if s.done {
 		return platform.TokenChunk{}, io.EOF
 	}
-	for s.lines.Scan() {
-		data, ok := bytes.CutPrefix(s.lines.Bytes(), dataPrefix)
+	if s.hasNext {
+		s.hasNext = false
+		return s.next, s.nextErr
+	}
+	return s.event()
+}
+
+// merge appends the buffered events that continue the chunk. One that does not is left over.
+func (s *stream) merge(c *platform.TokenChunk) {
+	s.text = s.text[:0]
+	for c.FinishReason == "" && s.eventBuffered() {
+		next, err := s.event()
+		if err != nil || next.Offset != c.Offset+c.Tokens {
+			s.next, s.nextErr, s.hasNext = next, err, true
+			break
+		}
+		if len(s.text) == 0 {
+			s.text = append(s.text, c.Text...)
+		}
+		s.text = append(s.text, next.Text...)
+		c.Tokens += next.Tokens
+		c.FinishReason = next.FinishReason
+	}
+	if len(s.text) > 0 {
+		c.Text = string(s.text)
+	}
+}
+
+// eventBuffered reports whether event would return without waiting.
+func (s *stream) eventBuffered() bool {
+	buffered, _ := s.lines.Peek(s.lines.Buffered())
+	for {
+		line, rest, ok := bytes.Cut(buffered, newline)
+		if !ok {
+			return false
+		}
+		if bytes.HasPrefix(line, dataPrefix) {
+			return true
+		}
+		buffered = rest
+	}
+}
+
+// event waits for the next event.
+func (s *stream) event() (platform.TokenChunk, error) {
+	for {
+		line, err := s.line()
+		if err != nil {
+			return platform.TokenChunk{}, fmt.Errorf("%w: stream ended without a finish reason: %w", platform.ErrEngineFailed, err)
+		}
+		data, ok := bytes.CutPrefix(line, dataPrefix)
 		if !ok {
 			continue // a blank line or a comment
 		}
@@ -80,14 +152,35 @@
 			// The request was accepted, so no error that follows is a refusal.
 			return platform.TokenChunk{}, fmt.Errorf("%w: engine reports %q", platform.ErrEngineFailed, ev.Error)
 		}
-		s.done = ev.FinishReason != ""
 		return ev.TokenChunk, nil
 	}
-	err := s.lines.Err()
-	if err == nil {
+}
+
+// line returns the next line without its end. It is valid until the next call.
+func (s *stream) line() ([]byte, error) {
+	line, err := s.lines.ReadSlice('\n')
+	if errors.Is(err, bufio.ErrBufferFull) {
+		line, err = s.longLine(line)
+	}
+	if errors.Is(err, io.EOF) {
 		err = io.ErrUnexpectedEOF
 	}
-	return platform.TokenChunk{}, fmt.Errorf("%w: stream ended without a finish reason: %w", platform.ErrEngineFailed, err)
+	return bytes.TrimRight(line, "\r\n"), err
+}
+
+// longLine reads the rest of a line that does not fit the buffer.
+func (s *stream) longLine(start []byte) ([]byte, error) {
+	long := bytes.Clone(start)
+	for {
+		part, err := s.lines.ReadSlice('\n')
+		long = append(long, part...)
+		if len(long) > maxLineBytes {
+			return nil, errLineTooLong
+		}
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return long, err
+		}
+	}
 }
 
 // Close implements platform.TokenStream. It closes the connection of an unfinished stream, which
