Bound the probes of decisions; keep control connections open

Each routing decision may ask for two probes of workers whose report is older than two seconds. At the peak an entry gets 35 requests/s and has 256 candidates for 8 models, so that nearly all reports are older. Decisions now share six probes per second. Refreshes take the report that is oldest in relation to its limit, so that a worker that becomes ready does not wait for the round of the fleet. Control connections stay open for two minutes, since a new one costs more than four times the bytes of a probe, and have no TCP keep-alives.

--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"golang.org/x/time/rate"
 
 	"github.com/quetzallug/quetzallug/document"
 	v1 "github.com/quetzallug/quetzallug/gen/quetzallug/v1"
@@ -24,8 +25,15 @@
 // errNoWorker means that no usable worker serves a request.
 var errNoWorker = errors.New("no usable worker serves the request")
 
-// probeTimeout bounds a probe for a fresh load report.
-const probeTimeout = time.Second
+const (
+	// probeTimeout bounds a probe for a fresh load report.
+	probeTimeout = time.Second
+	// decisionProbes and decisionBurst bound the probes per second that decisions ask for. An entry
+	// at 35 requests/s over subsets of 8 models would otherwise send up to 70 probes/s of 190 bytes,
+	// three times its budget of 4 KB/s for control.
+	decisionProbes = 6
+	decisionBurst  = 12
+)
 
 // Fleet knows the workers of all services: who is usable, how loaded each is, and what each
 // has loaded. It implements Picker.
@@ -39,6 +47,7 @@
 	tracker    *load.Tracker
 	clients    *rpc.Clients
 	router     routing.Config
+	probes     *rate.Limiter
 
 	mu       sync.RWMutex
 	version  uint64
@@ -69,6 +78,7 @@
 	return &Fleet{
 		cluster: cluster, dataCentre: dataCentre, view: view, clients: clients,
 		tracker: load.NewTracker(load.Speed{}), router: routing.Config{Seed: seed},
+		probes:  rate.NewLimiter(decisionProbes, decisionBurst),
 		reports: map[string]*v1.LoadReport{}, reported: map[string]time.Time{}, services: map[string]*serviceFleet{}, routers: map[string]*routing.Router{},
 		probing: map[string]bool{}, tickets: map[ticketKey]load.Ticket{},
 	}
@@ -245,11 +255,7 @@
 		if w == nil {
 			return
 		}
-		f.mu.Lock()
-		busy := f.probing[w.ID]
-		f.probing[w.ID] = true
-		f.mu.Unlock()
-		if busy {
+		if !f.startProbe(w.ID) {
 			continue
 		}
 		m := s.members[w.ID]
@@ -264,6 +270,18 @@
 	}
 }
 
+// startProbe reports whether a decision may probe a worker: no other probe of it is under way, and
+// the rate allows it.
+func (f *Fleet) startProbe(id string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.probing[id] || !f.probes.Allow() {
+		return false
+	}
+	f.probing[id] = true
+	return true
+}
+
 // Probe implements membership.Prober. It also takes the load report of the answer.
 func (f *Fleet) Probe(ctx context.Context, m membership.Member) (membership.ProbeResult, error) {
 	if m.Role != platform.RoleSidecar {
--- a/entry/refresh.go
+++ b/entry/refresh.go
@@ -62,11 +62,12 @@
 	}
 }
 
-// due returns the members to probe now, the longest overdue first.
+// due returns the members to probe now. The first ones are those whose report is oldest in relation
+// to its limit, so that a worker that becomes ready is seen before the round of a large fleet ends.
 func (f *Fleet) due(now time.Time) []membership.Member {
 	type candidate struct {
-		member  membership.Member
-		overdue time.Duration
+		member membership.Member
+		age    float64 // as a multiple of the limit
 	}
 	var all []candidate
 	f.mu.RLock()
@@ -79,12 +80,12 @@
 		if r == nil || r.GetDraining() || !r.GetPlain() && len(r.GetModels()) == 0 {
 			limit = refreshUnready
 		}
-		if over := now.Sub(f.reported[m.ID]) - limit; over >= 0 {
-			all = append(all, candidate{m, over})
+		if age := now.Sub(f.reported[m.ID]).Seconds() / limit.Seconds(); age >= 1 {
+			all = append(all, candidate{m, age})
 		}
 	}
 	f.mu.RUnlock()
-	slices.SortFunc(all, func(a, b candidate) int { return cmp.Compare(b.overdue, a.overdue) })
+	slices.SortFunc(all, func(a, b candidate) int { return cmp.Compare(b.age, a.age) })
 	var due []membership.Member
 	for _, c := range all[:min(len(all), refreshProbes)] {
 		due = append(due, c.member)
--- a/entry/refresh_test.go
+++ b/entry/refresh_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/assert"
@@ -80,3 +81,38 @@
 	assert.GreaterOrEqual(t, f.reports["w7"].GetAgeMs(), uint32(refreshReady.Milliseconds()))
 	assert.Len(t, f.due(time.Now()), refreshProbes, "learned reports are due for a refresh")
 }
+
+// Guards against a worker that has become ready and is probed only when the round of the whole
+// fleet comes to it.
+func TestUnreadyWorkersAreProbedFirst(t *testing.T) {
+	f := fleetOf(t, "127.0.0.1:1")
+	now := time.Now()
+	for i := range learnWorkers {
+		f.Report(workerStatus(i, 1).GetLoad(), now.Add(-time.Duration(90+i)*time.Second))
+	}
+	draining := workerStatus(8, 2).GetLoad()
+	draining.Draining = true
+	f.Report(draining, now.Add(-20*time.Second))
+	due := f.due(now)
+	require.Len(t, due, refreshProbes)
+	assert.Equal(t, "w8", due[0].ID)
+}
+
+// Guards against probes that grow with the number of requests.
+func TestDecisionProbesAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := fleetOf(t, "127.0.0.1:1")
+		probes := func() (started int) {
+			for i := range 10_000 {
+				if id := fmt.Sprintf("w%d", i%learnWorkers); f.startProbe(id) {
+					started++
+					delete(f.probing, id)
+				}
+			}
+			return started
+		}
+		require.Equal(t, decisionBurst, probes())
+		time.Sleep(time.Second)
+		require.Equal(t, decisionProbes, probes())
+	})
+}
--- a/internal/bench/capacity.go
+++ b/internal/bench/capacity.go
@@ -146,7 +146,7 @@
 	l := Load{
 		Rate: min(maxLoad, float64(perSidecar*r.size.Sidecars)), Duration: r.cfg.Phase, Seed: 1,
 		Send: func(ctx context.Context, n int) error {
-			return cl.complete(ctx, entries[n%len(entries)].Address, n)
+			return cl.complete(ctx, entries[n%len(entries)].Address, model, n)
 		},
 	}
 	var res LoadResult
--- a/internal/bench/client.go
+++ b/internal/bench/client.go
@@ -41,7 +41,7 @@
 func (c *client) close() { c.http.CloseIdleConnections() }
 
 // complete asks an entry for a streamed answer.
-func (c *client) complete(ctx context.Context, address string, n int) error {
+func (c *client) complete(ctx context.Context, address, model string, n int) error {
 	body, err := json.Marshal(map[string]any{
 		"model": model, "prompt": prompt, "max_tokens": answerTokens, "stream": true, "seed": n,
 	})
--- a/internal/bench/fullsize.go
+++ b/internal/bench/fullsize.go
@@ -51,12 +51,29 @@
 	sequence  atomic.Uint64
 }
 
-// Probe implements WorkerService.
-func (w *fakeWorker) Probe(context.Context, *connect.Request[v1.ProbeRequest]) (*connect.Response[v1.ProbeResponse], error) {
-	return connect.NewResponse(&v1.ProbeResponse{Load: &v1.LoadReport{
+func (w *fakeWorker) report() *v1.LoadReport {
+	return &v1.LoadReport{
 		Instance: w.id, Incarnation: "01a23f41-d0c3-7b12-a1df-beb49b71f8af", Sequence: w.sequence.Add(1),
 		TotalPieces: 256, FreePieces: 256, Role: string(platform.RoleMixed), Models: []string{w.model},
-	}, Work: []*v1.KindWork{{Kind: "chat", Requests: 1000, PromptTokens: 100_000, OutputTokens: 100_000}}}), nil
+	}
+}
+
+// Execute implements WorkerService.
+func (w *fakeWorker) Execute(_ context.Context, r *connect.Request[v1.ExecuteRequest], out *connect.ServerStream[v1.Frame]) error {
+	f := &v1.Frame{RequestId: r.Msg.GetRequestId(), Attempt: r.Msg.GetAttempt(), Tokens: 1, Data: []byte(" token")}
+	for f.Offset = 0; f.GetOffset() < answerTokens; f.Offset++ {
+		if err := out.Send(f); err != nil {
+			return err
+		}
+	}
+	return out.Send(&v1.Frame{RequestId: f.GetRequestId(), Attempt: f.GetAttempt(), Offset: answerTokens, Final: &v1.Final{
+		Outcome: v1.Outcome_OUTCOME_COMPLETE, Total: answerTokens, FinishReason: "length", Load: w.report(),
+	}})
+}
+
+// Probe implements WorkerService.
+func (w *fakeWorker) Probe(context.Context, *connect.Request[v1.ProbeRequest]) (*connect.Response[v1.ProbeResponse], error) {
+	return connect.NewResponse(&v1.ProbeResponse{Load: w.report(), Work: []*v1.KindWork{{Kind: "chat", Requests: 1000, PromptTokens: 100_000, OutputTokens: 100_000}}}), nil
 }
 
 // Seal implements WorkerService.
@@ -246,8 +263,35 @@
 		return nil, err
 	}
 	err = r.measure(ctx, PhaseRest, func() error { return pause(ctx, cfg.Phase) })
+	if err == nil {
+		err = r.fullLoad(ctx)
+	}
 	for i := range r.samples {
 		r.samples[i].Size = TargetSize
 	}
 	return r.samples, err
 }
+
+// peakRate is the requests/s of one entry at the target size's peak: 12,000 over 340 entries.
+const peakRate = 12_000.0 / fullEntries
+
+// fullLoad sends each real entry its share of the peak, spread over all models.
+func (r *capacityRun) fullLoad(ctx context.Context) error {
+	cl := newClient()
+	defer cl.close()
+	entries := r.cluster.Entries
+	l := Load{
+		Rate: peakRate * float64(len(entries)), Duration: r.cfg.Phase, Seed: 1,
+		Send: func(ctx context.Context, n int) error {
+			return cl.complete(ctx, entries[n%len(entries)].Address, fullService(n/len(entries)), n)
+		},
+	}
+	var res LoadResult
+	err := r.measure(ctx, PhaseLoad, func() error {
+		res = l.Run(ctx)
+		return nil
+	})
+	r.sample(PhaseLoad, RoleEntry, "requests per second", []float64{float64(res.Sent) / res.Elapsed.Seconds() / float64(len(entries))})
+	r.sample(PhaseLoad, RoleEntry, "failed requests", []float64{float64(res.Failed)})
+	return err
+}
--- a/internal/bench/latency.go
+++ b/internal/bench/latency.go
@@ -62,7 +62,7 @@
 	cl := newClient()
 	defer cl.close()
 	warm := Load{Rate: cfg.Rate / 2, Duration: 2 * time.Second, Seed: 99, Send: func(ctx context.Context, n int) error {
-		return cl.complete(ctx, c.Entries[0].Address, n)
+		return cl.complete(ctx, c.Entries[0].Address, model, n)
 	}}
 	warm.Run(ctx)
 	if cfg.Profiles != "" {
@@ -90,7 +90,7 @@
 	if err != nil {
 		return r, err
 	}
-	load.Send = func(ctx context.Context, n int) error { return cl.complete(ctx, entry.Address, n) }
+	load.Send = func(ctx context.Context, n int) error { return cl.complete(ctx, entry.Address, model, n) }
 	product := load.Run(ctx)
 	after, err := scrapeAll(ctx, addresses)
 	if err != nil {
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -19,10 +19,7 @@
 	maxConcurrentStreams = 4096
 	readHeaderTimeout    = 5 * time.Second
 	idleTimeout          = 2 * time.Minute
-	// controlIdleTimeout keeps the connections of a planner, which probes every few seconds, and
-	// closes those of probes that go round the fleet in minutes.
-	controlIdleTimeout = 15 * time.Second
-	dialTimeout        = 1 * time.Second
+	dialTimeout          = 1 * time.Second
 	// pingInterval and pingTimeout detect a peer that is cut off while a stream is silent.
 	pingInterval = 2 * time.Second
 	pingTimeout  = 2 * time.Second
@@ -81,20 +78,20 @@
 // silent.
 func NewClients(interceptors ...connect.Interceptor) *Clients {
 	pings := &http.HTTP2Config{SendPingTimeout: pingInterval, PingTimeout: pingTimeout}
-	return newClients(nil, pings, idleTimeout, interceptors)
+	return newClients(nil, pings, &net.Dialer{Timeout: dialTimeout}, interceptors)
 }
 
 // NewControlClients returns clients for calls that have a short timeout of their own. They count
-// the bytes they move in t. They send no pings, which on an idle connection to each of 640
-// sidecars would take 5 KB/s, more than all other control traffic of an entry.
+// the bytes they move in t. They send no pings and no TCP keep-alives: on an idle connection to each
+// of 640 sidecars, pings alone take 5 KB/s, more than all other control traffic of an entry. The
+// connections stay open, because a new one costs four times the bytes of a probe.
 func NewControlClients(t *traffic.Counter, interceptors ...connect.Interceptor) *Clients {
-	return newClients(t, nil, controlIdleTimeout, interceptors)
+	return newClients(t, nil, &net.Dialer{Timeout: dialTimeout, KeepAlive: -1}, interceptors)
 }
 
-func newClients(t *traffic.Counter, h2 *http.HTTP2Config, idle time.Duration, interceptors []connect.Interceptor) *Clients {
+func newClients(t *traffic.Counter, h2 *http.HTTP2Config, dialer *net.Dialer, interceptors []connect.Interceptor) *Clients {
 	var p http.Protocols
 	p.SetUnencryptedHTTP2(true)
-	dialer := &net.Dialer{Timeout: dialTimeout}
 	transport := &http.Transport{
 		Protocols: &p,
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
@@ -104,7 +101,7 @@
 			}
 			return traffic.Conn(conn, t), nil
 		},
-		IdleConnTimeout: idle,
+		IdleConnTimeout: idleTimeout,
 		HTTP2:           h2,
 	}
 	return &Clients{
