--- a/dissemination/property_test.go
+++ b/dissemination/property_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/quetzallug/quetzallug/document"
 	"github.com/quetzallug/quetzallug/document/registry"
+	_ "github.com/quetzallug/quetzallug/internal/rapidseed"
 	"github.com/quetzallug/quetzallug/platform"
 	"github.com/quetzallug/quetzallug/standin/kv"
 )
--- a/entry/answer_internal_test.go
+++ b/entry/answer_internal_test.go
@@ -5,6 +5,8 @@
 	"testing"
 
 	"pgregory.net/rapid"
+
+	_ "github.com/quetzallug/quetzallug/internal/rapidseed"
 )
 
 // Guards against text that is not escaped, or that reaches callers changed.
--- a/once/rapid_test.go
+++ b/once/rapid_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	_ "github.com/quetzallug/quetzallug/internal/rapidseed"
 )
 
 // action is one step of a random history.
--- a/order/property_test.go
+++ b/order/property_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	_ "github.com/quetzallug/quetzallug/internal/rapidseed"
 	"github.com/quetzallug/quetzallug/order"
 	"github.com/quetzallug/quetzallug/platform"
 	"github.com/quetzallug/quetzallug/standin/fault"
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	_ "github.com/quetzallug/quetzallug/internal/rapidseed"
 	"github.com/quetzallug/quetzallug/load"
 	"github.com/quetzallug/quetzallug/placement"
 	"github.com/quetzallug/quetzallug/platform"
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/assert"
 	"pgregory.net/rapid"
 
+	_ "github.com/quetzallug/quetzallug/internal/rapidseed"
 	"github.com/quetzallug/quetzallug/retry"
 )
 
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	_ "github.com/quetzallug/quetzallug/internal/rapidseed"
 	"github.com/quetzallug/quetzallug/load"
 	"github.com/quetzallug/quetzallug/platform"
 	"github.com/quetzallug/quetzallug/routing"
--- a/stream/assembler_test.go
+++ b/stream/assembler_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	v1 "github.com/quetzallug/quetzallug/gen/quetzallug/v1"
+	_ "github.com/quetzallug/quetzallug/internal/rapidseed"
 	"github.com/quetzallug/quetzallug/stream"
 )
 
