--- a/Makefile
+++ b/Makefile
@@ -30,7 +30,8 @@
 	go run ./cmd/quetzallug-bench latency --data docs/data
 	go test -run '^$$' -bench Relay -benchmem ./entry ./sidecar
 
-# Cost of each role at five sizes, as separate processes on loopback. Takes about eight minutes.
+# Cost of each role at five sizes, as separate processes on loopback. Takes about
+# twelve minutes.
 bench-capacity:
 	go run ./cmd/quetzallug-bench calls --data docs/data
 	go run ./cmd/quetzallug-bench fullsize --data docs/data
