--- a/placement/placement.go
+++ b/placement/placement.go
@@ -24,7 +24,7 @@
 	DefaultMemory       = 60 * time.Second
 	DefaultHedge        = 15 * time.Second
 	DefaultTrend        = 0.5
-	DefaultMargin       = 0.8
+	DefaultMargin       = 0.7
 	DefaultDwell        = 30 * time.Second
 	DefaultShareChange  = 0.3
 	DefaultWarmUp       = 30 * time.Second
