--- a/load/load.go
+++ b/load/load.go
@@ -186,7 +186,7 @@
 		e.sequences = 1
 	}
 	w.add(e)
-	return Ticket{Work: work, sentAt: now, ahead: w.prefill, sequences: w.decoding(now)}
+	return Ticket{Work: work, sentAt: now, ahead: w.prefill, sequences: w.decoding(w.routers(now))}
 }
 
 // FirstToken records that the worker delivered the first token of a request that it prefilled,
@@ -205,7 +205,7 @@
 func (w *Worker) BetweenTokens(mean time.Duration, now time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.learner.step(w.decoding(now), mean.Seconds())
+	w.learner.step(w.decoding(w.routers(now)), mean.Seconds())
 }
 
 // Finished records that a request ended on the worker, whatever its outcome.
@@ -242,12 +242,14 @@
 func (w *Worker) apply(e event) {
 	w.sequences += e.sequences
 	w.pieces += e.pieces
-	w.prefill = w.queuedPrefill(e.at) + e.prefill*w.routers(e.at)
+	routers := w.routers(e.at)
+	w.prefill = w.queuedPrefill(e.at, w.decoding(routers)) + e.prefill*routers
 	w.prefillAt = e.at
 }
 
-// queuedPrefill returns the prefill queue at a time, drained at the learned speed.
-func (w *Worker) queuedPrefill(now time.Time) float64 {
+// queuedPrefill returns the prefill queue at a time, drained at the learned speed of an engine
+// with the given number of decoding sequences.
+func (w *Worker) queuedPrefill(now time.Time, sequences int) float64 {
 	if w.prefill == 0 {
 		return 0
 	}
@@ -255,18 +257,21 @@
 	if elapsed <= 0 {
 		return w.prefill
 	}
-	return max(0, w.prefill-elapsed/w.learner.speed.prefillTokenSeconds(w.decoding(now)))
+	return max(0, w.prefill-elapsed/w.learner.speed.prefillTokenSeconds(sequences))
 }
 
 // routers is the number of routers whose sends a correction stands for at a time. It grows with
 // the age of the report: right after one, a few own sends say little about the others.
 func (w *Worker) routers(at time.Time) float64 {
 	n := math.Float64frombits(w.scale.Load())
-	return 1 + (n-1)*min(1, max(0, at.Sub(w.madeAt).Seconds()/fullScaleSeconds))
+	if n == 1 {
+		return 1
+	}
+	return 1 + (n-1)*min(1, max(0, float64(at.Sub(w.madeAt))*(1e-9/fullScaleSeconds)))
 }
 
-func (w *Worker) decoding(now time.Time) int {
-	n := w.report.Running + int(float64(w.sequences)*w.routers(now))
+func (w *Worker) decoding(routers float64) int {
+	n := w.report.Running + int(float64(w.sequences)*routers)
 	if w.role != platform.RolePrefill {
 		n += w.report.Queued
 	}
@@ -276,10 +281,12 @@
 // Estimate returns the worker's load at a time.
 func (w *Worker) Estimate(now time.Time) Estimate {
 	w.mu.Lock()
+	routers := w.routers(now)
+	sequences := w.decoding(routers)
 	e := Estimate{
-		PrefillTokens: w.queuedPrefill(now),
-		Sequences:     w.decoding(now),
-		FreePieces:    max(0, w.report.FreePieces+int(float64(w.pieces)*w.routers(now))),
+		PrefillTokens: w.queuedPrefill(now, sequences),
+		Sequences:     sequences,
+		FreePieces:    max(0, w.report.FreePieces+int(float64(w.pieces)*routers)),
 		TotalPieces:   w.report.TotalPieces,
 		Speed:         w.learner.speed,
 		Known:         !w.madeAt.IsZero(),
