Count refused and generated work for the planner; tell the load model roles and routers

Cause: the planner of a pool saw admitted requests only, with the limit of each answer as its length. Under overload the part of the pool that was short looked sufficient, and chats looked longer than they are. Change: entries count refused work, sidecars count generated tokens.

--- a/entry/admit.go
+++ b/entry/admit.go
@@ -1,12 +1,14 @@
 package entry
 
 import (
+	"maps"
 	"net/http"
 	"sync"
 	"time"
 
 	"github.com/quetzallug/quetzallug/admission"
 	"github.com/quetzallug/quetzallug/document"
+	"github.com/quetzallug/quetzallug/placement"
 	"github.com/quetzallug/quetzallug/routing"
 )
 
@@ -22,6 +24,8 @@
 type serviceAdmission struct {
 	limits     document.Limits
 	controller *admission.Controller
+	// refused is the work refused since the start, by kind.
+	refused map[string]placement.KindWork
 }
 
 // NewAdmission returns an admitter over a fleet.
@@ -36,7 +40,11 @@
 	c := a.services[s.Service]
 	switch {
 	case c == nil || c.limits.Queue != s.Limits.Queue:
-		c = &serviceAdmission{limits: s.Limits, controller: admission.New(admission.Config{
+		refused := map[string]placement.KindWork{}
+		if c != nil {
+			refused = c.refused
+		}
+		c = &serviceAdmission{limits: s.Limits, refused: refused, controller: admission.New(admission.Config{
 			Queue: s.Limits.Queue, Callers: callerLimits(s.Limits.PerCaller),
 		})}
 		a.services[s.Service] = c
@@ -67,12 +75,36 @@
 	}
 	d := c.Admit(q, e, r.Now)
 	if !d.Admitted() {
+		a.countRefused(&r)
 		return nil, 0, refused(d)
 	}
 	// Engines serve lower priority numbers first.
 	return func() { c.Release(r.Caller, d) }, r.Kind.Rank, nil
 }
 
+// countRefused adds a refused request to the work of its kind: the planner has to know of work that
+// no sidecar has seen.
+func (a *Admission) countRefused(r *AdmitRequest) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	refused := a.services[r.Service.Service].refused
+	w := refused[r.Kind.Name]
+	w.Requests++
+	w.PromptTokens += float64(r.Pick.PromptTokens)
+	w.OutputTokens += float64(r.Pick.MaxTokens)
+	refused[r.Kind.Name] = w
+}
+
+// Refused returns the work of a service that this entry has refused since its start, by kind.
+func (a *Admission) Refused(service string) map[string]placement.KindWork {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if s := a.services[service]; s != nil {
+		return maps.Clone(s.refused)
+	}
+	return nil
+}
+
 // idle reports whether the chosen workers have nothing to do.
 func idle(d *routing.Decision, now time.Time) bool {
 	for _, w := range []*routing.Worker{d.Prefill, d.Decode} {
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -102,10 +102,31 @@
 	if f.version != snapshot.Version {
 		f.version = snapshot.Version
 		clear(f.services)
+		f.tracker.SetRouters(routersPerWorker(snapshot))
 	}
 	return f.buildLocked(name, snapshot)
 }
 
+// routersPerWorker estimates how many entries send to one worker. In a large fleet an entry uses a
+// subset of the workers of each service.
+func routersPerWorker(s *membership.Snapshot) float64 {
+	workers := map[string]int{}
+	for _, m := range s.Members {
+		if m.Role == platform.RoleSidecar {
+			workers[m.Service]++
+		}
+	}
+	used, all := 0, 0
+	for _, n := range workers {
+		used += min(n, routing.DefaultSubset)
+		all += n
+	}
+	if all == 0 {
+		return 1
+	}
+	return float64(len(s.Entries())) * float64(used) / float64(all)
+}
+
 func (f *Fleet) buildLocked(name string, snapshot *membership.Snapshot) *serviceFleet {
 	if s := f.services[name]; s != nil {
 		return s
@@ -281,6 +302,9 @@
 	f.takeCacheEvents(r, now)
 	f.reports[r.GetInstance()] = r
 	f.reported[r.GetInstance()] = now
+	if r.GetRole() != "" {
+		f.tracker.Worker(r.GetInstance()).SetRole(platform.Role(r.GetRole()))
+	}
 	if old == nil || old.GetRole() != r.GetRole() || old.GetDraining() != r.GetDraining() || !slices.Equal(old.GetModels(), r.GetModels()) {
 		clear(f.services)
 	}
--- a/internal/app/entry.go
+++ b/internal/app/entry.go
@@ -22,6 +22,7 @@
 	"github.com/quetzallug/quetzallug/lease"
 	"github.com/quetzallug/quetzallug/membership"
 	"github.com/quetzallug/quetzallug/once"
+	"github.com/quetzallug/quetzallug/placement"
 	"github.com/quetzallug/quetzallug/planning"
 	"github.com/quetzallug/quetzallug/platform"
 	"github.com/quetzallug/quetzallug/retry"
@@ -39,7 +40,7 @@
 		fx.Provide(
 			func(l *logrus.Logger) logrus.FieldLogger { return l.WithField("instance", s.Instance) },
 			telemetry.New, newControl, newStore, newAgent, newView,
-			entryIdentity, entryConfig, entryKV, newInstanceList, newFleet, newCommitter, newClaimer,
+			entry.NewAdmission, entryIdentity, entryConfig, entryKV, newInstanceList, newFleet, newCommitter, newClaimer,
 			newLease, newPlanning, newEntry, newPeer, newDecisions,
 		),
 		// Hooks stop in reverse order: a stopping entry first gives up its pools.
@@ -116,12 +117,15 @@
 	return max(1, (2*pools+entries-1)/entries)
 }
 
-func newPlanning(s *settings.Entry, leases *lease.Manager, store *dissemination.Store, view *membership.View, f *entry.Fleet, kv platform.KV, ctl *control, m *telemetry.Metrics, d *entry.DecisionLog, log logrus.FieldLogger) *planning.Loop {
+func newPlanning(s *settings.Entry, leases *lease.Manager, store *dissemination.Store, view *membership.View, f *entry.Fleet, admit *entry.Admission, kv platform.KV, ctl *control, m *telemetry.Metrics, d *entry.DecisionLog, log logrus.FieldLogger) *planning.Loop {
 	return planning.New(planning.Config{
 		Interval: s.PlanInterval, Leases: leases, KV: kv,
-		Documents:  &entry.DocumentsInForce{Store: store},
-		Confirmed:  store.Confirmed,
-		Workers:    f.Status,
+		Documents: &entry.DocumentsInForce{Store: store},
+		Confirmed: store.Confirmed,
+		Workers:   f.Status,
+		Refused: func(service string) (map[string]placement.KindWork, int) {
+			return admit.Refused(service), len(view.Snapshot().Entries())
+		},
 		Speed:      f.MeanSpeed,
 		Dial:       planning.DialRPC(ctl.clients, s.Cluster, func(id string) (membership.Member, bool) { return view.Snapshot().Member(id) }),
 		RoleChange: m.RoleChange,
@@ -135,7 +139,7 @@
 	background(lc, p.Run)
 }
 
-func newEntry(lc fx.Lifecycle, s *settings.Entry, cfg entry.Config, store *dissemination.Store, agent *dissemination.Agent, f *entry.Fleet, claims *once.Router, m *telemetry.Metrics, d *entry.DecisionLog, log logrus.FieldLogger) (*entry.Entry, error) {
+func newEntry(lc fx.Lifecycle, s *settings.Entry, cfg entry.Config, store *dissemination.Store, agent *dissemination.Agent, f *entry.Fleet, admit *entry.Admission, claims *once.Router, m *telemetry.Metrics, d *entry.DecisionLog, log logrus.FieldLogger) (*entry.Entry, error) {
 	// Answers travel on their own connections, so that control traffic can be counted.
 	clients, err := newClients(lc, &s.Common, nil, log)
 	if err != nil {
@@ -145,7 +149,7 @@
 		Documents: &entry.DocumentsInForce{Store: store, Agent: agent},
 		Picker:    f,
 		Clients:   clients,
-		Admitter:  entry.NewAdmission(f),
+		Admitter:  admit,
 		Budget:    retry.NewBudget(retry.Config{Share: s.RetryShare}),
 		Claims:    claims,
 		Metrics:   m,
--- a/planning/planning.go
+++ b/planning/planning.go
@@ -38,6 +38,10 @@
 	Confirmed func() bool
 	// Workers lists the sidecars that are known.
 	Workers func() []*v1.WorkerStatus
+	// Refused returns the work of a service that this entry has refused since its start, by kind,
+	// and the number of entries. The balancer gives all entries the same mix, so the work refused
+	// by all is taken as that of this one times their number.
+	Refused func(service string) (map[string]placement.KindWork, int)
 	// Speed returns the mean speed of engines.
 	Speed func(engines []string) load.Speed
 	// Dial returns the sidecar of an engine.
@@ -187,6 +191,8 @@
 	if spec == nil {
 		return
 	}
+	refused, entries := l.cfg.Refused(doc.Service)
+	p.countRefused(refused, entries, len(doc.Pools))
 	weights := placement.Weights{Goodput: doc.Weights.Goodput, RoleChanges: doc.Weights.RoleChanges}
 	for _, c := range p.planner.Plan(time.Now(), p.snapshot(doc, spec, l.cfg.Speed), weights) {
 		if e := p.engine(c.Engine); e != nil && e.owned && e.settled() {
--- a/planning/planning_test.go
+++ b/planning/planning_test.go
@@ -17,6 +17,7 @@
 	"github.com/quetzallug/quetzallug/lease"
 	"github.com/quetzallug/quetzallug/load"
 	"github.com/quetzallug/quetzallug/order"
+	"github.com/quetzallug/quetzallug/placement"
 	"github.com/quetzallug/quetzallug/planning"
 	"github.com/quetzallug/quetzallug/platform"
 	"github.com/quetzallug/quetzallug/standin/engine"
@@ -89,6 +90,7 @@
 	l := planning.New(planning.Config{
 		Interval: time.Second, Leases: m, KV: w.store, Documents: w, Workers: w.workers, Log: quiet(),
 		Confirmed:  func() bool { return w.confirmed },
+		Refused:    func(string) (map[string]placement.KindWork, int) { return nil, 1 },
 		Speed:      func([]string) load.Speed { return load.DefaultSpeed() },
 		Dial:       func(_, id string) (planning.Worker, error) { return &worker{w.executors[id], id}, nil },
 		RoleChange: func(string, string, string) {},
--- a/planning/pool.go
+++ b/planning/pool.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"encoding/json"
 	"fmt"
 	"slices"
 	"strings"
@@ -39,9 +38,11 @@
 	planner    *placement.Planner
 	engines    []*engine
 	offered    map[string]placement.KindWork
-	interval   time.Duration
-	observed   time.Time
-	explained  string
+	// refused is the work that this entry had refused at the last round.
+	refused   map[string]placement.KindWork
+	interval  time.Duration
+	observed  time.Time
+	explained string
 
 	// records are the order records at recordsAt. They are read again in each round until unsettled.
 	records   map[string]order.Record
@@ -102,31 +103,15 @@
 	if !p.recordsDue(now) {
 		return nil
 	}
-	records, err := l.readRecords(ctx, p)
+	records, err := l.orders.Records(ctx, p.name)
 	if err != nil {
-		return err
+		return fmt.Errorf("read order records of pool %q: %w", p.name, err)
 	}
 	p.records, p.recordsAt = records, now
 	p.update(members, records)
 	return nil
 }
 
-func (l *Loop) readRecords(ctx context.Context, p *pool) (map[string]order.Record, error) {
-	entries, _, err := l.cfg.KV.List(ctx, order.Key(p.name, ""))
-	if err != nil {
-		return nil, fmt.Errorf("read order records of pool %q: %w", p.name, err)
-	}
-	records := map[string]order.Record{}
-	for _, kv := range entries {
-		var r order.Record
-		if err := json.Unmarshal(kv.Value, &r); err != nil {
-			return nil, fmt.Errorf("decode order record %q: %w", kv.Key, err)
-		}
-		records[strings.TrimPrefix(kv.Key, order.Key(p.name, ""))] = r
-	}
-	return records, nil
-}
-
 // update brings the list of engines to the present members. An engine that is not listed any
 // more counts as withdrawn and is left out.
 func (p *pool) update(members []*v1.WorkerStatus, records map[string]order.Record) {
@@ -241,6 +226,26 @@
 	}
 }
 
+// countRefused adds the work that entries have refused since the last round, which no sidecar has
+// seen. Each of the service's pools takes an equal part.
+func (p *pool) countRefused(refused map[string]placement.KindWork, entries, pools int) {
+	scale := float64(max(1, entries)) / float64(max(1, pools))
+	for kind, now := range refused {
+		old := p.refused[kind]
+		offered := p.offered[kind]
+		output := now.OutputTokens - old.OutputTokens
+		if offered.Requests > 0 {
+			// A refused request asked for its limit; served ones show the usual length.
+			output = (now.Requests - old.Requests) * offered.OutputTokens / offered.Requests
+		}
+		offered.Requests += scale * (now.Requests - old.Requests)
+		offered.PromptTokens += scale * (now.PromptTokens - old.PromptTokens)
+		offered.OutputTokens += scale * output
+		p.offered[kind] = offered
+	}
+	p.refused = refused
+}
+
 // snapshot describes the pool to the planner.
 func (p *pool) snapshot(doc *document.Service, spec *document.Pool, speed func([]string) load.Speed) *placement.Snapshot {
 	models, adapters := wantedModels(doc, spec)
--- a/planning/pool_test.go
+++ b/planning/pool_test.go
@@ -9,6 +9,7 @@
 
 	v1 "github.com/quetzallug/quetzallug/gen/quetzallug/v1"
 	"github.com/quetzallug/quetzallug/order"
+	"github.com/quetzallug/quetzallug/placement"
 	"github.com/quetzallug/quetzallug/platform"
 )
 
@@ -61,3 +62,22 @@
 	}
 	return &pool{engines: []*engine{e}, records: map[string]order.Record{"e0": e.record}}, e
 }
+
+// Guards against a planner that sees only admitted work, so that a short part of the pool looks
+// sufficient because its requests are refused.
+func TestRefusedWorkIsOffered(t *testing.T) {
+	p := &pool{offered: map[string]placement.KindWork{"chat": {Requests: 10, PromptTokens: 100, OutputTokens: 2000}}}
+	p.countRefused(map[string]placement.KindWork{
+		"chat":    {Requests: 3, PromptTokens: 30, OutputTokens: 3000},
+		"verdict": {Requests: 2, PromptTokens: 8000, OutputTokens: 40},
+	}, 4, 2)
+	require.Equal(t, map[string]placement.KindWork{
+		"chat":    {Requests: 16, PromptTokens: 160, OutputTokens: 3200},
+		"verdict": {Requests: 4, PromptTokens: 16000, OutputTokens: 80},
+	}, p.offered)
+	p.offered = map[string]placement.KindWork{}
+	p.countRefused(p.refused, 4, 2)
+	for kind, w := range p.offered {
+		require.Zero(t, w.Requests, kind)
+	}
+}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -187,7 +187,8 @@
 	return false
 }
 
-// countWork adds an admitted attempt to the work of its kind. The caller holds mu.
+// countWork adds an admitted attempt to the work of its kind. Tokens of the answer are counted as
+// they are generated, since most answers end before their limit. The caller holds mu.
 func (s *Sidecar) countWork(r *v1.ExecuteRequest) {
 	w := s.work[r.GetKind()]
 	if w == nil {
@@ -196,7 +197,6 @@
 	}
 	w.Requests++
 	w.PromptTokens += uint64(r.GetModel().GetPromptTokens())
-	w.OutputTokens += uint64(r.GetModel().GetMaxTokens())
 }
 
 // Work returns the work admitted since the start, by kind.
@@ -215,6 +215,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if a := s.inFlight[attemptKey{r.GetRequestId(), r.GetAttempt()}]; a != nil {
+		s.work[r.GetKind()].OutputTokens += uint64(tokens)
 		a.prefillTokens = 0
 		a.decodeTokens = max(0, a.decodeTokens-tokens)
 	}
