Answer a plain request from one run only; say unknown after a prefill elsewhere

Cause: the sidecar classified the refusal of its own engine only. Ruled out: the entry's classification, which passes the sidecar's outcome on. The refusal is now unknown if the request names a prefill sidecar; pairs are used for repeatable requests only, so no retry is lost. A repeatable plain request whose first attempt delivered its body and lost its final frame was answered with the body of the first run and the status and content type of the second. Cause: plain answers were resumed by offset like token streams, and a plain body is one frame. The part of a failed attempt is now discarded. Before: TestPlainAnswerIsOfOneRun saw "a" instead of "second"; after: "second".

Add a dialer to rpc.ClientConfig for networks in memory.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -76,6 +76,7 @@
 	Reason     v1.Reason
 	Refused    bool // the connection was refused
 	Silent     bool // the worker stopped answering
+	Broken     bool // the connection broke
 	Load       *v1.LoadReport
 	FirstToken time.Duration
 	Tokens     uint64
--- a/entry/run.go
+++ b/entry/run.go
@@ -23,6 +23,11 @@
 	minFirstStall = 2 * time.Second
 	// stallFactor times a latency target is the silence that ends a repeatable attempt.
 	stallFactor = 8
+	// workerWait is how long a request that was refused or interrupted waits for a usable worker.
+	// It covers the age of a load report by which a changed engine still counts as draining.
+	workerWait = 3 * time.Second
+	// workerWaitTick is the time between looks for a usable worker.
+	workerWaitTick = 50 * time.Millisecond
 )
 
 var errStalled = errors.New("no frame within the stall time")
@@ -58,6 +63,8 @@
 	ran      bool
 	attempts int
 	last     Result
+	// waited is the time spent without a usable worker.
+	waited time.Duration
 }
 
 // step makes one attempt. It returns nil, nil if another attempt should follow.
@@ -66,7 +73,7 @@
 	p.Tried = r.tried
 	w, reason, err := r.picker.Pick(p)
 	if err != nil {
-		return nil, r.giveUp(ReasonNoWorker, err.Error())
+		return nil, r.noWorker(ctx, err)
 	}
 	attempt, offset := r.asm.Begin()
 	r.attempts++
@@ -80,11 +87,21 @@
 	}
 	if res.Outcome != v1.Outcome_OUTCOME_NOT_RUN {
 		r.ran = true
+		r.discardPlain()
 	}
 	r.tried = append(r.tried, w.Instance)
 	return nil, r.next(ctx, res)
 }
 
+// discardPlain drops the part of a plain answer that a failed attempt has left. A plain answer does
+// not resume: another run may have another status, content type and body.
+func (r *runner) discardPlain() {
+	if out, ok := r.out.(*wholeSink); ok && r.call.plain != nil {
+		out.buf.Reset()
+		r.asm.Restart()
+	}
+}
+
 // next decides whether another attempt may follow a failed one.
 func (r *runner) next(ctx context.Context, res Result) *Error {
 	detail := res.Reason.String()
@@ -95,13 +112,45 @@
 		return r.giveUp(ReasonDeadline, "deadline passed")
 	case r.attempts >= maxAttempts:
 		return r.giveUp(reasonOf(res.Reason), detail)
-	case !r.budget.Take(time.Now()):
+	case !movedOn(res) && !r.budget.Take(time.Now()):
 		return r.giveUp(ReasonRetryBudget, "retry budget is spent after "+detail)
 	}
 	r.metrics.Retry(r.call.service.Service, res.Reason)
 	return nil
 }
 
+// movedOn reports whether an attempt ended because its worker is being changed, stopped or
+// replaced. The retry budget does not count these: they are bounded by the changes themselves,
+// and a budget that is spent would cut answers that a planned change only moves elsewhere.
+func movedOn(res Result) bool {
+	switch res.Reason {
+	case v1.Reason_REASON_DRAINING:
+		return true
+	case v1.Reason_REASON_WRONG_INCARNATION, v1.Reason_REASON_MODEL_NOT_LOADED:
+		return res.Outcome == v1.Outcome_OUTCOME_NOT_RUN
+	}
+	return false
+}
+
+// noWorker waits a little for a worker, if one has already refused or interrupted the request:
+// several engines may change at once, and one that has just changed may not be known to be ready.
+// The workers tried so far are then considered again.
+func (r *runner) noWorker(ctx context.Context, cause error) *Error {
+	if r.attempts == 0 || r.waited >= workerWait {
+		return r.giveUp(ReasonNoWorker, cause.Error())
+	}
+	t := time.NewTimer(workerWaitTick)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return r.giveUp(ReasonDeadline, cause.Error())
+	case <-t.C:
+	}
+	r.waited += workerWaitTick
+	r.tried = nil
+	return nil
+}
+
 // giveUp returns "not run" only if no attempt can have run.
 func (r *runner) giveUp(reason Reason, detail string) *Error {
 	if r.ran {
@@ -198,6 +247,8 @@
 	case ctx.Err() != nil:
 		res.Reason = v1.Reason_REASON_DEADLINE
 		res.Silent = errors.Is(ctx.Err(), context.DeadlineExceeded)
+	default:
+		res.Broken = true
 	}
 	return res
 }
--- a/entry/run_test.go
+++ b/entry/run_test.go
@@ -220,6 +220,24 @@
 	return w.Code, w.Body.String()
 }
 
+// Guards against an answer of a plain backend server that joins the body of one run with the status
+// of another one.
+func TestPlainAnswerIsOfOneRun(t *testing.T) {
+	s := &scripted{scripts: []script{
+		cut,
+		func(r *v1.ExecuteRequest, send func(*v1.Frame)) {
+			send(data(r, 0, "second"))
+			send(end(r, v1.Outcome_OUTCOME_COMPLETE, 1))
+		},
+	}}
+	r := httptest.NewRequest(http.MethodGet, "/svc/p/schedule", nil)
+	r.Header.Set("X-Quetzallug-Kind", "again")
+	w := httptest.NewRecorder()
+	newEntry(t, s).ServeHTTP(w, r)
+	require.Len(t, s.requests, 2)
+	require.Equal(t, "second", w.Body.String())
+}
+
 // Guards against bad input that is accepted, or refused without a typed error.
 func TestBadInput(t *testing.T) {
 	tests := []struct {
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -95,6 +95,9 @@
 	// TLS is nil for cleartext.
 	TLS          *tls.Config
 	Interceptors []connect.Interceptor
+	// Dial replaces the TCP dialer, for networks in memory. An error that wraps a net.OpError of
+	// operation "dial" means that nothing was sent.
+	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
 }
 
 // NewClients returns clients with connections of their own.
@@ -107,12 +110,15 @@
 	} else {
 		p.SetUnencryptedHTTP2(true)
 	}
-	dialer := &net.Dialer{Timeout: dialTimeout}
+	dial := cfg.Dial
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
+	}
 	transport := &http.Transport{
 		Protocols:       &p,
 		TLSClientConfig: cfg.TLS,
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
-			conn, err := dialer.DialContext(ctx, network, addr)
+			conn, err := dial(ctx, network, addr)
 			if err != nil {
 				return nil, err
 			}
--- a/sidecar/execute.go
+++ b/sidecar/execute.go
@@ -43,7 +43,12 @@
 	q.KVHandle = s.importPrompt(ctx, r)
 	ts, err := s.engine.Generate(ctx, q)
 	if err != nil {
-		return s.failure(ctx, err)
+		f := s.failure(ctx, err)
+		if r.GetPrefill() != nil {
+			// The prefill engine may have run the prompt, whatever the engine here has done.
+			f.Outcome = v1.Outcome_OUTCOME_UNKNOWN
+		}
+		return f
 	}
 	defer ts.Close()
 	next := r.GetOffset()
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -206,3 +206,19 @@
 	}
 	require.Equal(t, []string{"r1/1"}, runs)
 }
+
+// Guards against "not run" for a request whose prompt has run on the prefill engine.
+func TestRefusalAfterPrefillElsewhereIsUnknown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newEngine(t)
+		s := newSidecar(t, e, nil)
+		e.Crash()
+		r := modelRequest("r")
+		out := &frames{}
+		require.NoError(t, s.Execute(t.Context(), r, out))
+		require.Equal(t, v1.Outcome_OUTCOME_NOT_RUN, out.final().GetOutcome())
+		r.Attempt, r.Prefill = 2, &v1.PrefillSource{Instance: "p", Address: "127.0.0.1:0"}
+		require.NoError(t, s.Execute(t.Context(), r, out))
+		require.Equal(t, v1.Outcome_OUTCOME_UNKNOWN, out.final().GetOutcome())
+	})
+}
--- a/stream/assembler.go
+++ b/stream/assembler.go
@@ -37,7 +37,7 @@
 
 // Assembler holds the state of one answer. It is not safe for concurrent use.
 //
-// Invariants: next never decreases, and data is delivered only at offset next.
+// Invariants: next decreases only by Restart, and data is delivered only at offset next.
 type Assembler struct {
 	requestID string
 	attempt   uint32
@@ -57,6 +57,10 @@
 	return a.attempt, a.next
 }
 
+// Restart forgets the delivered part of an answer that its caller has discarded. Frames of the
+// attempts so far are dropped from the next Begin on.
+func (a *Assembler) Restart() { a.next = 0 }
+
 // Offset returns the number of tokens delivered so far.
 func (a *Assembler) Offset() uint64 { return a.next }
 
