Prove the request path under faults in virtual time

test/path runs entries, sidecars, stand-in engines, backend servers and the key-value service in one synctest bubble over a network in memory that delays, cuts each direction and freezes a process. A checker compares what callers received with the journals of engines and backend servers.

A frozen process's timers go on, because all processes share one address space; only its connections and its calls of the key-value service, engine and backend server stand still.

--- a/internal/tools/mutants/main.go
+++ b/internal/tools/mutants/main.go
@@ -1,4 +1,4 @@
-// Command mutants removes each guard listed in internal/mutants/mutants.yaml in a scratch copy of
+// Command mutants removes each guard listed in internal/mutants in a scratch copy of
 // the module and demands that the named test passes with the guard and fails without it.
 package main
 
@@ -30,10 +30,13 @@
 	Invariant string `yaml:"invariant"`
 }
 
-var errSurvived = errors.New("not every guard is proved")
+var (
+	errSurvived = errors.New("not every guard is proved")
+	errNoLists  = errors.New("no list of mutants")
+)
 
 func main() {
-	file := flag.String("file", "internal/mutants/mutants.yaml", "list of mutants")
+	file := flag.String("file", "internal/mutants/*.yaml", "pattern of the lists of mutants")
 	only := flag.String("only", "", "run only mutants whose name contains this text")
 	flag.Parse()
 	if err := run(*file, *only); err != nil {
@@ -43,7 +46,7 @@
 }
 
 func run(file, only string) error {
-	mutants, err := load(file)
+	mutants, err := loadAll(file)
 	if err != nil {
 		return err
 	}
@@ -83,6 +86,23 @@
 	return nil
 }
 
+// loadAll reads the lists that match a pattern.
+func loadAll(pattern string) ([]mutant, error) {
+	files, err := filepath.Glob(pattern)
+	if err != nil || len(files) == 0 {
+		return nil, fmt.Errorf("pattern %q: %w", pattern, errors.Join(err, errNoLists))
+	}
+	var all []mutant
+	for _, f := range files {
+		list, err := load(f)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, list...)
+	}
+	return all, nil
+}
+
 func load(file string) ([]mutant, error) {
 	data, err := os.ReadFile(file)
 	if err != nil {
--- /dev/null
+++ b/test/path/hosts_test.go
@@ -0,0 +1,281 @@
+package path
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"connectrpc.com/connect"
+	"google.golang.org/protobuf/proto"
+
+	v1 "github.com/quetzallug/quetzallug/gen/quetzallug/v1"
+	"github.com/quetzallug/quetzallug/platform"
+	"github.com/quetzallug/quetzallug/sidecar"
+	"github.com/quetzallug/quetzallug/standin/backend"
+	"github.com/quetzallug/quetzallug/standin/engine"
+)
+
+// kv returns the key-value service as the process sees it: a killed process has no effect, a
+// frozen one stands still.
+func (p *process) kv() platform.KV { return &hostKV{p.w.store, p} }
+
+type hostKV struct {
+	platform.KV
+	p *process
+}
+
+// call runs one call that the process makes.
+func call[T any](ctx context.Context, p *process, f func(ctx context.Context) (T, error)) (T, error) {
+	var zero T
+	if err := p.w.net.awake(ctx, p.host); err != nil {
+		return zero, platform.ErrUnavailable
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(p.host.ctx, cancel)() //nolint:contextcheck // the process, not its caller, decides
+	v, err := f(ctx)
+	if !p.w.net.stand(p.host) {
+		return zero, platform.ErrOutcomeUnknown
+	}
+	return v, err
+}
+
+func (k *hostKV) Get(ctx context.Context, key string) (platform.Entry, error) {
+	return call(ctx, k.p, func(ctx context.Context) (platform.Entry, error) { return k.KV.Get(ctx, key) })
+}
+
+func (k *hostKV) CompareAndSwap(ctx context.Context, key string, expected uint64, value []byte, l platform.LeaseID) (uint64, error) {
+	return call(ctx, k.p, func(ctx context.Context) (uint64, error) { return k.KV.CompareAndSwap(ctx, key, expected, value, l) })
+}
+
+func (k *hostKV) Delete(ctx context.Context, key string, expected uint64) error {
+	_, err := call(ctx, k.p, func(ctx context.Context) (int, error) { return 0, k.KV.Delete(ctx, key, expected) })
+	return err
+}
+
+func (k *hostKV) List(ctx context.Context, prefix string) (all []platform.Entry, rev uint64, err error) {
+	rev, err = call(ctx, k.p, func(ctx context.Context) (uint64, error) {
+		all, rev, err = k.KV.List(ctx, prefix)
+		return rev, err
+	})
+	return all, rev, err
+}
+
+func (k *hostKV) Watch(ctx context.Context, prefix string, after uint64) (all []platform.Event, rev uint64, err error) {
+	rev, err = call(ctx, k.p, func(ctx context.Context) (uint64, error) {
+		all, rev, err = k.KV.Watch(ctx, prefix, after)
+		return rev, err
+	})
+	return all, rev, err
+}
+
+// hostEngine is an engine as its sidecar sees it. The connection to it ends with the sidecar.
+type hostEngine struct {
+	*engine.Engine
+	p *workerProc
+}
+
+func (e *hostEngine) Generate(ctx context.Context, r *platform.GenerateRequest) (platform.TokenStream, error) {
+	if r.Offset > 0 {
+		e.p.w.hook(event{step: "prefill again", worker: e.p, request: r.RequestID})
+	}
+	if r.KVHandle != "" {
+		e.p.w.hook(event{step: "decode", worker: e.p, request: r.RequestID})
+	}
+	if err := e.p.w.net.awake(ctx, e.p.host); err != nil {
+		return nil, fmt.Errorf("%w: %w", platform.ErrEngineFailed, err)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	stop := context.AfterFunc(e.p.host.ctx, cancel) //nolint:contextcheck // the process, not its caller, decides
+	s, err := e.Engine.Generate(ctx, r)
+	if err != nil {
+		stop()
+		cancel()
+		return nil, err
+	}
+	return &hostStream{s, e.p, func() { stop(); cancel() }}, nil
+}
+
+func (e *hostEngine) ImportKV(ctx context.Context, data []byte) (string, error) {
+	e.p.w.hook(event{step: "import", worker: e.p})
+	if err := e.p.w.net.awake(ctx, e.p.host); err != nil {
+		return "", err
+	}
+	return e.Engine.ImportKV(ctx, data)
+}
+
+type hostStream struct {
+	platform.TokenStream
+	p    *workerProc
+	stop func()
+}
+
+func (s *hostStream) Next() (platform.TokenChunk, error) {
+	c, err := s.TokenStream.Next()
+	if !s.p.w.net.stand(s.p.host) {
+		return platform.TokenChunk{}, platform.ErrEngineFailed
+	}
+	return c, err
+}
+
+func (s *hostStream) Close() error {
+	defer s.stop()
+	return s.TokenStream.Close()
+}
+
+type hostBackend struct {
+	*backend.Server
+	p *workerProc
+}
+
+func (b *hostBackend) Do(ctx context.Context, r *platform.PlainRequest) (*platform.PlainResponse, error) {
+	b.p.w.hook(event{step: "run", worker: b.p, request: r.RequestID})
+	return call(ctx, b.p.process, func(ctx context.Context) (*platform.PlainResponse, error) { return b.Server.Do(ctx, r) })
+}
+
+// workerMode holds the faults of a sidecar's messages that are in force.
+type workerMode struct {
+	duplicateRequest, duplicateFrames, reorder, foreign, loseFrames, loseAnswers, loseReports atomic.Bool
+	// refuse is the number of attempts that get a typed "not run".
+	refuse atomic.Int32
+}
+
+// worker delivers requests to a sidecar, with the faults in force.
+type worker struct {
+	*sidecar.Service
+	p *workerProc
+}
+
+var errLost = connect.NewError(connect.CodeUnavailable, errors.New("message lost"))
+
+func (s *worker) Execute(ctx context.Context, r *connect.Request[v1.ExecuteRequest], out *connect.ServerStream[v1.Frame]) error {
+	s.p.w.noteAccepted(s.p, r.Msg)
+	s.p.w.hook(event{step: "accept", worker: s.p, request: r.Msg.GetRequestId(), attempt: r.Msg.GetAttempt()})
+	if n := s.p.mode.refuse.Add(-1); n >= 0 {
+		return out.Send(&v1.Frame{RequestId: r.Msg.GetRequestId(), Attempt: r.Msg.GetAttempt(), Final: &v1.Final{
+			Outcome: v1.Outcome_OUTCOME_NOT_RUN, Reason: v1.Reason_REASON_QUEUE_FULL, Load: s.p.sc.Report(ctx),
+		}})
+	}
+	if s.p.mode.duplicateRequest.Load() {
+		// The first copy runs, the second one is answered.
+		s.p.done.Go(func() { _ = s.p.sc.Execute(s.p.host.ctx, proto.CloneOf(r.Msg), discard{}) })
+		time.Sleep(time.Millisecond)
+	}
+	return s.p.sc.Execute(ctx, r.Msg, &sender{out: out, p: s.p})
+}
+
+func (s *worker) Prefill(ctx context.Context, r *connect.Request[v1.PrefillRequest], out *connect.ServerStream[v1.PrefillChunk]) error {
+	s.p.w.hook(event{step: "fetch", worker: s.p, request: r.Msg.GetAttempt().GetRequestId()})
+	if s.p.mode.duplicateRequest.Load() {
+		s.p.done.Go(func() { _ = s.p.sc.Prefill(s.p.host.ctx, proto.CloneOf(r.Msg.GetAttempt()), discardChunks{}) })
+		time.Sleep(time.Millisecond)
+	}
+	if s.p.mode.loseAnswers.Load() {
+		_ = s.p.sc.Prefill(ctx, r.Msg.GetAttempt(), discardChunks{})
+		return errLost
+	}
+	return s.Service.Prefill(ctx, r, out)
+}
+
+func (s *worker) Probe(ctx context.Context, r *connect.Request[v1.ProbeRequest]) (*connect.Response[v1.ProbeResponse], error) {
+	if s.p.mode.loseReports.Load() {
+		return nil, errLost
+	}
+	return s.Service.Probe(ctx, r)
+}
+
+type discard struct{}
+
+func (discard) Send(*v1.Frame) error { return nil }
+
+type discardChunks struct{}
+
+func (discardChunks) Send(*v1.PrefillChunk) error { return nil }
+
+// sender passes an attempt's frames on, with the faults in force.
+type sender struct {
+	out  sidecar.Sender
+	p    *workerProc
+	sent int
+	held *v1.Frame
+}
+
+// middleFrame is in the middle of the answers of the tests.
+const middleFrame = 6
+
+func (s *sender) Send(f *v1.Frame) error {
+	s.step(f)
+	m := &s.p.mode
+	if m.loseAnswers.Load() {
+		if f.GetFinal() != nil {
+			return errLost
+		}
+		return nil
+	}
+	f = proto.CloneOf(f)
+	if m.loseReports.Load() && f.GetFinal() != nil {
+		f.Final.Load = nil
+	}
+	if m.reorder.Load() {
+		// Each frame goes after the next one; the final frame goes before the last data.
+		if s.held == nil && f.GetFinal() == nil {
+			s.held = f
+			return nil
+		}
+		held := s.held
+		s.held = nil
+		if err := s.out.Send(f); err != nil || held == nil {
+			return err
+		}
+		return s.out.Send(held)
+	}
+	if m.loseFrames.Load() && f.GetFinal() == nil {
+		return nil
+	}
+	if m.foreign.Load() && f.GetFinal() == nil {
+		other := proto.CloneOf(f)
+		other.RequestId, other.Data = "other", []byte(" other")
+		if err := s.out.Send(other); err != nil {
+			return err
+		}
+	}
+	if m.duplicateFrames.Load() {
+		if f.GetFinal() == nil {
+			// A frame of another attempt arrives late.
+			late := proto.CloneOf(f)
+			late.Attempt, late.Data = f.GetAttempt()+1, []byte(" late")
+			if err := s.out.Send(late); err != nil {
+				return err
+			}
+		}
+		if err := s.out.Send(f); err != nil {
+			return err
+		}
+	}
+	return s.out.Send(f)
+}
+
+func (s *sender) step(f *v1.Frame) {
+	steps := []string{}
+	switch {
+	case f.GetFinal() != nil && f.GetFinal().GetOutcome() == v1.Outcome_OUTCOME_COMPLETE:
+		steps = []string{"final frame", "answer"}
+		if f.GetAttempt() > 1 {
+			steps = append(steps, "final after resume")
+		}
+	case f.GetFinal() != nil:
+	case s.sent == 0:
+		steps = []string{"first frame"}
+		if f.GetOffset() > 0 {
+			steps = append(steps, "continue at offset")
+		}
+	case s.sent == middleFrame:
+		steps = []string{"middle of the stream"}
+	}
+	s.sent++
+	for _, n := range steps {
+		s.p.w.hook(event{step: n, worker: s.p, request: f.GetRequestId(), attempt: f.GetAttempt(), sender: s})
+	}
+}
