--- a/dissemination/spread_test.go
+++ b/dissemination/spread_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/quetzallug/quetzallug/internal/faultmatrix"
 	"github.com/quetzallug/quetzallug/platform"
 	"github.com/quetzallug/quetzallug/standin/kv"
 )
@@ -62,8 +63,12 @@
 // fail at that moment. The faults before the second document last; their detection must not
 // need a change.
 func TestInForceWithinBound(t *testing.T) {
+	r := faultmatrix.NewRegistry()
+	t.Cleanup(func() { r.Report(t) })
 	for name, fault := range scenarios {
-		t.Run(name, func(t *testing.T) {
+		c := faultmatrix.Cell{Protocol: "dissemination", Step: "spread", Faults: []string{name}, Invariant: "I9"}
+		r.Declare(c)
+		r.Run(t, c, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				first, second := runScenario(t, newFleet(t, 3, 20, 80), fault)
 				t.Logf("%s: in force everywhere after %v, second change after %v", name, first, second)
@@ -174,52 +179,58 @@
 // Guards against processes that start during an outage with an old document although a peer
 // has a newer one, and against unconfirmed processes that count as confirmed.
 func TestStartDuringOutage(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(t, 3, 6, 6)
-		f.apply(0, testBody(1))
-		f.startAll()
-		_, behind := f.inForce(1, bound)
-		require.Empty(t, behind)
-		// Half of the entries do not get the second document.
-		n := 0
-		f.each(func(p *proc) {
-			if n++; p.inst.Role == platform.RoleEntry && n%2 == 0 {
-				p.kill()
-			}
-		})
-		f.apply(1, testBody(2))
-		_, behind = f.inForce(2, bound)
-		require.Empty(t, behind)
-		f.kv.Faults().Set(kv.FaultState{Down: true})
-		n = 0
-		var started []*proc
-		f.each(func(p *proc) {
-			if p.ctx.Err() != nil {
-				started = append(started, f.start(p.inst, testDocument(1)))
-			}
-		})
-		time.Sleep(time.Minute)
-		for _, in := range f.list {
-			p := f.proc(in.ID)
-			if slices.Contains(started, p) {
-				continue
-			}
+	r := faultmatrix.NewRegistry()
+	t.Cleanup(func() { r.Report(t) })
+	c := faultmatrix.Cell{Protocol: "dissemination", Step: "start", Faults: []string{"key-value service down"}, Invariant: "I9"}
+	r.Declare(c)
+	r.Run(t, c, func(t *testing.T) { synctest.Test(t, startDuringOutage) })
+}
+
+func startDuringOutage(t *testing.T) {
+	f := newFleet(t, 3, 6, 6)
+	f.apply(0, testBody(1))
+	f.startAll()
+	_, behind := f.inForce(1, bound)
+	require.Empty(t, behind)
+	// Half of the entries do not get the second document.
+	n := 0
+	f.each(func(p *proc) {
+		if n++; p.inst.Role == platform.RoleEntry && n%2 == 0 {
 			p.kill()
-			p = f.start(in)
-			time.Sleep(10 * time.Second)
-			require.EqualValues(t, 2, p.revision(), in.ID)
-			require.False(t, p.store.Confirmed(), in.ID)
-			select {
-			case <-p.store.Ready():
-			default:
-				t.Fatalf("%s is not ready", in.ID)
-			}
 		}
-		f.kv.Faults().Set(kv.FaultState{})
-		time.Sleep(bound)
-		f.each(func(p *proc) {
-			require.True(t, p.store.Confirmed(), p.inst.ID)
-			require.EqualValues(t, 2, p.revision(), p.inst.ID)
-		})
+	})
+	f.apply(1, testBody(2))
+	_, behind = f.inForce(2, bound)
+	require.Empty(t, behind)
+	f.kv.Faults().Set(kv.FaultState{Down: true})
+	n = 0
+	var started []*proc
+	f.each(func(p *proc) {
+		if p.ctx.Err() != nil {
+			started = append(started, f.start(p.inst, testDocument(1)))
+		}
+	})
+	time.Sleep(time.Minute)
+	for _, in := range f.list {
+		p := f.proc(in.ID)
+		if slices.Contains(started, p) {
+			continue
+		}
+		p.kill()
+		p = f.start(in)
+		time.Sleep(10 * time.Second)
+		require.EqualValues(t, 2, p.revision(), in.ID)
+		require.False(t, p.store.Confirmed(), in.ID)
+		select {
+		case <-p.store.Ready():
+		default:
+			t.Fatalf("%s is not ready", in.ID)
+		}
+	}
+	f.kv.Faults().Set(kv.FaultState{})
+	time.Sleep(bound)
+	f.each(func(p *proc) {
+		require.True(t, p.store.Confirmed(), p.inst.ID)
+		require.EqualValues(t, 2, p.revision(), p.inst.ID)
 	})
 }
--- a/internal/faultmatrix/faultmatrix.go
+++ b/internal/faultmatrix/faultmatrix.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -105,13 +106,23 @@
 	}
 	data, err := json.Marshal(r.Cells())
 	if err == nil {
-		err = os.WriteFile(filepath.Join(dir, strings.ReplaceAll(t.Name(), "/", "_")+".json"), data, 0o600)
+		err = writeReport(dir, strings.ReplaceAll(t.Name(), "/", "_"), data)
 	}
 	if err != nil {
 		t.Errorf("write fault matrix report: %v", err)
 	}
 }
 
+// writeReport writes a file of its own, because tests of several packages have the same name.
+func writeReport(dir, name string, data []byte) error {
+	f, err := os.CreateTemp(dir, name+"-*.json")
+	if err != nil {
+		return err
+	}
+	_, err = f.Write(data)
+	return errors.Join(err, f.Close())
+}
+
 // Load merges the reports in a directory. A cell is covered if any report covers it.
 func Load(dir string) ([]Cell, error) {
 	files, err := filepath.Glob(filepath.Join(dir, "*.json"))
--- a/internal/faultmatrix/faultmatrix_test.go
+++ b/internal/faultmatrix/faultmatrix_test.go
@@ -30,3 +30,17 @@
 	}
 	require.Equal(t, map[string]bool{"declared": false, "passed": true, "skipped": false}, covered)
 }
+
+// Guards against a report that replaces the report of a test with the same name in another package.
+func TestReportsOfOneNameAreKept(t *testing.T) {
+	dir := t.TempDir()
+	t.Setenv(faultmatrix.ReportDirEnv, dir)
+	for _, protocol := range []string{"first", "second"} {
+		r := faultmatrix.NewRegistry()
+		r.Declare(faultmatrix.Cell{Protocol: protocol, Step: "s", Faults: []string{"f"}})
+		r.Report(t)
+	}
+	cells, err := faultmatrix.Load(dir)
+	require.NoError(t, err)
+	require.Len(t, cells, 2)
+}
--- a/once/fault_test.go
+++ b/once/fault_test.go
@@ -10,6 +10,7 @@
 	"github.com/google/uuid"
 	"github.com/stretchr/testify/require"
 
+	"github.com/quetzallug/quetzallug/internal/faultmatrix"
 	"github.com/quetzallug/quetzallug/once"
 )
 
@@ -61,31 +62,56 @@
 	return set
 }
 
+// cell names a case in the fault matrix. The second fault of a pair meets the next call at the step.
+func (fc *faultCase) cell() faultmatrix.Cell {
+	c := faultmatrix.Cell{Protocol: fc.protocol, Step: fc.step, Invariant: fc.invariant}
+	for _, f := range fc.faults {
+		c.Faults = append(c.Faults, string(f))
+	}
+	if fc.fleet {
+		c.Faults = append(c.Faults, "fleet replaced")
+	}
+	return c
+}
+
 // Guards against a second run, or a run after "not run", under every fault at every step.
 func TestFaultMatrix(t *testing.T) {
+	r := faultmatrix.NewRegistry()
+	t.Cleanup(func() { r.Report(t) })
+	seen := map[string]bool{}
+	for _, fc := range faultCases() {
+		c := fc.cell()
+		if seen[c.Name()] {
+			continue // a lost response twice arises in two ways
+		}
+		seen[c.Name()] = true
+		r.Declare(c)
+		r.Run(t, c, func(t *testing.T) { runCase(t, fc) })
+	}
+}
+
+func runCase(t *testing.T, fc faultCase) {
 	keys := map[string]func() string{
 		"plain key":        func() string { return "pump-7-open" },
 		"time-ordered key": func() string { return uuidAt(time.Now(), 1) },
 	}
-	for _, fc := range faultCases() {
-		fired := 0
-		for _, entries := range []int{2, 3} {
-			for _, disagree := range []bool{false, true} {
-				for kind, key := range keys {
-					name := fmt.Sprintf("%s/%v/fleet %v/%d entries/disagree %v/%s", fc.step, fc.faults, fc.fleet, entries, disagree, kind)
-					synctest.Test(t, func(t *testing.T) {
-						c := newCluster(entries, testSettings())
-						c.setDisagree(disagree)
-						runScenario(c, fc, key())
-						require.Empty(t, c.check(), "%s: invariant %s", name, fc.invariant)
-						fired += c.fired
-						requireUsable(t, c, name)
-					})
-				}
+	fired := 0
+	for _, entries := range []int{2, 3} {
+		for _, disagree := range []bool{false, true} {
+			for kind, key := range keys {
+				name := fmt.Sprintf("%s/%v/fleet %v/%d entries/disagree %v/%s", fc.step, fc.faults, fc.fleet, entries, disagree, kind)
+				synctest.Test(t, func(t *testing.T) {
+					c := newCluster(entries, testSettings())
+					c.setDisagree(disagree)
+					runScenario(c, fc, key())
+					require.Empty(t, c.check(), "%s: invariant %s", name, fc.invariant)
+					fired += c.fired
+					requireUsable(t, c, name)
+				})
 			}
 		}
-		require.Positive(t, fired, "%s/%v: no call met the fault", fc.step, fc.faults)
 	}
+	require.Positive(t, fired, "%s/%v: no call met the fault", fc.step, fc.faults)
 }
 
 // runScenario lets all entries serve one key at once while the first one meets the faults, fills the
