--- a/entry/run.go
+++ b/entry/run.go
@@ -87,11 +87,21 @@
 	}
 	if res.Outcome != v1.Outcome_OUTCOME_NOT_RUN {
 		r.ran = true
+		r.discardPlain()
 	}
 	r.tried = append(r.tried, w.Instance)
 	return nil, r.next(ctx, res)
 }
 
+// discardPlain drops the part of a plain answer that a failed attempt has left. A plain answer does
+// not resume: another run may have another status, content type and body.
+func (r *runner) discardPlain() {
+	if out, ok := r.out.(*wholeSink); ok && r.call.plain != nil {
+		out.buf.Reset()
+		r.asm.Restart()
+	}
+}
+
 // next decides whether another attempt may follow a failed one.
 func (r *runner) next(ctx context.Context, res Result) *Error {
 	detail := res.Reason.String()
