Give a failed order again

Cause: an order that ends before it reaches the engine (withdrawn at a handover, drain or weights timed out) leaves a record in phase failed that holds the wanted configuration. The planner duty took that for the engine's configuration, saw nothing to change and left the engine on its old model for good. Ruled out: lost notices (the sidecar's steps ran), the lease (the pool was acquired and sealed again 1 s after the outage), the share in change (later orders of the pool were given). Change: a failed order whose outcome is known is given again with the models that the document wants now, at once after the first failure, then after 5 s doubling to 5 min.

--- a/planning/planning.go
+++ b/planning/planning.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"strconv"
 	"strings"
 	"time"
 
@@ -110,6 +111,7 @@
 	}
 	l.own(ctx, a, p)
 	l.reconcile(ctx, a, p)
+	l.retry(ctx, a, p, doc)
 	l.start(ctx, a, p, doc)
 	l.plan(ctx, a, p, doc)
 }
@@ -159,6 +161,21 @@
 	}
 }
 
+// retry orders again what a failed order wanted, with the models that the document wants now. Such
+// an order did not reach the engine: it was withdrawn at a handover, or its drain or its weights
+// took too long. Its record holds the wanted configuration, so the placement sees no change to make.
+func (l *Loop) retry(ctx context.Context, a lease.Authority, p *pool, doc *document.Service) {
+	spec := poolSpec(doc, p.dataCentre)
+	if spec == nil {
+		return
+	}
+	for _, e := range p.retries(time.Now()) {
+		c := e.config()
+		c.Models, c.Adapters = wantedModels(doc, spec)
+		l.issue(ctx, a, p, e, c, "order "+strconv.FormatUint(e.record.Number, 10)+" had failed: "+e.record.Detail)
+	}
+}
+
 // start gives engines without models their first configuration. They serve nothing yet, so the
 // limits on changes do not apply; the weight store limits the loads.
 func (l *Loop) start(ctx context.Context, a lease.Authority, p *pool, doc *document.Service) {
--- a/planning/pool.go
+++ b/planning/pool.go
@@ -47,6 +47,57 @@
 	// incarnation and work are those of the last probe, from which the next one's work is counted.
 	incarnation string
 	work        map[string]placement.KindWork
+	// failed counts the orders in succession that have failed. After retryAt another one may follow.
+	failed  int
+	retryAt time.Time
+	// counted is the number of the last failed order in failed.
+	counted uint64
+}
+
+// Waits before a failed order is given again. The first one is immediate, because most failed
+// orders were withdrawn at a handover; each further drain takes the engine out of service again.
+const (
+	minRetryWait = 5 * time.Second
+	maxRetryWait = 5 * time.Minute
+)
+
+// retries returns the engines whose last order failed before it reached the engine and may be
+// given again now.
+func (p *pool) retries(now time.Time) []*engine {
+	var due []*engine
+	for _, e := range p.engines {
+		r := &e.record
+		switch {
+		case !e.recorded || r.Number == 0:
+			continue
+		case r.Phase == order.PhaseDone:
+			e.failed = 0
+			continue
+		case r.Phase != order.PhaseFailed || r.Unknown:
+			continue
+		}
+		if e.counted != r.Number {
+			e.counted = r.Number
+			e.retryAt = now.Add(retryWait(e.failed))
+			e.failed++
+		}
+		if e.owned && !now.Before(e.retryAt) {
+			due = append(due, e)
+		}
+	}
+	return due
+}
+
+// retryWait returns the wait after the given number of earlier failures in succession.
+func retryWait(earlier int) time.Duration {
+	if earlier == 0 {
+		return 0
+	}
+	wait := minRetryWait
+	for range earlier - 1 {
+		wait = min(2*wait, maxRetryWait)
+	}
+	return wait
 }
 
 func newPool(a lease.Authority) *pool {
