Add the fault matrix against real processes and its checker

Ports: a first full 'go test ./...' failed to start an entry ('address already in use'). Cause: ports came from the ephemeral range, where a connection of the other cluster's test can take one before the process listens. Change: ports below that range, none given twice.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 # Generous bound: the whole suite runs in well under a minute on 10 cores.
 TEST_TIMEOUT := 8m
 
-.PHONY: build run test e2e lint fmt vet generate check-generated ci bench-policy
+.PHONY: build run test e2e lint fmt vet generate check-generated e2e-faults ci bench-policy
 
 build:
 	go build -o bin/ ./cmd/...
@@ -20,6 +20,13 @@
 e2e:
 	go test -timeout $(TEST_TIMEOUT) -count=1 ./test/e2e/...
 
+# Brings about faults in real processes under load and checks the invariants. SEED reproduces a
+# schedule.
+FAULT_ROUNDS ?= 33
+FAULT_TIMEOUT := 60m
+e2e-faults:
+	go test -v -timeout $(FAULT_TIMEOUT) -count=1 -run '^TestMatrix$$' ./test/faults -rounds $(FAULT_ROUNDS) $(if $(SEED),-seed $(SEED))
+
 # Compares the routing, admission and placement policies with baselines in virtual time and
 # refreshes the table's data and plots in docs/data.
 bench-policy:
--- a/internal/testcluster/cluster.go
+++ b/internal/testcluster/cluster.go
@@ -11,6 +11,7 @@
 	"os"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -46,6 +47,8 @@
 	ListLag time.Duration
 	// DataCentres of the entries, taken in turn.
 	DataCentres []string
+	// ForwardKV puts a forwarder between each entry and the key-value service.
+	ForwardKV bool
 }
 
 // Pool is the backend servers of a service in one data centre.
@@ -56,6 +59,8 @@
 	Plain      bool
 	// CheckFence makes the engines refuse orders with an old fence number.
 	CheckFence bool
+	// Forward puts a forwarder between the entries and each sidecar.
+	Forward bool
 }
 
 // Entry is a running entry.
@@ -64,7 +69,9 @@
 	ID string
 	// Address serves callers, PeerAddress the system's other processes.
 	Address, PeerAddress string
-	instance             platform.Instance
+	// KVLink leads to the key-value service if Config.ForwardKV is set.
+	KVLink   *Forwarder
+	instance platform.Instance
 }
 
 // Worker is a running sidecar with its backend server.
@@ -76,7 +83,9 @@
 	// BackendAddress is the URL of the backend server.
 	BackendAddress string
 	Pool           Pool
-	instance       platform.Instance
+	// Link leads from the entries to the sidecar if Pool.Forward is set.
+	Link     *Forwarder
+	instance platform.Instance
 }
 
 // Cluster is a set of running processes.
@@ -87,8 +96,9 @@
 	Entries                []*Entry
 	Workers                []*Worker
 
-	mu        sync.Mutex
-	processes []*Process
+	mu         sync.Mutex
+	processes  []*Process
+	forwarders []*Forwarder
 }
 
 // Start starts the stand-ins, sidecars and entries and waits until all answer.
@@ -187,6 +197,12 @@
 	w.instance = platform.Instance{
 		ID: id, Role: platform.RoleSidecar, Service: p.Service, DataCentre: p.DataCentre, Address: w.Address, State: platform.InstanceLive,
 	}
+	if p.Forward {
+		if w.Link, err = c.forward(w.Address); err != nil {
+			return err
+		}
+		w.instance.Address = w.Link.Address()
+	}
 	c.Workers = append(c.Workers, w)
 	return c.register(ctx, w.instance)
 }
@@ -200,10 +216,17 @@
 	if e.PeerAddress, err = freeAddress(); err != nil {
 		return err
 	}
+	kv := c.kv
+	if c.cfg.ForwardKV {
+		if e.KVLink, err = c.forward(strings.TrimPrefix(c.kv, "http://")); err != nil {
+			return err
+		}
+		kv = "http://" + e.KVLink.Address()
+	}
 	dc := c.cfg.DataCentres[i%len(c.cfg.DataCentres)]
 	args := append([]string{
 		"entry", "--cluster", cluster, "--instance", e.ID, "--data-centre", dc,
-		"--listen", e.Address, "--peer-listen", e.PeerAddress, "--kv-address", c.kv,
+		"--listen", e.Address, "--peer-listen", e.PeerAddress, "--kv-address", kv,
 		"--instances-address", c.instances, "--instances-poll", "200ms", "--plan-interval", "1s", "--lame-duck", "500ms",
 	}, c.cfg.EntryArgs...)
 	if e.Process, err = c.run(e.ID, "quetzallugd", args); err != nil {
@@ -301,7 +324,14 @@
 			standins = append(standins, p)
 		}
 	}
-	return errors.Join(stopAll(entries), stopAll(sidecars), stopAll(standins))
+	for _, f := range c.forwarders {
+		f.Hold(false, false)
+	}
+	err := errors.Join(stopAll(entries), stopAll(sidecars), stopAll(standins))
+	for _, f := range c.forwarders {
+		f.Close()
+	}
+	return err
 }
 
 func stopAll(processes []*Process) error {
--- /dev/null
+++ b/internal/testcluster/control.go
@@ -0,0 +1,145 @@
+package testcluster
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+
+	"connectrpc.com/connect"
+	"github.com/sirupsen/logrus"
+
+	"github.com/quetzallug/quetzallug/document/registry"
+	v1 "github.com/quetzallug/quetzallug/gen/quetzallug/v1"
+	"github.com/quetzallug/quetzallug/internal/peerauth"
+	"github.com/quetzallug/quetzallug/internal/rpc"
+	"github.com/quetzallug/quetzallug/lease"
+	"github.com/quetzallug/quetzallug/order"
+	"github.com/quetzallug/quetzallug/platform"
+	"github.com/quetzallug/quetzallug/platform/enginewire"
+	"github.com/quetzallug/quetzallug/standin/backend"
+	"github.com/quetzallug/quetzallug/standin/engine"
+	"github.com/quetzallug/quetzallug/standin/instances"
+)
+
+// RestartEntry starts an ended entry again in its slot.
+func (c *Cluster) RestartEntry(ctx context.Context, e *Entry) error {
+	if err := e.Restart(); err != nil {
+		return err
+	}
+	return c.register(ctx, e.instance)
+}
+
+// RestartSidecar starts an ended sidecar again in its slot.
+func (c *Cluster) RestartSidecar(ctx context.Context, w *Worker) error {
+	if err := w.Sidecar.Restart(); err != nil {
+		return err
+	}
+	return c.register(ctx, w.instance)
+}
+
+// ListFaults switches the faults of the instance list.
+func (c *Cluster) ListFaults(ctx context.Context, f instances.FaultRequest) error {
+	return post(ctx, c.instances+"/faults", f)
+}
+
+// Clients returns clients of the processes' own protocol.
+func (*Cluster) Clients() *rpc.Clients {
+	log := logrus.New()
+	return rpc.NewClients(nil, peerauth.NewInterceptor(peerauth.Credentials{Cluster: cluster, Key: key}, log))
+}
+
+// Status asks an entry for its status.
+func (e *Entry) Status(ctx context.Context, clients *rpc.Clients) (*v1.StatusResponse, error) {
+	resp, err := clients.Peer(e.PeerAddress).Status(ctx, connect.NewRequest(&v1.StatusRequest{Cluster: cluster}))
+	if err != nil {
+		return nil, err
+	}
+	return resp.Msg, nil
+}
+
+// Probe asks a sidecar for its load and revision.
+func (w *Worker) Probe(ctx context.Context, clients *rpc.Clients) (*v1.ProbeResponse, error) {
+	resp, err := clients.Worker(w.Address).Probe(ctx, connect.NewRequest(&v1.ProbeRequest{Cluster: cluster}))
+	if err != nil {
+		return nil, err
+	}
+	return resp.Msg, nil
+}
+
+// EngineFaults switches the faults of an engine.
+func (w *Worker) EngineFaults(ctx context.Context, f engine.FaultRequest) error {
+	return post(ctx, w.BackendAddress+"/faults", f)
+}
+
+// BackendFaults switches the faults of a plain backend server.
+func (w *Worker) BackendFaults(ctx context.Context, f backend.Faults) error {
+	return post(ctx, w.BackendAddress+backend.PathFaults, f)
+}
+
+// EngineState reads the state of an engine.
+func (w *Worker) EngineState(ctx context.Context) (s platform.EngineState, err error) {
+	err = get(ctx, w.BackendAddress+enginewire.PathState, &s)
+	return s, err
+}
+
+// EngineReport reads the journal and violations of an engine.
+func (w *Worker) EngineReport(ctx context.Context) (r engine.Report, err error) {
+	err = get(ctx, w.BackendAddress+"/journal", &r)
+	return r, err
+}
+
+// BackendJournal reads the journal of a plain backend server.
+func (w *Worker) BackendJournal(ctx context.Context) (r []backend.Record, err error) {
+	err = get(ctx, w.BackendAddress+backend.PathJournal, &r)
+	return r, err
+}
+
+// OrderRecord reads the order record of an engine.
+func (w *Worker) OrderRecord(ctx context.Context, kv platform.KV) (r order.Record, err error) {
+	e, err := kv.Get(ctx, order.Key(w.PoolName(), w.ID))
+	if err != nil {
+		return r, err
+	}
+	return r, json.Unmarshal(e.Value, &r)
+}
+
+// PoolName names the worker's pool.
+func (w *Worker) PoolName() string { return w.Pool.Service + "." + w.Pool.DataCentre }
+
+// Holder returns the entry that holds a pool.
+func (c *Cluster) Holder(ctx context.Context, kv platform.KV, pool string) (*Entry, error) {
+	p, err := lease.ReadPool(ctx, kv, pool)
+	if err != nil {
+		return nil, err
+	}
+	for _, e := range c.Entries {
+		if p.Present && len(p.Fence.Holder) > len(e.ID) && p.Fence.Holder[:len(e.ID)+1] == e.ID+"/" {
+			return e, nil
+		}
+	}
+	return nil, fmt.Errorf("pool %s has no holder", pool)
+}
+
+// ApplyBody accepts a document as the next revision after base.
+func (c *Cluster) ApplyBody(ctx context.Context, service string, base uint64, body []byte, author string) (registry.Record, error) {
+	kv, err := c.KV(ctx)
+	if err != nil {
+		return registry.Record{}, err
+	}
+	return registry.Apply(ctx, kv, service, base, body, author)
+}
+
+// Ready reports whether an entry passes its readiness check.
+func (e *Entry) Ready(ctx context.Context, client *http.Client) bool {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.Address+"/readyz", http.NoBody)
+	if err != nil {
+		return false
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
--- a/internal/testcluster/process.go
+++ b/internal/testcluster/process.go
@@ -5,10 +5,13 @@
 import (
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -87,14 +90,43 @@
 // Restart starts the process again after it has ended.
 func (p *Process) Restart() error { return p.start() }
 
-// freeAddress returns a loopback address that no process listens on.
+// Ports of the processes lie below the usual range of ephemeral ports (from 32768 on). A port of
+// that range may become the source port of a connection before its process listens, or while the
+// process restarts, which then fails with "address already in use".
+const (
+	firstPort = 10_000
+	lastPort  = 31_999
+	portTries = 100
+)
+
+var ports struct {
+	sync.Mutex
+	given map[int]bool
+}
+
+// freeAddress returns a loopback address that no process listens on, a new one at each call.
 func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	ports.Lock()
+	defer ports.Unlock()
+	if ports.given == nil {
+		ports.given = map[int]bool{}
+	}
+	var last error
+	for range portTries {
+		port := firstPort + rand.IntN(lastPort-firstPort+1)
+		if ports.given[port] {
+			continue
+		}
+		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(port))
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			last = err
+			continue
+		}
+		ports.given[port] = true
+		return address, l.Close()
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return "", fmt.Errorf("no free port after %d tries: %w", portTries, last)
 }
 
 // Build builds the programs into dir.
