Give each caller of the fault load its own credentials

Cause: the goroutines captured the loop's counter, so all 21 callers sent the credentials of the last one; found with -race. Change: each caller keeps its own number. Before: a data race in TestChiefCells. After: TestChiefCells passes with -race (37 s).

--- a/test/faults/load_test.go
+++ b/test/faults/load_test.go
@@ -101,8 +101,9 @@
 	for _, c := range counts {
 		for range c.n {
 			caller++
-			r := rand.New(rand.NewPCG(seed, uint64(caller)))
-			wg.Go(func() { loop(ctx, r, caller, c.call) })
+			id := caller
+			r := rand.New(rand.NewPCG(seed, uint64(id)))
+			wg.Go(func() { loop(ctx, r, id, c.call) })
 		}
 	}
 	wg.Wait()
