--- a/internal/testcluster/process.go
+++ b/internal/testcluster/process.go
@@ -10,6 +10,8 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -88,25 +90,43 @@
 // Restart starts the process again after it has ended.
 func (p *Process) Restart() error { return p.start() }
 
+// Ports of the processes lie below the usual range of ephemeral ports (from 32768 on). A port of
+// that range may become the source port of a connection before its process listens, or while the
+// process restarts, which then fails with "address already in use".
 const (
-	// firstPort and ports are a range below the one that the system takes outgoing connections
-	// from. A port from that one is sometimes taken by a connection before the program listens.
 	firstPort = 10_000
-	ports     = 20_000
+	lastPort  = 31_999
 	portTries = 100
 )
 
-// freeAddress returns a loopback address that no process listens on.
+var ports struct {
+	sync.Mutex
+	given map[int]bool
+}
+
+// freeAddress returns a loopback address that no process listens on, a new one at each call.
 func freeAddress() (string, error) {
-	var err error
+	ports.Lock()
+	defer ports.Unlock()
+	if ports.given == nil {
+		ports.given = map[int]bool{}
+	}
+	var last error
 	for range portTries {
-		addr := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports)) //nolint:gosec // a port needs no secrecy
-		var l net.Listener
-		if l, err = net.Listen("tcp", addr); err == nil {
-			return addr, l.Close()
+		port := firstPort + rand.IntN(lastPort-firstPort+1)
+		if ports.given[port] {
+			continue
+		}
+		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(port))
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			last = err
+			continue
 		}
+		ports.given[port] = true
+		return address, l.Close()
 	}
-	return "", fmt.Errorf("no free port: %w", err)
+	return "", fmt.Errorf("no free port after %d tries: %w", portTries, last)
 }
 
 // Build builds the programs into dir.
