--- a/entry/entry.go
+++ b/entry/entry.go
@@ -4,6 +4,7 @@
 package entry
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -125,6 +126,8 @@
 type RetryBudget interface {
 	Fresh(now time.Time)
 	Take(now time.Time) bool
+	// Backoff returns the wait before a retry, counted from 1.
+	Backoff(retry int, retryAfter time.Duration, rnd *rand.Rand) time.Duration
 }
 
 // Options are the entry's collaborators.
--- a/entry/run.go
+++ b/entry/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"slices"
 	"time"
@@ -116,9 +117,24 @@
 		return r.giveUp(ReasonRetryBudget, "retry budget is spent after "+detail)
 	}
 	r.metrics.Retry(r.call.service.Service, res.Reason)
+	if !movedOn(res) {
+		r.backOff(ctx)
+	}
 	return nil
 }
 
+// backOff waits before a retry, so that requests that failed together do not return together. The
+// deadline is checked by the next attempt.
+func (r *runner) backOff(ctx context.Context) {
+	rnd := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) //nolint:gosec // jitter needs no secrecy
+	t := time.NewTimer(r.budget.Backoff(r.attempts, 0, rnd))
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
 // movedOn reports whether an attempt ended because its worker is being changed, stopped or
 // replaced. The retry budget does not count these: they are bounded by the changes themselves,
 // and a budget that is spent would cut answers that a planned change only moves elsewhere.
--- a/entry/run_internal_test.go
+++ b/entry/run_internal_test.go
@@ -69,8 +69,9 @@
 
 type spentBudget struct{}
 
-func (spentBudget) Fresh(time.Time)     {}
-func (spentBudget) Take(time.Time) bool { return false }
+func (spentBudget) Fresh(time.Time)                                      {}
+func (spentBudget) Take(time.Time) bool                                  { return false }
+func (spentBudget) Backoff(int, time.Duration, *rand.Rand) time.Duration { return 0 }
 
 type noMetrics struct{}
 
--- a/entry/run_test.go
+++ b/entry/run_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -120,8 +121,9 @@
 // unlimited lets the tests reach the bound on attempts.
 type unlimited struct{}
 
-func (unlimited) Fresh(time.Time)     {}
-func (unlimited) Take(time.Time) bool { return true }
+func (unlimited) Fresh(time.Time)                                      {}
+func (unlimited) Take(time.Time) bool                                  { return true }
+func (unlimited) Backoff(int, time.Duration, *rand.Rand) time.Duration { return 0 }
 
 type noMetrics struct{}
 
