--- a/entry/relay_test.go
+++ b/entry/relay_test.go
@@ -20,6 +20,7 @@
 	"github.com/quetzallug/quetzallug/internal/peerauth"
 	"github.com/quetzallug/quetzallug/internal/rpc"
 	"github.com/quetzallug/quetzallug/internal/telemetry"
+	"github.com/quetzallug/quetzallug/once"
 	"github.com/quetzallug/quetzallug/platform"
 	"github.com/quetzallug/quetzallug/retry"
 	"github.com/quetzallug/quetzallug/sidecar"
@@ -99,7 +100,7 @@
 
 func serveWorker(b *testing.B, docs oneDocument, m *telemetry.Metrics, log logrus.FieldLogger) string {
 	sc, err := sidecar.New(sidecar.Config{
-		Cluster: "bench", Instance: "w0", Service: benchService, Incarnation: "1", MaxInFlight: 256, Attempts: 1 << 10,
+		Cluster: "bench", Instance: "w0", Service: benchService, Incarnation: "1", MaxInFlight: 256, Attempts: once.DefaultExecutorSettings(),
 	}, tokenEngine{}, nil, docs, m, log)
 	require.NoError(b, err)
 	require.NoError(b, sc.RefreshState(b.Context()))
--- a/internal/app/sidecar.go
+++ b/internal/app/sidecar.go
@@ -18,6 +18,7 @@
 	"github.com/quetzallug/quetzallug/internal/telemetry"
 	"github.com/quetzallug/quetzallug/kernel"
 	"github.com/quetzallug/quetzallug/membership"
+	"github.com/quetzallug/quetzallug/once"
 	"github.com/quetzallug/quetzallug/order"
 	"github.com/quetzallug/quetzallug/platform"
 	"github.com/quetzallug/quetzallug/sidecar"
@@ -27,8 +28,6 @@
 	// sidecarKVCalls is a sidecar's budget of calls to the key-value service per second. It
 	// reads its order record every 30 s, and a few records around an order.
 	sidecarKVCalls = 5
-	// attemptLogSize bounds the attempts that a sidecar remembers.
-	attemptLogSize = 1 << 16
 	// leavingPoll is the time between looks whether the platform lists this instance as leaving.
 	leavingPoll = 200 * time.Millisecond
 )
@@ -91,7 +90,7 @@
 	return sidecar.New(sidecar.Config{
 		Peers:   peers,
 		Cluster: s.Cluster, Instance: s.Instance, Service: s.Service, Incarnation: id.incarnation,
-		MaxInFlight: s.MaxInFlight, Attempts: attemptLogSize,
+		MaxInFlight: s.MaxInFlight, Attempts: once.DefaultExecutorSettings(),
 	}, b.engine, b.plain, &entry.DocumentsInForce{Store: store, Agent: agent}, m, log)
 }
 
--- a/sidecar/execute.go
+++ b/sidecar/execute.go
@@ -30,11 +30,19 @@
 	if ref := s.admit(r, cancel); ref != nil {
 		return s.finish(ctx, r, out, &v1.Final{Outcome: ref.outcome, Reason: ref.reason, Detail: ref.detail})
 	}
-	defer s.release(r)
+	handed := true
+	defer func() { s.release(r, handed) }()
+	f := s.serve(ctx, r, out)
+	handed = f.GetOutcome() != v1.Outcome_OUTCOME_NOT_RUN
+	return s.finish(ctx, r, out, f)
+}
+
+// serve hands an admitted attempt to the backend server and returns the final frame's content.
+func (s *Sidecar) serve(ctx context.Context, r *v1.ExecuteRequest, out Sender) *v1.Final {
 	if s.engine != nil {
-		return s.finish(ctx, r, out, s.generate(ctx, r, out))
+		return s.generate(ctx, r, out)
 	}
-	return s.finish(ctx, r, out, s.call(ctx, r, out))
+	return s.call(ctx, r, out)
 }
 
 // generate streams an engine's answer and returns the final frame's content.
--- a/sidecar/prefill.go
+++ b/sidecar/prefill.go
@@ -44,7 +44,7 @@
 	if ref := s.admit(r, cancel); ref != nil {
 		return connect.NewError(connect.CodeUnavailable, fmt.Errorf("prefill refused: %s: %s", ref.reason, ref.detail))
 	}
-	defer s.release(r)
+	defer s.release(r, true)
 	data, err := s.exportPrompt(ctx, r)
 	if err != nil {
 		return connect.NewError(connect.CodeUnavailable, err)
--- a/sidecar/relay_test.go
+++ b/sidecar/relay_test.go
@@ -15,6 +15,7 @@
 	"github.com/quetzallug/quetzallug/internal/telemetry"
 	"github.com/quetzallug/quetzallug/kernel"
 	"github.com/quetzallug/quetzallug/modules/enginehttp"
+	"github.com/quetzallug/quetzallug/once"
 	"github.com/quetzallug/quetzallug/platform"
 	"github.com/quetzallug/quetzallug/platform/enginewire"
 	"github.com/quetzallug/quetzallug/sidecar"
@@ -70,7 +71,7 @@
 	engine, err := kernel.Load[platform.Engine](b.Context(), enginehttp.ID, kernel.Settings{"address": server.URL})
 	require.NoError(b, err)
 	sc, err := sidecar.New(sidecar.Config{
-		Cluster: "bench", Instance: "w0", Service: "s", Incarnation: "1", MaxInFlight: 256, Attempts: 1 << 20,
+		Cluster: "bench", Instance: "w0", Service: "s", Incarnation: "1", MaxInFlight: 256, Attempts: once.DefaultExecutorSettings(),
 	}, engine, nil, noDocuments{}, m, log)
 	require.NoError(b, err)
 	require.NoError(b, sc.RefreshState(b.Context()))
--- a/sidecar/report_test.go
+++ b/sidecar/report_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	v1 "github.com/quetzallug/quetzallug/gen/quetzallug/v1"
+	"github.com/quetzallug/quetzallug/once"
 	"github.com/quetzallug/quetzallug/platform"
 	"github.com/quetzallug/quetzallug/standin/backend"
 	"github.com/quetzallug/quetzallug/standin/engine"
@@ -33,7 +34,7 @@
 	t.Cleanup(func() { require.NoError(t, e.Close()) })
 	log := logrus.New()
 	log.SetOutput(t.Output())
-	s, err := New(Config{Cluster: "c", Instance: "i", Service: "s", Incarnation: "1", MaxInFlight: 8, Attempts: 64},
+	s, err := New(Config{Cluster: "c", Instance: "i", Service: "s", Incarnation: "1", MaxInFlight: 8, Attempts: once.DefaultExecutorSettings()},
 		e, nil, noDocuments{}, noMetrics{}, log)
 	require.NoError(t, err)
 	return s, e
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -9,12 +9,14 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/sirupsen/logrus"
 	"google.golang.org/protobuf/proto"
 
 	v1 "github.com/quetzallug/quetzallug/gen/quetzallug/v1"
 	"github.com/quetzallug/quetzallug/internal/rpc"
+	"github.com/quetzallug/quetzallug/once"
 	"github.com/quetzallug/quetzallug/platform"
 )
 
@@ -38,7 +40,7 @@
 	// MaxInFlight bounds the attempts handed to the backend server or waiting in it.
 	MaxInFlight int
 	// Attempts bounds the memory of attempts seen.
-	Attempts int
+	Attempts once.ExecutorSettings
 }
 
 // Sidecar serves one backend server. Exactly one of Engine and Backend is set.
@@ -50,13 +52,15 @@
 	log     logrus.FieldLogger
 	metrics Metrics
 
+	// seen refuses duplicates. Its lock may be taken while mu is held, not the other way round.
+	seen *once.Executor
+
 	sequence atomic.Uint64
 	state    atomic.Pointer[engineView]
 
 	// mu guards the fields below. No call is made while it is held.
 	mu       sync.Mutex
 	inFlight map[attemptKey]*attempt
-	seen     *attemptLog
 	work     map[string]*v1.KindWork
 	// cacheEvents is replaced, never changed, so that answers can share it.
 	cacheEvents []*v1.CacheEvent
@@ -100,7 +104,7 @@
 	return &Sidecar{
 		cfg: cfg, engine: engine, backend: backend, docs: docs, metrics: m, log: log,
 		inFlight: map[attemptKey]*attempt{},
-		seen:     newAttemptLog(cfg.Attempts),
+		seen:     once.NewExecutor(cfg.Incarnation, cfg.Attempts),
 		work:     map[string]*v1.KindWork{},
 		idle:     make(chan struct{}),
 	}, nil
@@ -126,16 +130,18 @@
 	key := attemptKey{r.GetRequestId(), r.GetAttempt()}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.seen.has(key) {
+	switch s.seen.Begin(time.Now(), s.seenAttempt(r)) {
+	case once.RefuseDuplicate:
 		return &refusal{v1.Outcome_OUTCOME_UNKNOWN, v1.Reason_REASON_DUPLICATE_ATTEMPT, "attempt was received before"}
+	case once.RefuseFull:
+		return notRun(v1.Reason_REASON_QUEUE_FULL, "too many recent attempts")
+	case once.RefuseIncarnation:
+		return notRun(v1.Reason_REASON_WRONG_INCARNATION, "this sidecar's incarnation is "+s.cfg.Incarnation)
 	}
-	if s.drainingLocked() {
-		return notRun(v1.Reason_REASON_DRAINING, "backend server takes no new work")
-	}
-	if len(s.inFlight) >= s.cfg.MaxInFlight {
-		return notRun(v1.Reason_REASON_QUEUE_FULL, "too many requests in flight")
+	if ref := s.unavailableLocked(); ref != nil {
+		s.seen.End(time.Now(), s.seenAttempt(r), false)
+		return ref
 	}
-	s.seen.add(key)
 	s.countWork(r)
 	prompt, answer := int(r.GetModel().GetPromptTokens()), int(r.GetModel().GetMaxTokens())
 	s.inFlight[key] = &attempt{
@@ -146,6 +152,25 @@
 	return nil
 }
 
+// unavailableLocked returns why no new work is accepted, nil if it is. The caller holds mu.
+func (s *Sidecar) unavailableLocked() *refusal {
+	if s.drainingLocked() {
+		return notRun(v1.Reason_REASON_DRAINING, "backend server takes no new work")
+	}
+	if len(s.inFlight) >= s.cfg.MaxInFlight {
+		return notRun(v1.Reason_REASON_QUEUE_FULL, "too many requests in flight")
+	}
+	return nil
+}
+
+// seenAttempt describes a valid request to the memory of attempts. A repeatable request may leave
+// the incarnation open.
+func (s *Sidecar) seenAttempt(r *v1.ExecuteRequest) once.Attempt {
+	return once.Attempt{
+		RequestID: r.GetRequestId(), Number: r.GetAttempt(), Incarnation: s.cfg.Incarnation, Repeatable: r.GetRepeatable(),
+	}
+}
+
 func (s *Sidecar) validate(r *v1.ExecuteRequest) *refusal {
 	switch {
 	case r.GetCluster() != s.cfg.Cluster:
@@ -221,8 +246,10 @@
 	}
 }
 
-// release removes an attempt that has ended.
-func (s *Sidecar) release(r *v1.ExecuteRequest) {
+// release removes an attempt that has ended. If it was not handed to the backend server, a further
+// attempt of an unrepeatable request may run.
+func (s *Sidecar) release(r *v1.ExecuteRequest, handed bool) {
+	s.seen.End(time.Now(), s.seenAttempt(r), handed)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.inFlight, attemptKey{r.GetRequestId(), r.GetAttempt()})
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -18,6 +18,7 @@
 	v1 "github.com/quetzallug/quetzallug/gen/quetzallug/v1"
 	"github.com/quetzallug/quetzallug/gen/quetzallug/v1/quetzallugv1connect"
 	"github.com/quetzallug/quetzallug/internal/rpc"
+	"github.com/quetzallug/quetzallug/once"
 	"github.com/quetzallug/quetzallug/platform"
 	"github.com/quetzallug/quetzallug/sidecar"
 	"github.com/quetzallug/quetzallug/standin/backend"
@@ -69,7 +70,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	s, err := sidecar.New(sidecar.Config{
-		Cluster: cluster, Instance: "w", Service: service, Incarnation: incarnation, MaxInFlight: 2, Attempts: 100,
+		Cluster: cluster, Instance: "w", Service: service, Incarnation: incarnation, MaxInFlight: 2, Attempts: once.DefaultExecutorSettings(),
 		Peers: rpc.NewClients(rpc.ClientConfig{}),
 	}, e, b, noDocuments{}, noMetrics{}, log)
 	require.NoError(t, err)
@@ -132,7 +133,7 @@
 	}
 }
 
-// Guards against a duplicate delivery that runs twice, or that is reported as not run although
+// Guards against a duplicate delivery or a second attempt that runs again, or that is reported as not run although
 // its first copy ran.
 func TestDuplicateDoesNotRunAgain(t *testing.T) {
 	b := backend.New(backend.Config{})
@@ -142,6 +143,10 @@
 	require.NoError(t, s.Execute(t.Context(), plainRequest("r"), second))
 	require.Equal(t, v1.Outcome_OUTCOME_COMPLETE, first.final().GetOutcome())
 	require.Equal(t, v1.Outcome_OUTCOME_UNKNOWN, second.final().GetOutcome())
+	again, third := plainRequest("r"), &frames{}
+	again.Attempt = 2
+	require.NoError(t, s.Execute(t.Context(), again, third))
+	require.Equal(t, v1.Outcome_OUTCOME_UNKNOWN, third.final().GetOutcome(), "another attempt of an unrepeatable request that ran")
 	require.Equal(t, 1, b.Executions("r"))
 }
 
--- a/test/path/world_test.go
+++ b/test/path/world_test.go
@@ -366,7 +366,7 @@
 	var err error
 	p.sc, err = sidecar.New(sidecar.Config{
 		Cluster: cluster, Instance: p.inst.ID, Service: service, Incarnation: p.inc, Peers: p.clients,
-		MaxInFlight: 256, Attempts: 1 << 10,
+		MaxInFlight: 256, Attempts: once.DefaultExecutorSettings(),
 	}, eng, plain, p.documents(), noMetrics{}, w.log)
 	require.NoError(w.t, err)
 	mux := http.NewServeMux()
