--- a/planning/planning.go
+++ b/planning/planning.go
@@ -151,10 +151,12 @@
 	}
 }
 
-// reconcile orders the recorded configuration again for engines that came back in another state.
+// reconcile orders the recorded configuration again for engines that came back in another state. It
+// also repeats the notice of an order that has not begun, which may have been lost.
 func (l *Loop) reconcile(ctx context.Context, a lease.Authority, p *pool) {
 	for _, e := range p.engines {
-		if !e.owned || !e.record.Unknown || !e.record.Phase.Settled() || e.record.Number == 0 {
+		unknown := e.record.Unknown && e.record.Phase.Settled()
+		if !e.owned || e.record.Number == 0 || !unknown && e.record.Phase != order.PhasePlanned {
 			continue
 		}
 		r, issued, err := l.orders.Reconcile(ctx, a, e.id)
