--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -113,9 +113,9 @@
 	f.Duration("lease-ttl", 6*time.Second, "time to live of a pool lease")
 	f.Int("max-pools", 8, "largest number of pools that this entry plans for")
 	f.Duration("plan-interval", 5*time.Second, "time between planner rounds")
-	f.Int("once-shards", 8, "number of claim shards per service")
+	f.Int("once-shards", 4, "number of claim shards per service")
 	f.Duration("once-retention", 24*time.Hour, "time for which claims of idempotency keys are kept")
-	f.Float64("kv-calls", 20, "budget of calls to the key-value service per second")
+	f.Float64("kv-calls", 60, "budget of calls to the key-value service per second")
 }
 
 // AddSidecar adds the flags of a sidecar.
