Fix a data race in the request path's test world

go test -race reported one: a cell walked the list of workers while a fault replaced one of them. The product's packages entry, sidecar, planning, stream, rpc, load, routing and admission were clean in the same run. TestFaultPairs and TestDrainMatrix now pass with -race.

--- a/test/path/matrix_test.go
+++ b/test/path/matrix_test.go
@@ -50,12 +50,12 @@
 func playKeyed(w *world, step string) {
 	a := ask{kind: "alert-acknowledgement", n: 1, key: "k1"}
 	if step == "release" {
-		for _, p := range w.workers {
+		for _, p := range w.allWorkers() {
 			p.mode.refuse.Store(refusals)
 		}
 	}
 	w.together(a, a, ask{kind: "alert-acknowledgement", n: 2, key: "k2"})
-	for _, p := range w.workers {
+	for _, p := range w.allWorkers() {
 		p.mode.refuse.Store(0)
 	}
 	time.Sleep(time.Second)
--- a/test/path/world_test.go
+++ b/test/path/world_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -406,6 +407,13 @@
 	}
 }
 
+// allWorkers returns the present workers; faults replace them while a request runs.
+func (w *world) allWorkers() []*workerProc {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Clone(w.workers)
+}
+
 func (w *world) worker(id string) *workerProc {
 	w.mu.Lock()
 	defer w.mu.Unlock()
