--- a/entry/run_test.go
+++ b/entry/run_test.go
@@ -132,7 +132,7 @@
 func (noMetrics) BetweenTokens(string, string, time.Duration)                       {}
 func (noMetrics) Retry(string, v1.Reason)                                           {}
 
-func newEntry(t *testing.T, s *scripted) http.Handler {
+func newEntry(t testing.TB, s *scripted) http.Handler {
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
