--- a/order/planner.go
+++ b/order/planner.go
@@ -182,7 +182,7 @@
 	if err := p.notify(ctx, a, engine, n.Record); err != nil {
 		log.WithError(err).Warn("order issued, notice not delivered")
 	} else {
-		log.Info("order issued")
+		log.Debug("order issued")
 	}
 	return n.Record, nil
 }
