--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -94,8 +94,8 @@
 	}
 }
 
-func plainRequest(id string) *v1.ExecuteRequest {
-	r := modelRequest(id)
+func plainRequest() *v1.ExecuteRequest {
+	r := modelRequest("r")
 	r.Repeatable = false
 	r.Request = &v1.ExecuteRequest_Plain{Plain: &v1.PlainRequest{Method: http.MethodPost, Path: "/pumps/1"}}
 	return r
@@ -122,7 +122,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			b := backend.New(backend.Config{})
 			s := newSidecar(t, nil, b)
-			r := plainRequest("r")
+			r := plainRequest()
 			tt.change(r)
 			out := &frames{}
 			require.NoError(t, s.Execute(t.Context(), r, out))
@@ -139,11 +139,11 @@
 	b := backend.New(backend.Config{})
 	s := newSidecar(t, nil, b)
 	first, second := &frames{}, &frames{}
-	require.NoError(t, s.Execute(t.Context(), plainRequest("r"), first))
-	require.NoError(t, s.Execute(t.Context(), plainRequest("r"), second))
+	require.NoError(t, s.Execute(t.Context(), plainRequest(), first))
+	require.NoError(t, s.Execute(t.Context(), plainRequest(), second))
 	require.Equal(t, v1.Outcome_OUTCOME_COMPLETE, first.final().GetOutcome())
 	require.Equal(t, v1.Outcome_OUTCOME_UNKNOWN, second.final().GetOutcome())
-	again, third := plainRequest("r"), &frames{}
+	again, third := plainRequest(), &frames{}
 	again.Attempt = 2
 	require.NoError(t, s.Execute(t.Context(), again, third))
 	require.Equal(t, v1.Outcome_OUTCOME_UNKNOWN, third.final().GetOutcome(), "another attempt of an unrepeatable request that ran")
