--- a/dissemination/property_test.go
+++ b/dissemination/property_test.go
@@ -164,6 +164,7 @@
 		bad := Document{Service: testService, Revision: 5, Body: []byte("colour: red")}
 		s.Offer(bad, testDocument(4))
 		got := s.Snapshot().Service(testService)
+		require.NotNil(t, got, "the valid document stays in force")
 		require.EqualValues(t, 4, got.Revision)
 		require.NotNil(t, got.Parsed)
 		require.NotEmpty(t, document.Faults(got.RefusedError))
