Share one pause that ends with its context

Packages lease, order, dissemination, internal/app and the request path's test world each had a copy of the same function. Those of dissemination and internal/app now also report false if the context ended at the same moment as the time.

--- a/dissemination/agent.go
+++ b/dissemination/agent.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/quetzallug/quetzallug/internal/pause"
 	"github.com/quetzallug/quetzallug/platform"
 )
 
@@ -128,7 +129,7 @@
 		case a.poller.behind():
 			a.direct.read(ctx)
 		}
-		if !sleep(ctx, a.rand.around(healthEvery)) {
+		if !pause.For(ctx, a.rand.around(healthEvery)) {
 			return
 		}
 	}
--- a/dissemination/fleet_test.go
+++ b/dissemination/fleet_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/quetzallug/quetzallug/document/registry"
+	"github.com/quetzallug/quetzallug/internal/pause"
 	"github.com/quetzallug/quetzallug/platform"
 	"github.com/quetzallug/quetzallug/standin/kv"
 )
@@ -213,7 +214,7 @@
 }
 
 func (l *link) Fetch(ctx context.Context, have map[string]uint64, wait time.Duration) ([]Document, bool, error) {
-	if !sleep(ctx, hop) {
+	if !pause.For(ctx, hop) {
 		return nil, false, ctx.Err()
 	}
 	to := l.from.fleet.proc(l.to)
@@ -230,7 +231,7 @@
 			return nil, false, errDown
 		}
 		if !to.hung.Load() {
-			if !sleep(ctx, hop) {
+			if !pause.For(ctx, hop) {
 				return nil, false, ctx.Err()
 			}
 			return docs, confirmed, err
--- a/dissemination/kvwatcher.go
+++ b/dissemination/kvwatcher.go
@@ -7,6 +7,7 @@
 	"sync"
 
 	"github.com/quetzallug/quetzallug/document/registry"
+	"github.com/quetzallug/quetzallug/internal/pause"
 	"github.com/quetzallug/quetzallug/platform"
 )
 
@@ -85,7 +86,7 @@
 // checkHealth ends the session when the key-value service stops answering, since a watch on a
 // dead connection cannot be told from one without news.
 func (w *KVWatcher) checkHealth(ctx context.Context, cancel context.CancelCauseFunc) {
-	for sleep(ctx, w.rand.around(healthEvery)) {
+	for pause.For(ctx, w.rand.around(healthEvery)) {
 		if err := probe(ctx, w.kv); err != nil && ctx.Err() == nil {
 			w.store.setFresh(false)
 			cancel(fmt.Errorf("health check: %w", err))
--- a/dissemination/timing.go
+++ b/dissemination/timing.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"sync"
 	"time"
+
+	"github.com/quetzallug/quetzallug/internal/pause"
 )
 
 // The times below keep the chain key-value service, relay, entry, sidecar under the bound of
@@ -81,16 +83,5 @@
 // wait sleeps. It returns false if ctx ended.
 func (b *backoff) wait(ctx context.Context) bool {
 	b.next = min(max(2*b.next, backoffFirst), backoffLast)
-	return sleep(ctx, b.rand.around(b.next))
-}
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
+	return pause.For(ctx, b.rand.around(b.next))
 }
--- a/internal/app/entry.go
+++ b/internal/app/entry.go
@@ -15,6 +15,7 @@
 	"github.com/quetzallug/quetzallug/dissemination"
 	"github.com/quetzallug/quetzallug/entry"
 	"github.com/quetzallug/quetzallug/gen/quetzallug/v1/quetzallugv1connect"
+	"github.com/quetzallug/quetzallug/internal/pause"
 	"github.com/quetzallug/quetzallug/internal/rpc"
 	"github.com/quetzallug/quetzallug/internal/settings"
 	"github.com/quetzallug/quetzallug/internal/telemetry"
@@ -192,7 +193,7 @@
 	serve(lc, sd, log, srv, s.Listen, nil, plainListener, func(ctx context.Context) {
 		h.stopping.Store(true)
 		log.WithField("for", s.LameDuck.String()).Info("stopping: the readiness check fails, requests are still served")
-		sleep(ctx, s.LameDuck)
+		pause.For(ctx, s.LameDuck)
 	})
 	return nil
 }
@@ -225,12 +226,3 @@
 	}
 	return false
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/app/sidecar.go
+++ b/internal/app/sidecar.go
@@ -13,6 +13,7 @@
 	"github.com/quetzallug/quetzallug/dissemination"
 	"github.com/quetzallug/quetzallug/entry"
 	"github.com/quetzallug/quetzallug/gen/quetzallug/v1/quetzallugv1connect"
+	"github.com/quetzallug/quetzallug/internal/pause"
 	"github.com/quetzallug/quetzallug/internal/rpc"
 	"github.com/quetzallug/quetzallug/internal/settings"
 	"github.com/quetzallug/quetzallug/internal/telemetry"
@@ -209,7 +210,7 @@
 		h.stopping.Store(true)
 		sc.Leave()
 		// Entries learn of the stop from refusals, while connections still work.
-		sleep(ctx, s.LameDuck)
+		pause.For(ctx, s.LameDuck)
 		ctx, cancel := context.WithTimeout(ctx, s.DrainTimeout)
 		defer cancel()
 		if err := sc.Wait(ctx); err != nil {
--- a/lease/manager.go
+++ b/lease/manager.go
@@ -14,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/quetzallug/quetzallug/internal/cas"
+	"github.com/quetzallug/quetzallug/internal/pause"
 	"github.com/quetzallug/quetzallug/platform"
 )
 
@@ -114,7 +115,7 @@
 func (m *Manager) Run(ctx context.Context) {
 	var sessions sync.WaitGroup
 	defer sessions.Wait()
-	if !sleep(ctx, time.Duration(m.cfg.Random()*float64(m.cfg.PollSpacing))) {
+	if !pause.For(ctx, time.Duration(m.cfg.Random()*float64(m.cfg.PollSpacing))) {
 		return
 	}
 	for {
@@ -127,7 +128,7 @@
 			m.take(a)
 			sessions.Go(func() { m.hold(ctx, a, s) })
 		}
-		if !sleep(ctx, m.jitter(m.pollInterval())) {
+		if !pause.For(ctx, m.jitter(m.pollInterval())) {
 			return
 		}
 	}
@@ -221,7 +222,7 @@
 	interval := m.cfg.TTL / keepAlivesPerTTL
 	wait := m.jitter(interval)
 	for {
-		if !sleep(ctx, min(wait, a.remaining())) {
+		if !pause.For(ctx, min(wait, a.remaining())) {
 			return ctx.Err()
 		}
 		if !a.Valid() {
@@ -257,14 +258,3 @@
 func (m *Manager) jitter(d time.Duration) time.Duration {
 	return d + time.Duration((2*m.cfg.Random()-1)*jitterShare*float64(d))
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return ctx.Err() == nil
-	}
-}
--- a/order/attempt.go
+++ b/order/attempt.go
@@ -9,6 +9,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/quetzallug/quetzallug/internal/pause"
 	"github.com/quetzallug/quetzallug/lease"
 	"github.com/quetzallug/quetzallug/platform"
 )
@@ -259,7 +260,7 @@
 		if err == nil && !s.Changing {
 			return s, nil
 		}
-		if !sleep(ctx, stateInterval) {
+		if !pause.For(ctx, stateInterval) {
 			return s, fmt.Errorf("%w: changing %t, last error %w", ErrEngine, s.Changing, errors.Join(err, ctx.Err()))
 		}
 	}
--- a/order/executor.go
+++ b/order/executor.go
@@ -10,6 +10,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/quetzallug/quetzallug/internal/pause"
 	"github.com/quetzallug/quetzallug/lease"
 	"github.com/quetzallug/quetzallug/platform"
 )
@@ -184,7 +185,7 @@
 			return e.supersede(err)
 		}
 		e.cfg.Log.WithField("engine", e.cfg.Engine).WithError(err).Warn("sidecar state not established")
-		if !sleep(ctx, e.jitter(delay)) {
+		if !pause.For(ctx, e.jitter(delay)) {
 			return ctx.Err()
 		}
 		delay = min(2*delay, maxRetry)
@@ -202,7 +203,7 @@
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrStore, err)
 	}
-	if !sleep(ctx, claimWait) {
+	if !pause.For(ctx, claimWait) {
 		return ctx.Err()
 	}
 	s, err := e.steadyState(ctx)
@@ -343,14 +344,3 @@
 func (e *Executor) jitter(d time.Duration) time.Duration {
 	return d*4/5 + time.Duration(e.cfg.Random()*float64(d)*2/5)
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return ctx.Err() == nil
-	}
-}
--- a/test/path/drain_test.go
+++ b/test/path/drain_test.go
@@ -10,6 +10,7 @@
 
 	v1 "github.com/quetzallug/quetzallug/gen/quetzallug/v1"
 	"github.com/quetzallug/quetzallug/internal/faultmatrix"
+	"github.com/quetzallug/quetzallug/internal/pause"
 	"github.com/quetzallug/quetzallug/platform"
 	"github.com/quetzallug/quetzallug/standin/engine"
 )
@@ -112,7 +113,7 @@
 	w.noteDrain(p, time.Now().Add(leavingBound))
 	begun()
 	for left := false; !left && p.host.ctx.Err() == nil; {
-		sleep(p.host.ctx, leavingPoll)
+		pause.For(p.host.ctx, leavingPoll)
 		s, err := w.list.Instances(p.host.ctx, 0)
 		left = err == nil && slices.ContainsFunc(s.Instances, func(in platform.Instance) bool {
 			return in.ID == p.inst.ID && in.State == platform.InstanceLeaving
@@ -138,7 +139,7 @@
 // stopSidecar is the rest of a sidecar's graceful shutdown. Another process takes its slot later.
 func (w *world) stopSidecar(p *workerProc) {
 	defer w.endDrain(p)
-	sleep(p.host.ctx, max(lameDuck, leavingBound+time.Second))
+	pause.For(p.host.ctx, max(lameDuck, leavingBound+time.Second))
 	ctx, cancel := context.WithTimeout(p.host.ctx, drainTimeout)
 	defer cancel()
 	_ = p.sc.Wait(ctx)
@@ -153,7 +154,7 @@
 func (w *world) stopEntry(p *entryProc) {
 	p.caller.SetKeepAlivesEnabled(false)
 	w.setBalanced(p, false)
-	sleep(p.host.ctx, lameDuck)
+	pause.For(p.host.ctx, lameDuck)
 	ctx, cancel := context.WithTimeout(p.host.ctx, drainTimeout)
 	defer cancel()
 	_ = p.caller.Shutdown(ctx)
--- a/test/path/steps_test.go
+++ b/test/path/steps_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/quetzallug/quetzallug/entry"
 	v1 "github.com/quetzallug/quetzallug/gen/quetzallug/v1"
+	"github.com/quetzallug/quetzallug/internal/pause"
 	"github.com/quetzallug/quetzallug/once"
 )
 
@@ -85,7 +86,7 @@
 	c.p.w.hook(event{step: step, entry: c.p, request: r.RequestID})
 	if c.p.w.duplicateClaims.Load() {
 		c.p.background(func(ctx context.Context) {
-			sleep(ctx, 2*time.Millisecond)
+			pause.For(ctx, 2*time.Millisecond)
 			c.Router.Do(ctx, r)
 		})
 	}
--- a/test/path/world_test.go
+++ b/test/path/world_test.go
@@ -21,6 +21,7 @@
 	"github.com/quetzallug/quetzallug/entry"
 	v1 "github.com/quetzallug/quetzallug/gen/quetzallug/v1"
 	"github.com/quetzallug/quetzallug/gen/quetzallug/v1/quetzallugv1connect"
+	"github.com/quetzallug/quetzallug/internal/pause"
 	"github.com/quetzallug/quetzallug/internal/rpc"
 	"github.com/quetzallug/quetzallug/membership"
 	"github.com/quetzallug/quetzallug/once"
@@ -377,7 +378,7 @@
 	p.background(func(ctx context.Context) {
 		for ctx.Err() == nil {
 			_ = p.sc.RefreshState(ctx)
-			sleep(ctx, statePoll)
+			pause.For(ctx, statePoll)
 		}
 	})
 	w.mu.Lock()
@@ -424,12 +425,3 @@
 	}
 	return nil
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
