--- a/cmd/quetzallug-standin/commands.go
+++ b/cmd/quetzallug-standin/commands.go
@@ -9,7 +9,7 @@
 	"github.com/spf13/cobra"
 	"github.com/spf13/viper"
 
-	"github.com/quetzallug/quetzallug/platform"
+	"github.com/quetzallug/quetzallug/external"
 	"github.com/quetzallug/quetzallug/standin/backend"
 	"github.com/quetzallug/quetzallug/standin/engine"
 	"github.com/quetzallug/quetzallug/standin/instances"
@@ -114,7 +114,7 @@
 	f := cmd.Flags()
 	f.String("name", "engine", "name, from which the start ID is derived")
 	f.Uint64("seed", 1, "seed of start IDs and cache event gaps")
-	f.String("role", string(platform.RoleMixed), "role at the first start: prefill, decode or mixed")
+	f.String("role", string(external.RoleMixed), "role at the first start: prefill, decode or mixed")
 	// The environment variables of the two lists are separated by spaces.
 	f.StringSlice("model", nil, "model loaded at the first start, as name or name@version; repeatable")
 	f.StringSlice("adapter", nil, "adapter loaded at the first start, as name or name@version; repeatable")
@@ -128,16 +128,16 @@
 }
 
 func engineConfig(v *viper.Viper) (engine.Config, error) {
-	role := platform.Role(v.GetString("role"))
+	role := external.Role(v.GetString("role"))
 	switch role {
-	case platform.RolePrefill, platform.RoleDecode, platform.RoleMixed:
+	case external.RolePrefill, external.RoleDecode, external.RoleMixed:
 	default:
 		return engine.Config{}, fmt.Errorf("role %q is not prefill, decode or mixed", role)
 	}
 	return engine.Config{
 		Name: v.GetString("name"),
 		Seed: v.GetUint64("seed"),
-		Initial: platform.EngineConfig{
+		Initial: external.EngineConfig{
 			Role: role, Models: versions(v.GetStringSlice("model")), Adapters: versions(v.GetStringSlice("adapter")),
 		},
 		Pieces:       v.GetInt("pieces"),
@@ -150,11 +150,11 @@
 	}, nil
 }
 
-func versions(names []string) []platform.ModelVersion {
-	var out []platform.ModelVersion
+func versions(names []string) []external.ModelVersion {
+	var out []external.ModelVersion
 	for _, n := range names {
 		name, version, _ := strings.Cut(n, "@")
-		out = append(out, platform.ModelVersion{Name: name, Version: version})
+		out = append(out, external.ModelVersion{Name: name, Version: version})
 	}
 	return out
 }
--- a/dissemination/agent.go
+++ b/dissemination/agent.go
@@ -7,8 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/quetzallug/quetzallug/external"
 	"github.com/quetzallug/quetzallug/internal/pause"
-	"github.com/quetzallug/quetzallug/platform"
 )
 
 // Fetcher is the client of one peer.
@@ -20,11 +20,11 @@
 
 // Config sets up an Agent.
 type Config struct {
-	Self  platform.Instance
+	Self  external.Instance
 	Store *Store
-	KV    platform.KV
+	KV    external.KV
 	// Dial returns the client of a peer. It must not block.
-	Dial func(platform.Instance) Fetcher
+	Dial func(external.Instance) Fetcher
 	// Seed fixes the jitter in tests; 0 chooses one at random.
 	Seed uint64
 	// Log receives the failures of sources and the records that cannot be read. It may be nil.
@@ -61,7 +61,7 @@
 
 // SetInstances replaces the instance list. An empty list is ignored, because it says only that
 // the platform's list has failed.
-func (a *Agent) SetInstances(instances []platform.Instance) {
+func (a *Agent) SetInstances(instances []external.Instance) {
 	if len(instances) == 0 {
 		return
 	}
@@ -139,7 +139,7 @@
 // together stays below a fixed rate.
 type directReader struct {
 	store *Store
-	kv    platform.KV
+	kv    external.KV
 	rand  *random
 	log   func(error)
 	fleet func() int
--- a/dissemination/fleet_test.go
+++ b/dissemination/fleet_test.go
@@ -12,8 +12,8 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/quetzallug/quetzallug/document/registry"
+	"github.com/quetzallug/quetzallug/external"
 	"github.com/quetzallug/quetzallug/internal/pause"
-	"github.com/quetzallug/quetzallug/platform"
 	"github.com/quetzallug/quetzallug/standin/kv"
 )
 
@@ -47,7 +47,7 @@
 
 	mu    sync.Mutex
 	procs map[string]*proc
-	list  []platform.Instance
+	list  []external.Instance
 	// regressed holds the first fault that a process's watcher saw.
 	regressed error
 	starts    uint64
@@ -56,7 +56,7 @@
 // proc is one start of a process.
 type proc struct {
 	fleet  *fleet
-	inst   platform.Instance
+	inst   external.Instance
 	store  *Store
 	agent  *Agent
 	ctx    context.Context
@@ -81,10 +81,10 @@
 	for d := range dcs {
 		dc := fmt.Sprintf("dc-%d", d)
 		for i := range entries {
-			f.list = append(f.list, platform.Instance{ID: fmt.Sprintf("entry-%d-%d", d, i), Role: platform.RoleEntry, DataCentre: dc, State: platform.InstanceLive})
+			f.list = append(f.list, external.Instance{ID: fmt.Sprintf("entry-%d-%d", d, i), Role: external.RoleEntry, DataCentre: dc, State: external.InstanceLive})
 		}
 		for i := range sidecars {
-			f.list = append(f.list, platform.Instance{ID: fmt.Sprintf("sidecar-%d-%d", d, i), Role: platform.RoleSidecar, DataCentre: dc, State: platform.InstanceLive})
+			f.list = append(f.list, external.Instance{ID: fmt.Sprintf("sidecar-%d-%d", d, i), Role: external.RoleSidecar, DataCentre: dc, State: external.InstanceLive})
 		}
 	}
 	return f
@@ -97,7 +97,7 @@
 }
 
 // start starts a process that already holds the given documents.
-func (f *fleet) start(in platform.Instance, docs ...Document) *proc {
+func (f *fleet) start(in external.Instance, docs ...Document) *proc {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.starts++
@@ -106,7 +106,7 @@
 	p.ctx, p.cancel = context.WithCancel(f.ctx)
 	p.agent = NewAgent(Config{
 		Self: in, Store: p.store, KV: &procKV{f.kv, p}, Seed: f.starts,
-		Dial: func(to platform.Instance) Fetcher { return &link{from: p, to: to.ID} },
+		Dial: func(to external.Instance) Fetcher { return &link{from: p, to: to.ID} },
 	})
 	p.agent.SetInstances(f.list)
 	f.procs[in.ID] = p
@@ -164,7 +164,7 @@
 }
 
 // publish gives all processes an instance list.
-func (f *fleet) publish(list []platform.Instance) {
+func (f *fleet) publish(list []external.Instance) {
 	f.each(func(p *proc) { p.agent.SetInstances(list) })
 }
 
@@ -251,26 +251,26 @@
 	time.Sleep(hop)
 	if k.p.cutOff.Load() {
 		<-ctx.Done()
-		return platform.ErrUnavailable
+		return external.ErrUnavailable
 	}
 	return nil
 }
 
-func (k *procKV) Get(ctx context.Context, key string) (platform.Entry, error) {
+func (k *procKV) Get(ctx context.Context, key string) (external.Entry, error) {
 	if err := k.reach(ctx); err != nil {
-		return platform.Entry{}, err
+		return external.Entry{}, err
 	}
 	return k.Store.Get(ctx, key)
 }
 
-func (k *procKV) List(ctx context.Context, prefix string) ([]platform.Entry, uint64, error) {
+func (k *procKV) List(ctx context.Context, prefix string) ([]external.Entry, uint64, error) {
 	if err := k.reach(ctx); err != nil {
 		return nil, 0, err
 	}
 	return k.Store.List(ctx, prefix)
 }
 
-func (k *procKV) Watch(ctx context.Context, prefix string, after uint64) ([]platform.Event, uint64, error) {
+func (k *procKV) Watch(ctx context.Context, prefix string, after uint64) ([]external.Event, uint64, error) {
 	if err := k.reach(ctx); err != nil {
 		return nil, 0, err
 	}
@@ -278,7 +278,7 @@
 	time.Sleep(hop) // a fault at the moment of the change comes before its arrival
 	if k.p.cutOff.Load() {
 		<-ctx.Done()
-		return nil, 0, platform.ErrUnavailable
+		return nil, 0, external.ErrUnavailable
 	}
 	return events, next, err
 }
--- a/dissemination/kvwatcher.go
+++ b/dissemination/kvwatcher.go
@@ -7,8 +7,8 @@
 	"sync"
 
 	"github.com/quetzallug/quetzallug/document/registry"
+	"github.com/quetzallug/quetzallug/external"
 	"github.com/quetzallug/quetzallug/internal/pause"
-	"github.com/quetzallug/quetzallug/platform"
 )
 
 // probeKey is never written. Reading it tells whether the key-value service answers.
@@ -17,7 +17,7 @@
 // KVWatcher keeps a store up to date from the key-value service. Relays run it.
 type KVWatcher struct {
 	store *Store
-	kv    platform.KV
+	kv    external.KV
 	rand  *random
 	log   func(error)
 }
@@ -95,17 +95,17 @@
 	}
 }
 
-func probe(ctx context.Context, kv platform.KV) error {
+func probe(ctx context.Context, kv external.KV) error {
 	ctx, cancel := context.WithTimeout(ctx, healthTimeout)
 	defer cancel()
-	if _, err := kv.Get(ctx, probeKey); err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if _, err := kv.Get(ctx, probeKey); err != nil && !errors.Is(err, external.ErrNotFound) {
 		return err
 	}
 	return nil
 }
 
 // readAll offers all documents in the key-value service to the store and confirms it.
-func readAll(ctx context.Context, kv platform.KV, s *Store, log func(error)) (uint64, error) {
+func readAll(ctx context.Context, kv external.KV, s *Store, log func(error)) (uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	entries, revision, err := kv.List(ctx, registry.ConfigPrefix)
@@ -125,7 +125,7 @@
 
 // decodeEntry reports an invalid record and leaves it out. It leaves out removed keys as well:
 // the deletion of a service is a tombstone with a higher revision.
-func decodeEntry(e platform.Entry, log func(error)) (Document, bool) {
+func decodeEntry(e external.Entry, log func(error)) (Document, bool) {
 	if len(e.Value) == 0 {
 		return Document{}, false
 	}
--- a/dissemination/peerpoller.go
+++ b/dissemination/peerpoller.go
@@ -8,7 +8,7 @@
 	"sync"
 	"time"
 
-	"github.com/quetzallug/quetzallug/platform"
+	"github.com/quetzallug/quetzallug/external"
 )
 
 // bootstrapPeers is the number of peers that must answer before a process that starts during
@@ -110,7 +110,7 @@
 }
 
 // choose takes over a new plan and returns to the preferred source from time to time.
-func (p *poller) choose() []platform.Instance {
+func (p *poller) choose() []external.Instance {
 	sources := p.agent.Plan().Sources
 	p.mu.Lock()
 	planIsNew := p.planIsNew
@@ -128,7 +128,7 @@
 }
 
 // poll asks the current source once. It returns false if the poller should back off.
-func (p *poller) poll(ctx context.Context, sources []platform.Instance) bool {
+func (p *poller) poll(ctx context.Context, sources []external.Instance) bool {
 	src := sources[p.index]
 	wait := time.Duration(0)
 	if p.settled && !p.behind() {
@@ -194,7 +194,7 @@
 	return false
 }
 
-func (p *poller) fetch(ctx context.Context, src platform.Instance, wait time.Duration) (bool, error) {
+func (p *poller) fetch(ctx context.Context, src external.Instance, wait time.Duration) (bool, error) {
 	limit := wait + answerGrace
 	if wait == 0 {
 		limit = probeTimeout
--- a/dissemination/property_test.go
+++ b/dissemination/property_test.go
@@ -15,8 +15,8 @@
 
 	"github.com/quetzallug/quetzallug/document"
 	"github.com/quetzallug/quetzallug/document/registry"
+	"github.com/quetzallug/quetzallug/external"
 	_ "github.com/quetzallug/quetzallug/internal/rapidseed"
-	"github.com/quetzallug/quetzallug/platform"
 	"github.com/quetzallug/quetzallug/standin/kv"
 )
 
@@ -101,7 +101,7 @@
 	case "up":
 		f.kv.Faults().Set(kv.FaultState{})
 	case "publish":
-		var live []platform.Instance
+		var live []external.Instance
 		for _, in := range f.list {
 			if f.proc(in.ID).ctx.Err() == nil {
 				live = append(live, in)
@@ -288,12 +288,12 @@
 // Guards against processes that disagree about the relays although they have the same list,
 // and against a loss of one data centre that leaves processes without sources.
 func TestRole(t *testing.T) {
-	var list []platform.Instance
+	var list []external.Instance
 	for i := range 340 {
-		list = append(list, platform.Instance{ID: fmt.Sprintf("e%d", i), Role: platform.RoleEntry, DataCentre: fmt.Sprint(i % 5)})
+		list = append(list, external.Instance{ID: fmt.Sprintf("e%d", i), Role: external.RoleEntry, DataCentre: fmt.Sprint(i % 5)})
 	}
 	for i := range 640 {
-		list = append(list, platform.Instance{ID: fmt.Sprintf("s%d", i), Role: platform.RoleSidecar, DataCentre: fmt.Sprint(i % 5)})
+		list = append(list, external.Instance{ID: fmt.Sprintf("s%d", i), Role: external.RoleSidecar, DataCentre: fmt.Sprint(i % 5)})
 	}
 	relays, preferred := map[string]bool{}, map[string]int{}
 	for _, in := range list {
@@ -312,11 +312,11 @@
 	require.Less(t, most, 60)
 	for i := range list {
 		if relays[list[i].ID] {
-			list[i].State = platform.InstanceLeaving
+			list[i].State = external.InstanceLeaving
 		}
 	}
 	for id := range relays {
-		self := list[slices.IndexFunc(list, func(in platform.Instance) bool { return in.ID == id })]
+		self := list[slices.IndexFunc(list, func(in external.Instance) bool { return in.ID == id })]
 		require.False(t, Role(list, self).Relay, "a leaving relay hands over")
 	}
 	require.Empty(t, Role(nil, list[0]).Sources)
--- a/dissemination/role.go
+++ b/dissemination/role.go
@@ -6,7 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/quetzallug/quetzallug/platform"
+	"github.com/quetzallug/quetzallug/external"
 )
 
 const (
@@ -21,19 +21,19 @@
 	// Relay says that the process watches the key-value service itself.
 	Relay bool
 	// Sources are the peers that it polls otherwise, in order of preference.
-	Sources []platform.Instance
+	Sources []external.Instance
 	// Fleet is the number of entries and sidecars, which sets the rate of direct reads.
 	Fleet int
 }
 
 // Role derives the plan of a process from the instance list. Processes with the same list
 // agree about the relays; the order of the sources differs, to spread the polls.
-func Role(instances []platform.Instance, self platform.Instance) Plan {
+func Role(instances []external.Instance, self external.Instance) Plan {
 	entries := liveEntries(instances)
 	plan := Plan{Fleet: len(instances)}
 	relays := relaysOf(entries)
-	if self.Role == platform.RoleEntry {
-		plan.Relay = slices.ContainsFunc(relays, func(r platform.Instance) bool { return r.ID == self.ID })
+	if self.Role == external.RoleEntry {
+		plan.Relay = slices.ContainsFunc(relays, func(r external.Instance) bool { return r.ID == self.ID })
 		plan.Sources = preferred(relays, self)
 		return plan
 	}
@@ -42,12 +42,12 @@
 }
 
 // liveEntries returns the live entries, or the leaving ones if there are no others.
-func liveEntries(instances []platform.Instance) []platform.Instance {
-	var live, leaving []platform.Instance
+func liveEntries(instances []external.Instance) []external.Instance {
+	var live, leaving []external.Instance
 	for _, in := range instances {
 		switch {
-		case in.Role != platform.RoleEntry:
-		case in.State == platform.InstanceLeaving:
+		case in.Role != external.RoleEntry:
+		case in.State == external.InstanceLeaving:
 			leaving = append(leaving, in)
 		default:
 			live = append(live, in)
@@ -60,12 +60,12 @@
 }
 
 // relaysOf chooses the relays of each data centre by rendezvous hashing.
-func relaysOf(entries []platform.Instance) []platform.Instance {
-	byDC := map[string][]platform.Instance{}
+func relaysOf(entries []external.Instance) []external.Instance {
+	byDC := map[string][]external.Instance{}
 	for _, in := range entries {
 		byDC[in.DataCentre] = append(byDC[in.DataCentre], in)
 	}
-	var relays []platform.Instance
+	var relays []external.Instance
 	for dc, ins := range byDC {
 		sortByWeight(ins, "relay/"+dc)
 		relays = append(relays, ins[:min(RelaysPerDataCentre, len(ins))]...)
@@ -75,10 +75,10 @@
 
 // preferred orders peers: own data centre first, then by rendezvous hashing. The last places
 // go to other data centres, so that the loss of the own one leaves sources.
-func preferred(peers []platform.Instance, self platform.Instance) []platform.Instance {
-	peers = slices.DeleteFunc(slices.Clone(peers), func(p platform.Instance) bool { return p.ID == self.ID })
+func preferred(peers []external.Instance, self external.Instance) []external.Instance {
+	peers = slices.DeleteFunc(slices.Clone(peers), func(p external.Instance) bool { return p.ID == self.ID })
 	sortByWeight(peers, "source/"+self.ID)
-	var own, other []platform.Instance
+	var own, other []external.Instance
 	for _, p := range peers {
 		if p.DataCentre == self.DataCentre {
 			own = append(own, p)
@@ -91,9 +91,9 @@
 }
 
 // sortByWeight orders instances by their rendezvous weight for a key, the highest first.
-func sortByWeight(ins []platform.Instance, key string) {
-	weight := func(in platform.Instance) uint64 { return xxhash.Sum64String(key + "\x00" + in.ID) }
-	slices.SortFunc(ins, func(a, b platform.Instance) int {
+func sortByWeight(ins []external.Instance, key string) {
+	weight := func(in external.Instance) uint64 { return xxhash.Sum64String(key + "\x00" + in.ID) }
+	slices.SortFunc(ins, func(a, b external.Instance) int {
 		return cmp.Or(cmp.Compare(weight(b), weight(a)), cmp.Compare(a.ID, b.ID))
 	})
 }
--- a/dissemination/spread_test.go
+++ b/dissemination/spread_test.go
@@ -8,8 +8,8 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/quetzallug/quetzallug/external"
 	"github.com/quetzallug/quetzallug/internal/faultmatrix"
-	"github.com/quetzallug/quetzallug/platform"
 	"github.com/quetzallug/quetzallug/standin/kv"
 )
 
@@ -36,7 +36,7 @@
 	"a third of the entries hung": func(f *fleet) {
 		n := 0
 		f.each(func(p *proc) {
-			if n++; p.inst.Role == platform.RoleEntry && n%3 == 0 {
+			if n++; p.inst.Role == external.RoleEntry && n%3 == 0 {
 				p.hung.Store(true)
 			}
 		})
@@ -195,7 +195,7 @@
 	// Half of the entries do not get the second document.
 	n := 0
 	f.each(func(p *proc) {
-		if n++; p.inst.Role == platform.RoleEntry && n%2 == 0 {
+		if n++; p.inst.Role == external.RoleEntry && n%2 == 0 {
 			p.kill()
 		}
 	})
--- a/document/registry/history.go
+++ b/document/registry/history.go
@@ -4,25 +4,25 @@
 	"context"
 	"errors"
 
-	"github.com/quetzallug/quetzallug/platform"
+	"github.com/quetzallug/quetzallug/external"
 )
 
 // repairHistory writes the present record's history entry if the writer of that record did not
 // get to it. Failures are ignored: the history is best effort.
-func repairHistory(ctx context.Context, kv platform.KV, current *Record) {
+func repairHistory(ctx context.Context, kv external.KV, current *Record) {
 	if current.WriteID == "" {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, historyTimeout)
 	defer cancel()
-	if _, err := kv.Get(ctx, HistoryKey(current.Service, current.Revision)); errors.Is(err, platform.ErrNotFound) {
+	if _, err := kv.Get(ctx, HistoryKey(current.Service, current.Revision)); errors.Is(err, external.ErrNotFound) {
 		putHistory(ctx, kv, current)
 	}
 }
 
 // recordHistory writes the history entry of an accepted record and removes entries that are
 // too old.
-func recordHistory(ctx context.Context, kv platform.KV, r *Record) {
+func recordHistory(ctx context.Context, kv external.KV, r *Record) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), historyTimeout)
 	defer cancel()
 	if !putHistory(ctx, kv, r) || r.Revision <= HistoryLength {
@@ -32,13 +32,13 @@
 	// by one of the next writes, which look a few revisions further back.
 	const lookBack = 3
 	for old := r.Revision - HistoryLength; old > 0 && old+HistoryLength+lookBack > r.Revision; old-- {
-		if err := kv.Delete(ctx, HistoryKey(r.Service, old), 1); err != nil && !errors.Is(err, platform.ErrConflict) {
+		if err := kv.Delete(ctx, HistoryKey(r.Service, old), 1); err != nil && !errors.Is(err, external.ErrConflict) {
 			return
 		}
 	}
 }
 
-func putHistory(ctx context.Context, kv platform.KV, r *Record) bool {
+func putHistory(ctx context.Context, kv external.KV, r *Record) bool {
 	past := *r
 	past.Recent = nil
 	value, err := past.encode()
@@ -46,5 +46,5 @@
 		return false
 	}
 	_, err = kv.CompareAndSwap(ctx, HistoryKey(r.Service, r.Revision), 0, value, 0)
-	return err == nil || errors.Is(err, platform.ErrConflict)
+	return err == nil || errors.Is(err, external.ErrConflict)
 }
--- a/document/registry/record.go
+++ b/document/registry/record.go
@@ -13,7 +13,7 @@
 	"time"
 
 	"github.com/quetzallug/quetzallug/document"
-	"github.com/quetzallug/quetzallug/platform"
+	"github.com/quetzallug/quetzallug/external"
 )
 
 const (
@@ -120,7 +120,7 @@
 }
 
 // FromEntry decodes an entry of the key-value service.
-func FromEntry(e platform.Entry) (Record, error) { return Decode(e.Key, e.Value) }
+func FromEntry(e external.Entry) (Record, error) { return Decode(e.Key, e.Value) }
 
 // ServiceOf returns the service that a key under ConfigPrefix belongs to.
 func ServiceOf(key string) (string, bool) {
--- a/document/registry/registry.go
+++ b/document/registry/registry.go
@@ -11,7 +11,7 @@
 	"github.com/google/uuid"
 
 	"github.com/quetzallug/quetzallug/document"
-	"github.com/quetzallug/quetzallug/platform"
+	"github.com/quetzallug/quetzallug/external"
 )
 
 // ErrNotFound means that the key-value service holds no record of the service.
@@ -72,7 +72,7 @@
 // An invalid record can be replaced from any base that is not below the revision that the
 // history knows. The caller takes the highest revision that the processes have in force, since
 // they ignore lower ones.
-func Apply(ctx context.Context, kv platform.KV, service string, base uint64, body []byte, author string) (Record, error) {
+func Apply(ctx context.Context, kv external.KV, service string, base uint64, body []byte, author string) (Record, error) {
 	s, err := document.Parse(body)
 	if err != nil {
 		return Record{}, err
@@ -86,14 +86,14 @@
 }
 
 // Delete replaces the service's record with a tombstone of the next revision.
-func Delete(ctx context.Context, kv platform.KV, service string, base uint64, author string) (Record, error) {
+func Delete(ctx context.Context, kv external.KV, service string, base uint64, author string) (Record, error) {
 	if !document.ValidName(service) {
 		return Record{}, fmt.Errorf("%w: invalid name %q", ErrNotFound, service)
 	}
 	return write(ctx, kv, Record{Service: service, Deleted: true, Author: author}, base)
 }
 
-func write(ctx context.Context, kv platform.KV, next Record, base uint64) (Record, error) {
+func write(ctx context.Context, kv external.KV, next Record, base uint64) (Record, error) {
 	if len(next.Author) > MaxAuthorBytes {
 		return Record{}, fmt.Errorf("author has %d bytes; allowed are %d", len(next.Author), MaxAuthorBytes)
 	}
@@ -125,13 +125,13 @@
 // read returns the present record and its version. If the record is absent or invalid, the
 // record that it returns is empty but for the last revision that the history knows, so that the
 // next record continues from there.
-func read(ctx context.Context, kv platform.KV, service string) (Record, uint64, error) {
+func read(ctx context.Context, kv external.KV, service string) (Record, uint64, error) {
 	e, err := kv.Get(ctx, ConfigKey(service))
 	if err == nil {
 		if r, err := FromEntry(e); err == nil {
 			return r, e.Version, nil
 		}
-	} else if !errors.Is(err, platform.ErrNotFound) {
+	} else if !errors.Is(err, external.ErrNotFound) {
 		return Record{}, 0, fmt.Errorf("read service %q: %w", service, err)
 	}
 	past, err := History(ctx, kv, service)
@@ -168,7 +168,7 @@
 }
 
 // swap writes the record and settles an unknown outcome.
-func swap(ctx context.Context, kv platform.KV, next *Record, version, base uint64) error {
+func swap(ctx context.Context, kv external.KV, next *Record, version, base uint64) error {
 	value, err := next.encode()
 	if err != nil {
 		return err
@@ -177,9 +177,9 @@
 	switch {
 	case err == nil:
 		return nil
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, external.ErrConflict):
 		return lost(ctx, kv, next, base)
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, external.ErrUnavailable):
 		return fmt.Errorf("write service %q: %w", next.Service, err)
 	}
 	return settle(ctx, kv, next, version, value, base)
@@ -188,7 +188,7 @@
 // settle finds out whether a write took effect whose response was lost. A read that shows the
 // old version proves nothing, because the write may still be under way; so the same write is
 // sent again. At most one of the two can take effect, and both carry the same record.
-func settle(ctx context.Context, kv platform.KV, next *Record, version uint64, value []byte, base uint64) error {
+func settle(ctx context.Context, kv external.KV, next *Record, version uint64, value []byte, base uint64) error {
 	// The outcome matters most when the operator's own deadline has ended.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleTimeout)
 	defer cancel()
@@ -197,7 +197,7 @@
 		if err == nil {
 			return nil
 		}
-		if errors.Is(err, platform.ErrConflict) {
+		if errors.Is(err, external.ErrConflict) {
 			err = lost(ctx, kv, next, base)
 			var c *ConflictError
 			// Beyond HistoryLength, the list of recent writes may no longer hold this write.
@@ -215,10 +215,10 @@
 
 // lost reads the record that made a write conflict. It returns nil if the write itself did,
 // which happens after a lost response.
-func lost(ctx context.Context, kv platform.KV, next *Record, base uint64) error {
+func lost(ctx context.Context, kv external.KV, next *Record, base uint64) error {
 	winner, _, err := read(ctx, kv, next.Service)
 	if err != nil {
-		return fmt.Errorf("service %q was changed by another write: %w", next.Service, errors.Join(platform.ErrConflict, err))
+		return fmt.Errorf("service %q was changed by another write: %w", next.Service, errors.Join(external.ErrConflict, err))
 	}
 	if winner.wrote(next.WriteID) {
 		return nil
@@ -227,12 +227,12 @@
 }
 
 // Get returns the present record of a service. A deleted service has a record too.
-func Get(ctx context.Context, kv platform.KV, service string) (Record, error) {
+func Get(ctx context.Context, kv external.KV, service string) (Record, error) {
 	if !document.ValidName(service) {
 		return Record{}, fmt.Errorf("%w: invalid name %q", ErrNotFound, service)
 	}
 	e, err := kv.Get(ctx, ConfigKey(service))
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, external.ErrNotFound) {
 		return Record{}, fmt.Errorf("%w: %q", ErrNotFound, service)
 	}
 	if err != nil {
@@ -242,7 +242,7 @@
 }
 
 // List returns the present records, and one error for each invalid one.
-func List(ctx context.Context, kv platform.KV) ([]Record, []error, error) {
+func List(ctx context.Context, kv external.KV) ([]Record, []error, error) {
 	entries, _, err := kv.List(ctx, ConfigPrefix)
 	if err != nil {
 		return nil, nil, fmt.Errorf("list services: %w", err)
@@ -262,7 +262,7 @@
 
 // History returns the kept revisions of a service, newest first. Revisions whose
 // best-effort write failed are missing.
-func History(ctx context.Context, kv platform.KV, service string) ([]Record, error) {
+func History(ctx context.Context, kv external.KV, service string) ([]Record, error) {
 	if !document.ValidName(service) {
 		return nil, fmt.Errorf("%w: invalid name %q", ErrNotFound, service)
 	}
--- a/document/registry/registry_test.go
+++ b/document/registry/registry_test.go
@@ -15,8 +15,8 @@
 
 	"github.com/quetzallug/quetzallug/document"
 	"github.com/quetzallug/quetzallug/document/registry"
+	"github.com/quetzallug/quetzallug/external"
 	_ "github.com/quetzallug/quetzallug/internal/rapidseed"
-	"github.com/quetzallug/quetzallug/platform"
 	"github.com/quetzallug/quetzallug/standin/kv"
 )
 
@@ -33,11 +33,11 @@
 
 // hookKV runs a hook in place of a compare-and-swap of a service's record.
 type hookKV struct {
-	platform.KV
+	external.KV
 	swap func(ctx context.Context, expected uint64, value []byte) error
 }
 
-func (h *hookKV) CompareAndSwap(ctx context.Context, key string, expected uint64, value []byte, lease platform.LeaseID) (uint64, error) {
+func (h *hookKV) CompareAndSwap(ctx context.Context, key string, expected uint64, value []byte, lease external.LeaseID) (uint64, error) {
 	if h.swap != nil && key == registry.ConfigKey(service) {
 		if err := h.swap(ctx, expected, value); err != nil {
 			return 0, err
@@ -46,7 +46,7 @@
 	return h.KV.CompareAndSwap(ctx, key, expected, value, lease)
 }
 
-func apply(t *testing.T, kv platform.KV, base uint64, rank int) registry.Record {
+func apply(t *testing.T, kv external.KV, base uint64, rank int) registry.Record {
 	t.Helper()
 	r, err := registry.Apply(t.Context(), kv, service, base, body(rank), "ada")
 	require.NoError(t, err)
@@ -143,7 +143,7 @@
 			h.swap = func(_ context.Context, expected uint64, value []byte) error {
 				h.swap = nil
 				c.late(s, expected, value)
-				return platform.ErrOutcomeUnknown
+				return external.ErrOutcomeUnknown
 			}
 			r, err := registry.Apply(t.Context(), h, service, 1, body(2), "ada")
 			if c.want == 0 {
@@ -170,13 +170,13 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := kv.NewStore(kv.Limits{})
 		apply(t, s, 0, 1)
-		h := &hookKV{KV: s, swap: func(context.Context, uint64, []byte) error { return platform.ErrOutcomeUnknown }}
+		h := &hookKV{KV: s, swap: func(context.Context, uint64, []byte) error { return external.ErrOutcomeUnknown }}
 		_, err := registry.Apply(t.Context(), h, service, 1, body(2), "ada")
 		require.ErrorAs(t, err, new(*registry.OutcomeUnknownError))
-		h.swap = func(context.Context, uint64, []byte) error { return platform.ErrUnavailable }
+		h.swap = func(context.Context, uint64, []byte) error { return external.ErrUnavailable }
 		_, err = registry.Apply(t.Context(), h, service, 1, body(2), "ada")
-		require.ErrorIs(t, err, platform.ErrUnavailable)
-		require.NotErrorIs(t, err, platform.ErrOutcomeUnknown)
+		require.ErrorIs(t, err, external.ErrUnavailable)
+		require.NotErrorIs(t, err, external.ErrOutcomeUnknown)
 	})
 }
 
@@ -219,7 +219,7 @@
 
 // flakyKV loses responses, delays and fails calls at random.
 type flakyKV struct {
-	platform.KV
+	external.KV
 	mu sync.Mutex
 	r  *rand.Rand
 }
@@ -230,27 +230,27 @@
 	return f.r.IntN(100)
 }
 
-func (f *flakyKV) CompareAndSwap(ctx context.Context, key string, expected uint64, value []byte, lease platform.LeaseID) (uint64, error) {
+func (f *flakyKV) CompareAndSwap(ctx context.Context, key string, expected uint64, value []byte, lease external.LeaseID) (uint64, error) {
 	time.Sleep(time.Duration(len(key)) * time.Millisecond)
 	switch p := f.percent(); {
 	case p < 10:
-		return 0, platform.ErrUnavailable
+		return 0, external.ErrUnavailable
 	case p < 20: // the write arrives late
 		go func() {
 			time.Sleep(300 * time.Millisecond)
 			_, _ = f.KV.CompareAndSwap(context.WithoutCancel(ctx), key, expected, value, lease)
 		}()
-		return 0, platform.ErrOutcomeUnknown
+		return 0, external.ErrOutcomeUnknown
 	case p < 40:
 		_, _ = f.KV.CompareAndSwap(ctx, key, expected, value, lease)
-		return 0, platform.ErrOutcomeUnknown
+		return 0, external.ErrOutcomeUnknown
 	}
 	return f.KV.CompareAndSwap(ctx, key, expected, value, lease)
 }
 
-func (f *flakyKV) Get(ctx context.Context, key string) (platform.Entry, error) {
+func (f *flakyKV) Get(ctx context.Context, key string) (external.Entry, error) {
 	if f.percent() < 10 {
-		return platform.Entry{}, platform.ErrUnavailable
+		return external.Entry{}, external.ErrUnavailable
 	}
 	return f.KV.Get(ctx, key)
 }
--- a/entry/admit_test.go
+++ b/entry/admit_test.go
@@ -9,10 +9,10 @@
 
 	"github.com/quetzallug/quetzallug/document"
 	"github.com/quetzallug/quetzallug/entry"
+	"github.com/quetzallug/quetzallug/external"
 	v1 "github.com/quetzallug/quetzallug/gen/quetzallug/v1"
 	"github.com/quetzallug/quetzallug/internal/rpc"
 	"github.com/quetzallug/quetzallug/membership"
-	"github.com/quetzallug/quetzallug/platform"
 )
 
 // newFleet returns a fleet with one engine that has model m loaded.
@@ -21,8 +21,8 @@
 	view, err := membership.NewView(membership.DefaultSettings(), rand.New(rand.NewPCG(1, 1)))
 	require.NoError(t, err)
 	now := time.Now()
-	view.ApplyList(now, platform.InstanceSnapshot{Version: 1, Instances: []platform.Instance{{
-		ID: "w", Role: platform.RoleSidecar, Service: "m", DataCentre: "d", Address: "127.0.0.1:1", State: platform.InstanceLive,
+	view.ApplyList(now, external.InstanceSnapshot{Version: 1, Instances: []external.Instance{{
+		ID: "w", Role: external.RoleSidecar, Service: "m", DataCentre: "d", Address: "127.0.0.1:1", State: external.InstanceLive,
 	}}})
 	f := entry.NewFleet("c", "d", view, rpc.NewClients(rpc.ClientConfig{}), 1)
 	f.Report(&v1.LoadReport{
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -7,11 +7,11 @@
 
 	"golang.org/x/time/rate"
 
+	"github.com/quetzallug/quetzallug/external"
 	v1 "github.com/quetzallug/quetzallug/gen/quetzallug/v1"
 	"github.com/quetzallug/quetzallug/internal/rpc"
 	"github.com/quetzallug/quetzallug/load"
 	"github.com/quetzallug/quetzallug/membership"
-	"github.com/quetzallug/quetzallug/platform"
 	"github.com/quetzallug/quetzallug/routing"
 )
 
@@ -104,7 +104,7 @@
 func routersPerWorker(s *membership.Snapshot) float64 {
 	workers := map[string]int{}
 	for _, m := range s.Members {
-		if m.Role == platform.RoleSidecar {
+		if m.Role == external.RoleSidecar {
 			workers[m.Service]++
 		}
 	}
@@ -142,7 +142,7 @@
 // worker describes a member to the router. A worker that has not reported yet is not offered,
 // since what it has loaded is not known; a probe of membership brings its first report.
 func (f *Fleet) worker(m membership.Member) routing.Worker {
-	w := routing.Worker{ID: m.ID, DataCentre: m.DataCentre, Role: platform.RoleMixed, Load: f.tracker.Worker(m.ID)}
+	w := routing.Worker{ID: m.ID, DataCentre: m.DataCentre, Role: external.RoleMixed, Load: f.tracker.Worker(m.ID)}
 	r := f.reports[m.ID]
 	if r == nil {
 		w.Draining = true
@@ -151,7 +151,7 @@
 	w.Draining = r.GetDraining() || withoutModels(r)
 	w.Models = r.GetModels()
 	if r.GetRole() != "" {
-		w.Role = platform.Role(r.GetRole())
+		w.Role = external.Role(r.GetRole())
 	}
 	return w
 }
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -10,10 +10,10 @@
 	"connectrpc.com/connect"
 
 	"github.com/quetzallug/quetzallug/dissemination"
+	"github.com/quetzallug/quetzallug/external"
 	v1 "github.com/quetzallug/quetzallug/gen/quetzallug/v1"
 	"github.com/quetzallug/quetzallug/internal/rpc"
 	"github.com/quetzallug/quetzallug/once"
-	"github.com/quetzallug/quetzallug/platform"
 )
 
 // ClaimForwarder sends claims to the entry that owns their shard.
@@ -25,7 +25,7 @@
 var _ once.Forwarder = (*ClaimForwarder)(nil)
 
 // Forward implements once.Forwarder.
-func (f *ClaimForwarder) Forward(ctx context.Context, to platform.Instance, r once.Request) (once.Result, error) {
+func (f *ClaimForwarder) Forward(ctx context.Context, to external.Instance, r once.Request) (once.Result, error) {
 	resp, err := f.Clients.Peer(to.Address).Claim(ctx, connect.NewRequest(&v1.ClaimRequest{
 		Cluster: f.Cluster, Service: r.Service, Key: r.Key, RequestId: r.RequestID,
 		Action: v1.ClaimAction(r.Action), Fingerprint: r.Fingerprint,
--- a/entry/parse.go
+++ b/entry/parse.go
@@ -11,8 +11,8 @@
 	"github.com/gin-gonic/gin"
 
 	"github.com/quetzallug/quetzallug/document"
+	"github.com/quetzallug/quetzallug/external/enginewire"
 	v1 "github.com/quetzallug/quetzallug/gen/quetzallug/v1"
-	"github.com/quetzallug/quetzallug/platform/enginewire"
 )
 
 // Headers of callers.
--- a/entry/picker.go
+++ b/entry/picker.go
@@ -4,9 +4,9 @@
 	"fmt"
 	"time"
 
+	"github.com/quetzallug/quetzallug/external"
 	"github.com/quetzallug/quetzallug/load"
 	"github.com/quetzallug/quetzallug/membership"
-	"github.com/quetzallug/quetzallug/platform"
 	"github.com/quetzallug/quetzallug/routing"
 )
 
@@ -51,7 +51,7 @@
 // work returns what an attempt adds to the worker that decodes, and to the one that prefills if
 // that is another one.
 func work(w Worker, p PickRequest) (decode, prefill load.Work) {
-	pieces := func(tokens int) int { return (tokens + platform.PieceTokens - 1) / platform.PieceTokens }
+	pieces := func(tokens int) int { return (tokens + external.PieceTokens - 1) / external.PieceTokens }
 	decode = load.Work{PrefillTokens: p.PromptTokens, Decode: true, Pieces: pieces(p.PromptTokens + p.MaxTokens)}
 	if w.Prefill != nil {
 		prefill = load.Work{PrefillTokens: p.PromptTokens, Pieces: pieces(p.PromptTokens)}
--- a/entry/refresh.go
+++ b/entry/refresh.go
@@ -10,9 +10,9 @@
 
 	"connectrpc.com/connect"
 
+	"github.com/quetzallug/quetzallug/external"
 	v1 "github.com/quetzallug/quetzallug/gen/quetzallug/v1"
 	"github.com/quetzallug/quetzallug/membership"
-	"github.com/quetzallug/quetzallug/platform"
 )
 
 const (
@@ -80,7 +80,7 @@
 	var all []candidate
 	f.mu.RLock()
 	for _, m := range f.view.Snapshot().Members {
-		if m.Role != platform.RoleSidecar || m.View == membership.StateEjected {
+		if m.Role != external.RoleSidecar || m.View == membership.StateEjected {
 			continue
 		}
 		r := f.reports[m.ID]
@@ -102,12 +102,12 @@
 }
 
 // reportSources returns the live entries if many workers have no report yet, otherwise none.
-func (f *Fleet) reportSources() []platform.Instance {
+func (f *Fleet) reportSources() []external.Instance {
 	snapshot := f.view.Snapshot()
 	unknown := 0
 	f.mu.RLock()
 	for _, m := range snapshot.Members {
-		if m.Role == platform.RoleSidecar && m.View == membership.StateLive && f.reports[m.ID] == nil {
+		if m.Role == external.RoleSidecar && m.View == membership.StateLive && f.reports[m.ID] == nil {
 			unknown++
 		}
 	}
@@ -120,7 +120,7 @@
 
 // learn takes a peer's reports about workers that have none here. Their age is not known, so they
 // count as due for a refresh: they tell what a worker serves, and hardly how loaded it is.
-func (f *Fleet) learn(ctx context.Context, peer platform.Instance) {
+func (f *Fleet) learn(ctx context.Context, peer external.Instance) {
 	ctx, cancel := context.WithTimeout(ctx, learnTimeout)
 	defer cancel()
 	resp, err := f.clients.Peer(peer.Address).Status(ctx, connect.NewRequest(&v1.StatusRequest{Cluster: f.cluster}))
--- a/entry/refresh_test.go
+++ b/entry/refresh_test.go
@@ -13,11 +13,11 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/quetzallug/quetzallug/dissemination"
+	"github.com/quetzallug/quetzallug/external"
 	v1 "github.com/quetzallug/quetzallug/gen/quetzallug/v1"
 	"github.com/quetzallug/quetzallug/gen/quetzallug/v1/quetzallugv1connect"
 	"github.com/quetzallug/quetzallug/internal/rpc"
 	"github.com/quetzallug/quetzallug/membership"
-	"github.com/quetzallug/quetzallug/platform"
 )
 
 const learnWorkers = 40
@@ -26,12 +26,12 @@
 func fleetOf(t *testing.T, peer string) *Fleet {
 	view, err := membership.NewView(membership.DefaultSettings(), rand.New(rand.NewPCG(1, 1)))
 	require.NoError(t, err)
-	list := platform.InstanceSnapshot{Version: 1, Instances: []platform.Instance{
-		{ID: "entry-0", Role: platform.RoleEntry, Address: peer, State: platform.InstanceLive},
+	list := external.InstanceSnapshot{Version: 1, Instances: []external.Instance{
+		{ID: "entry-0", Role: external.RoleEntry, Address: peer, State: external.InstanceLive},
 	}}
 	for i := range learnWorkers {
-		list.Instances = append(list.Instances, platform.Instance{
-			ID: fmt.Sprintf("w%d", i), Role: platform.RoleSidecar, Service: "s", Address: workerAddress(i), State: platform.InstanceLive,
+		list.Instances = append(list.Instances, external.Instance{
+			ID: fmt.Sprintf("w%d", i), Role: external.RoleSidecar, Service: "s", Address: workerAddress(i), State: external.InstanceLive,
 		})
 	}
 	require.True(t, view.ApplyList(time.Now(), list))
--- a/entry/relay_test.go
+++ b/entry/relay_test.go
@@ -16,12 +16,12 @@
 
 	"github.com/quetzallug/quetzallug/document"
 	"github.com/quetzallug/quetzallug/entry"
+	"github.com/quetzallug/quetzallug/external"
 	"github.com/quetzallug/quetzallug/gen/quetzallug/v1/quetzallugv1connect"
 	"github.com/quetzallug/quetzallug/internal/peerauth"
 	"github.com/quetzallug/quetzallug/internal/rpc"
 	"github.com/quetzallug/quetzallug/internal/telemetry"
 	"github.com/quetzallug/quetzallug/once"
-	"github.com/quetzallug/quetzallug/platform"
 	"github.com/quetzallug/quetzallug/retry"
 	"github.com/quetzallug/quetzallug/sidecar"
 )
@@ -34,26 +34,26 @@
 )
 
 // tokenEngine answers with one token per chunk, as fast as it is asked.
-type tokenEngine struct{ platform.Engine }
+type tokenEngine struct{ external.Engine }
 
-func (tokenEngine) State(context.Context) (platform.EngineState, error) {
-	return platform.EngineState{Config: platform.EngineConfig{
-		Role: platform.RoleMixed, Models: []platform.ModelVersion{{Name: benchModel}},
+func (tokenEngine) State(context.Context) (external.EngineState, error) {
+	return external.EngineState{Config: external.EngineConfig{
+		Role: external.RoleMixed, Models: []external.ModelVersion{{Name: benchModel}},
 	}}, nil
 }
 
-func (tokenEngine) Generate(_ context.Context, r *platform.GenerateRequest) (platform.TokenStream, error) {
+func (tokenEngine) Generate(_ context.Context, r *external.GenerateRequest) (external.TokenStream, error) {
 	return &tokenStream{max: r.MaxTokens}, nil
 }
 
-func (tokenEngine) Load(context.Context) (platform.EngineLoad, error) {
-	return platform.EngineLoad{}, nil
+func (tokenEngine) Load(context.Context) (external.EngineLoad, error) {
+	return external.EngineLoad{}, nil
 }
 
 type tokenStream struct{ next, max int }
 
-func (s *tokenStream) Next() (platform.TokenChunk, error) {
-	c := platform.TokenChunk{Offset: s.next, Tokens: 1, Text: "token "}
+func (s *tokenStream) Next() (external.TokenChunk, error) {
+	c := external.TokenChunk{Offset: s.next, Tokens: 1, Text: "token "}
 	if s.next++; s.next == s.max {
 		c.FinishReason = "length"
 	}
--- a/entry/reports.go
+++ b/entry/reports.go
@@ -11,10 +11,10 @@
 	"connectrpc.com/connect"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/quetzallug/quetzallug/external"
 	v1 "github.com/quetzallug/quetzallug/gen/quetzallug/v1"
 	"github.com/quetzallug/quetzallug/load"
 	"github.com/quetzallug/quetzallug/membership"
-	"github.com/quetzallug/quetzallug/platform"
 	"github.com/quetzallug/quetzallug/routing"
 )
 
@@ -23,7 +23,7 @@
 func (f *Fleet) Report(r *v1.LoadReport, now time.Time) {
 	f.tracker.Worker(r.GetInstance()).Observe(load.Report{
 		Sequence: r.GetSequence(), Age: time.Duration(r.GetAgeMs()) * time.Millisecond,
-		Load: platform.EngineLoad{
+		Load: external.EngineLoad{
 			Running: int(r.GetRunning()), Queued: int(r.GetQueued()),
 			PrefillTokens: int64(r.GetPrefillTokens()), DecodeTokens: int64(r.GetDecodeTokens()),
 			FreePieces: int(r.GetFreePieces()), TotalPieces: int(r.GetTotalPieces()),
@@ -39,7 +39,7 @@
 	f.reports[r.GetInstance()] = r
 	f.reported[r.GetInstance()] = now
 	if r.GetRole() != "" {
-		f.tracker.Worker(r.GetInstance()).SetRole(platform.Role(r.GetRole()))
+		f.tracker.Worker(r.GetInstance()).SetRole(external.Role(r.GetRole()))
 	}
 	if old == nil || old.GetRole() != r.GetRole() || old.GetDraining() != r.GetDraining() || !slices.Equal(old.GetModels(), r.GetModels()) {
 		clear(f.services)
@@ -58,10 +58,10 @@
 		// A restarted engine numbers its events anew.
 		seen = 0
 	}
-	var fresh []platform.CacheEvent
+	var fresh []external.CacheEvent
 	for _, e := range all {
 		if e.GetSequence() > seen {
-			fresh = append(fresh, platform.CacheEvent{Sequence: e.GetSequence(), Prefix: e.GetPrefix(), Evicted: e.GetEvicted()})
+			fresh = append(fresh, external.CacheEvent{Sequence: e.GetSequence(), Prefix: e.GetPrefix(), Evicted: e.GetEvicted()})
 		}
 	}
 	f.cacheSeen[r.GetInstance()] = last
@@ -83,7 +83,7 @@
 	defer f.mu.RUnlock()
 	services := map[string]bool{}
 	for _, m := range snapshot.Members {
-		if m.Role == platform.RoleSidecar {
+		if m.Role == external.RoleSidecar {
 			services[m.Service] = services[m.Service] || f.reports[m.ID] != nil
 		}
 	}
@@ -128,7 +128,7 @@
 
 // Probe implements membership.Prober. It also takes the load report of the answer.
 func (f *Fleet) Probe(ctx context.Context, m membership.Member) (membership.ProbeResult, error) {
-	if m.Role != platform.RoleSidecar {
+	if m.Role != external.RoleSidecar {
 		return f.probeEntry(ctx, m)
 	}
 	resp, err := f.clients.Worker(m.Address).Probe(ctx, connect.NewRequest(&v1.ProbeRequest{Cluster: f.cluster}))
@@ -187,7 +187,7 @@
 	defer f.mu.RUnlock()
 	var all []*v1.WorkerStatus
 	for _, m := range snapshot.Members {
-		if m.Role != platform.RoleSidecar {
+		if m.Role != external.RoleSidecar {
 			continue
 		}
 		w := &v1.WorkerStatus{
--- a/entry/run_internal_test.go
+++ b/entry/run_internal_test.go
@@ -14,11 +14,11 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/quetzallug/quetzallug/document"
+	"github.com/quetzallug/quetzallug/external"
 	v1 "github.com/quetzallug/quetzallug/gen/quetzallug/v1"
 	"github.com/quetzallug/quetzallug/gen/quetzallug/v1/quetzallugv1connect"
 	"github.com/quetzallug/quetzallug/internal/rpc"
 	"github.com/quetzallug/quetzallug/membership"
-	"github.com/quetzallug/quetzallug/platform"
 )
 
 // scriptedWorker ends each attempt as its script says.
@@ -167,11 +167,11 @@
 	require.NoError(t, err)
 	f := NewFleet("c", "d", view, rpc.NewClients(rpc.ClientConfig{}), 1)
 	require.False(t, f.Reported(), "the list has not been read")
-	sidecar := func(id, service string) platform.Instance {
-		return platform.Instance{ID: id, Role: platform.RoleSidecar, Service: service, Address: "127.0.0.1:1", State: platform.InstanceLive}
+	sidecar := func(id, service string) external.Instance {
+		return external.Instance{ID: id, Role: external.RoleSidecar, Service: service, Address: "127.0.0.1:1", State: external.InstanceLive}
 	}
 	now := time.Now()
-	view.ApplyList(now, platform.InstanceSnapshot{Version: 1, Instances: []platform.Instance{sidecar("a", "s"), sidecar("b", "s"), sidecar("c", "t")}})
+	view.ApplyList(now, external.InstanceSnapshot{Version: 1, Instances: []external.Instance{sidecar("a", "s"), sidecar("b", "s"), sidecar("c", "t")}})
 	f.Report(&v1.LoadReport{Instance: "a"}, now)
 	require.False(t, f.Reported(), "service t has no report")
 	f.Report(&v1.LoadReport{Instance: "c"}, now)
@@ -230,8 +230,8 @@
 	f := NewFleet("c", "d", view, clients, 1)
 	now := time.Now()
 	address := l.Addr().String()
-	view.ApplyList(now, platform.InstanceSnapshot{Version: 1, Instances: []platform.Instance{
-		{ID: "a", Role: platform.RoleSidecar, Service: "s", Address: address, State: platform.InstanceLive},
+	view.ApplyList(now, external.InstanceSnapshot{Version: 1, Instances: []external.Instance{
+		{ID: "a", Role: external.RoleSidecar, Service: "s", Address: address, State: external.InstanceLive},
 	}})
 	view.Observe(now, membership.Evidence{ID: "a", Kind: membership.Draining, Address: address, Incarnation: "1", Started: now})
 	m, ok := view.Snapshot().Member("a")
--- a/platform/enginewire/enginewire.go
+++ b/external/enginewire/enginewire.go
@@ -5,19 +5,19 @@
 	"errors"
 	"net/http"
 
-	"github.com/quetzallug/quetzallug/platform"
+	"github.com/quetzallug/quetzallug/external"
 )
 
 // Paths of the calls. Generate answers with server-sent events, one "data: {json}" line per
 // Event; the other calls answer with JSON. A refused or failed call answers with a status other
 // than 200 and a code.
 const (
-	PathGenerate = "/generate"    // POST platform.GenerateRequest
+	PathGenerate = "/generate"    // POST external.GenerateRequest
 	PathCancel   = "/cancel"      // POST Cancel
-	PathState    = "/state"       // GET, answers platform.EngineState
-	PathApply    = "/apply"       // POST platform.EngineOrder
-	PathLoad     = "/load"        // GET, answers platform.EngineLoad
-	PathEvents   = "/cacheevents" // GET ?after=sequence, answers []platform.CacheEvent
+	PathState    = "/state"       // GET, answers external.EngineState
+	PathApply    = "/apply"       // POST external.EngineOrder
+	PathLoad     = "/load"        // GET, answers external.EngineLoad
+	PathEvents   = "/cacheevents" // GET ?after=sequence, answers []external.CacheEvent
 	PathExport   = "/kv/export"   // POST Cancel, answers Blob
 	PathImport   = "/kv/import"   // POST Blob, answers Handle
 )
@@ -50,9 +50,9 @@
 // Code returns the status and code of an error.
 func Code(err error) (status int, code string) {
 	switch {
-	case errors.Is(err, platform.ErrStaleFence):
+	case errors.Is(err, external.ErrStaleFence):
 		return http.StatusConflict, CodeStaleFence
-	case errors.Is(err, platform.ErrEngineRefused):
+	case errors.Is(err, external.ErrEngineRefused):
 		return http.StatusServiceUnavailable, CodeRefused
 	default:
 		return http.StatusInternalServerError, CodeFailed
@@ -64,10 +64,10 @@
 func Error(code string) error {
 	switch code {
 	case CodeRefused:
-		return platform.ErrEngineRefused
+		return external.ErrEngineRefused
 	case CodeStaleFence:
-		return platform.ErrStaleFence
+		return external.ErrStaleFence
 	default:
-		return platform.ErrEngineFailed
+		return external.ErrEngineFailed
 	}
 }
--- a/platform/enginewire/event.go
+++ b/external/enginewire/event.go
@@ -6,18 +6,18 @@
 	"strconv"
 	"unicode/utf8"
 
-	"github.com/quetzallug/quetzallug/platform"
+	"github.com/quetzallug/quetzallug/external"
 )
 
 // Event is one event of a generation: a chunk, or the code of the error that ends the stream.
 type Event struct {
-	platform.TokenChunk
+	external.TokenChunk
 	Error string `json:"error,omitempty"`
 }
 
 // AppendEvent appends the "data: {json}" line of a chunk and the blank line that ends the event.
 // It allocates only for a text or finish reason that needs escapes.
-func AppendEvent(b []byte, c *platform.TokenChunk) []byte {
+func AppendEvent(b []byte, c *external.TokenChunk) []byte {
 	b = append(b, DataPrefix...)
 	b = append(b, `{"offset":`...)
 	b = strconv.AppendInt(b, int64(c.Offset), 10)
@@ -50,7 +50,7 @@
 // DecodeEvent decodes the JSON of one event. Events in the form that AppendEvent writes cost one
 // allocation, the text; encoding/json, which decodes all others, needs seven.
 func DecodeEvent(data []byte) (Event, error) {
-	var c platform.TokenChunk
+	var c external.TokenChunk
 	if decodePlain(data, &c) {
 		return Event{TokenChunk: c}, nil
 	}
@@ -63,7 +63,7 @@
 	return ev, err
 }
 
-func decodePlain(data []byte, c *platform.TokenChunk) (ok bool) {
+func decodePlain(data []byte, c *external.TokenChunk) (ok bool) {
 	if c.Offset, data, ok = cutInt(data, `{"offset":`); !ok {
 		return false
 	}
--- a/platform/enginewire/event_test.go
+++ b/external/enginewire/event_test.go
@@ -9,15 +9,15 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"github.com/quetzallug/quetzallug/external"
+	"github.com/quetzallug/quetzallug/external/enginewire"
 	_ "github.com/quetzallug/quetzallug/internal/rapidseed"
-	"github.com/quetzallug/quetzallug/platform"
-	"github.com/quetzallug/quetzallug/platform/enginewire"
 )
 
 // Guards against an encoder that writes other JSON than encoding/json reads.
 func TestAppendEventRoundTrip(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		c := platform.TokenChunk{
+		c := external.TokenChunk{
 			Offset: rapid.IntMin(0).Draw(t, "offset"), Tokens: rapid.IntRange(0, 50).Draw(t, "tokens"),
 			Text: rapid.String().Draw(t, "text"), FinishReason: rapid.SampledFrom([]string{"", "stop", "a\"b"}).Draw(t, "reason"),
 		}
--- a/platform/instancewire/instancewire.go
+++ b/external/instancewire/instancewire.go
@@ -1,7 +1,7 @@
 // Package instancewire defines the HTTP messages of the platform's instance list.
 package instancewire
 
-import "github.com/quetzallug/quetzallug/platform"
+import "github.com/quetzallug/quetzallug/external"
 
 // Paths of the calls.
 const (
@@ -19,7 +19,7 @@
 	Version uint64 `json:"version"`
 	// Since is the version that the changes follow, 0 for the whole list.
 	Since     uint64              `json:"since,omitempty"`
-	Instances []platform.Instance `json:"instances,omitempty"`
+	Instances []external.Instance `json:"instances,omitempty"`
 	// Removed holds the IDs of the instances that are gone.
 	Removed []string `json:"removed,omitempty"`
 }
@@ -27,7 +27,7 @@
 // Registration adds an instance. It expires after TTLMS milliseconds unless it is repeated; 0
 // means that it does not expire.
 type Registration struct {
-	Instance platform.Instance `json:"instance"`
+	Instance external.Instance `json:"instance"`
 	TTLMS    int64             `json:"ttl_ms,omitempty"`
 }
 
--- a/platform/kvbudget/kvbudget.go
+++ b/external/kvbudget/kvbudget.go
@@ -8,7 +8,7 @@
 
 	"golang.org/x/time/rate"
 
-	"github.com/quetzallug/quetzallug/platform"
+	"github.com/quetzallug/quetzallug/external"
 )
 
 // Operations, as counted.
@@ -26,55 +26,55 @@
 // KV limits and counts calls. A call above the budget waits for its turn. Keep-alives are
 // counted but never wait, because a late one would lose a lease.
 type KV struct {
-	next    platform.KV
+	next    external.KV
 	limiter *rate.Limiter
 	count   func(operation string)
 }
 
-var _ platform.KV = (*KV)(nil)
+var _ external.KV = (*KV)(nil)
 
 // burstSeconds is how long a process may save up calls.
 const burstSeconds = 2
 
 // New wraps a key-value service with a budget in calls per second.
-func New(next platform.KV, perSecond float64, count func(operation string)) *KV {
+func New(next external.KV, perSecond float64, count func(operation string)) *KV {
 	return &KV{next: next, limiter: rate.NewLimiter(rate.Limit(perSecond), max(1, int(perSecond*burstSeconds))), count: count}
 }
 
 // admit waits for the budget. A call that is given up here was not sent.
 func (k *KV) admit(ctx context.Context, operation string) error {
 	if err := k.limiter.Wait(ctx); err != nil {
-		return platform.ErrUnavailable
+		return external.ErrUnavailable
 	}
 	k.count(operation)
 	return nil
 }
 
-// Get implements platform.KV.
-func (k *KV) Get(ctx context.Context, key string) (platform.Entry, error) {
+// Get implements external.KV.
+func (k *KV) Get(ctx context.Context, key string) (external.Entry, error) {
 	if err := k.admit(ctx, OpGet); err != nil {
-		return platform.Entry{}, err
+		return external.Entry{}, err
 	}
 	return k.next.Get(ctx, key)
 }
 
-// List implements platform.KV.
-func (k *KV) List(ctx context.Context, prefix string) ([]platform.Entry, uint64, error) {
+// List implements external.KV.
+func (k *KV) List(ctx context.Context, prefix string) ([]external.Entry, uint64, error) {
 	if err := k.admit(ctx, OpList); err != nil {
 		return nil, 0, err
 	}
 	return k.next.List(ctx, prefix)
 }
 
-// CompareAndSwap implements platform.KV.
-func (k *KV) CompareAndSwap(ctx context.Context, key string, expected uint64, value []byte, lease platform.LeaseID) (uint64, error) {
+// CompareAndSwap implements external.KV.
+func (k *KV) CompareAndSwap(ctx context.Context, key string, expected uint64, value []byte, lease external.LeaseID) (uint64, error) {
 	if err := k.admit(ctx, OpSwap); err != nil {
 		return 0, err
 	}
 	return k.next.CompareAndSwap(ctx, key, expected, value, lease)
 }
 
-// Delete implements platform.KV.
+// Delete implements external.KV.
 func (k *KV) Delete(ctx context.Context, key string, expected uint64) error {
 	if err := k.admit(ctx, OpDelete); err != nil {
 		return err
@@ -82,30 +82,30 @@
 	return k.next.Delete(ctx, key, expected)
 }
 
-// Watch implements platform.KV.
-func (k *KV) Watch(ctx context.Context, prefix string, after uint64) ([]platform.Event, uint64, error) {
+// Watch implements external.KV.
+func (k *KV) Watch(ctx context.Context, prefix string, after uint64) ([]external.Event, uint64, error) {
 	if err := k.admit(ctx, OpWatch); err != nil {
 		return nil, after, err
 	}
 	return k.next.Watch(ctx, prefix, after)
 }
 
-// GrantLease implements platform.KV.
-func (k *KV) GrantLease(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
+// GrantLease implements external.KV.
+func (k *KV) GrantLease(ctx context.Context, ttl time.Duration) (external.LeaseID, error) {
 	if err := k.admit(ctx, OpGrant); err != nil {
 		return 0, err
 	}
 	return k.next.GrantLease(ctx, ttl)
 }
 
-// KeepAlive implements platform.KV.
-func (k *KV) KeepAlive(ctx context.Context, id platform.LeaseID) error {
+// KeepAlive implements external.KV.
+func (k *KV) KeepAlive(ctx context.Context, id external.LeaseID) error {
 	k.count(OpKeepAlive)
 	return k.next.KeepAlive(ctx, id)
 }
 
-// RevokeLease implements platform.KV.
-func (k *KV) RevokeLease(ctx context.Context, id platform.LeaseID) error {
+// RevokeLease implements external.KV.
+func (k *KV) RevokeLease(ctx context.Context, id external.LeaseID) error {
 	if err := k.admit(ctx, OpRevoke); err != nil {
 		return err
 	}
--- a/platform/kvwire/kvwire.go
+++ b/external/kvwire/kvwire.go
@@ -5,7 +5,7 @@
 import (
 	"errors"
 
-	"github.com/quetzallug/quetzallug/platform"
+	"github.com/quetzallug/quetzallug/external"
 )
 
 // Paths of the calls. All are POST with a Request body and answer with a Response.
@@ -25,7 +25,7 @@
 	Key      string           `json:"key,omitempty"`
 	Expected uint64           `json:"expected,omitempty"`
 	Value    []byte           `json:"value,omitempty"`
-	Lease    platform.LeaseID `json:"lease,omitempty"`
+	Lease    external.LeaseID `json:"lease,omitempty"`
 	After    uint64           `json:"after,omitempty"`
 	TTLMS    int64            `json:"ttl_ms,omitempty"`
 }
@@ -33,22 +33,22 @@
 // Response is the body of each answer.
 type Response struct {
 	Error    string           `json:"error,omitempty"`
-	Entries  []platform.Entry `json:"entries,omitempty"`
-	Events   []platform.Event `json:"events,omitempty"`
+	Entries  []external.Entry `json:"entries,omitempty"`
+	Events   []external.Event `json:"events,omitempty"`
 	Revision uint64           `json:"revision,omitempty"`
 	Version  uint64           `json:"version,omitempty"`
-	Lease    platform.LeaseID `json:"lease,omitempty"`
+	Lease    external.LeaseID `json:"lease,omitempty"`
 }
 
 var codes = []struct {
 	code string
 	err  error
 }{
-	{"not_found", platform.ErrNotFound},
-	{"conflict", platform.ErrConflict},
-	{"lease_expired", platform.ErrLeaseExpired},
-	{"outcome_unknown", platform.ErrOutcomeUnknown},
-	{"unavailable", platform.ErrUnavailable},
+	{"not_found", external.ErrNotFound},
+	{"conflict", external.ErrConflict},
+	{"lease_expired", external.ErrLeaseExpired},
+	{"outcome_unknown", external.ErrOutcomeUnknown},
+	{"unavailable", external.ErrUnavailable},
 }
 
 // Code returns the wire code of an error, empty for nil.
@@ -74,5 +74,5 @@
 			return c.err
 		}
 	}
-	return platform.ErrUnavailable
+	return external.ErrUnavailable
 }
--- a/platform/platform.go
+++ b/external/platform.go
@@ -1,7 +1,7 @@
 // Package platform defines the interfaces to the systems that the platform provides:
 // the key-value service, the instance list, the weight store, model engines and
 // plain backend servers. Adapters implement them and register with package kernel.
-package platform
+package external
 
 import (
 	"context"
--- a/internal/app/common.go
+++ b/internal/app/common.go
@@ -19,6 +19,8 @@
 
 	"github.com/quetzallug/quetzallug/dissemination"
 	"github.com/quetzallug/quetzallug/entry"
+	"github.com/quetzallug/quetzallug/external"
+	"github.com/quetzallug/quetzallug/external/kvbudget"
 	"github.com/quetzallug/quetzallug/internal/peerauth"
 	"github.com/quetzallug/quetzallug/internal/rpc"
 	"github.com/quetzallug/quetzallug/internal/settings"
@@ -26,8 +28,6 @@
 	"github.com/quetzallug/quetzallug/internal/traffic"
 	"github.com/quetzallug/quetzallug/kernel"
 	"github.com/quetzallug/quetzallug/membership"
-	"github.com/quetzallug/quetzallug/platform"
-	"github.com/quetzallug/quetzallug/platform/kvbudget"
 
 	// Adapters register themselves with the kernel.
 	_ "github.com/quetzallug/quetzallug/modules/backendhttp"
@@ -42,7 +42,7 @@
 
 // identity names a process.
 type identity struct {
-	self        platform.Instance
+	self        external.Instance
 	incarnation string
 }
 
@@ -106,8 +106,8 @@
 	return observeTraffic(m, name, what, t)
 }
 
-func newKV(lc fx.Lifecycle, c *settings.Common, m *telemetry.Metrics, perSecond float64) (platform.KV, error) {
-	kv, err := load[platform.KV](lc, c.KVModule, kernel.Settings{"address": c.KVAddress})
+func newKV(lc fx.Lifecycle, c *settings.Common, m *telemetry.Metrics, perSecond float64) (external.KV, error) {
+	kv, err := load[external.KV](lc, c.KVModule, kernel.Settings{"address": c.KVAddress})
 	if err != nil {
 		return nil, err
 	}
@@ -154,10 +154,10 @@
 }
 
 // newAgent returns the agent that keeps the store up to date, and runs it.
-func newAgent(lc fx.Lifecycle, id identity, c *settings.Common, store *dissemination.Store, kv platform.KV, ctl *control, log logrus.FieldLogger) *dissemination.Agent {
+func newAgent(lc fx.Lifecycle, id identity, c *settings.Common, store *dissemination.Store, kv external.KV, ctl *control, log logrus.FieldLogger) *dissemination.Agent {
 	agent := dissemination.NewAgent(dissemination.Config{
 		Self: id.self, Store: store, KV: kv,
-		Dial: func(in platform.Instance) dissemination.Fetcher {
+		Dial: func(in external.Instance) dissemination.Fetcher {
 			return &entry.DocumentFetcher{Clients: ctl.clients, Cluster: c.Cluster, Address: in.Address}
 		},
 		Log: func(err error) { log.WithError(err).Debug("documents: source failed") },
@@ -217,15 +217,15 @@
 // instancesTick is the time between looks for a new view of the instances.
 const instancesTick = 200 * time.Millisecond
 
-func instancesOf(s *membership.Snapshot) []platform.Instance {
-	var all []platform.Instance
+func instancesOf(s *membership.Snapshot) []external.Instance {
+	var all []external.Instance
 	for _, m := range s.Members {
 		in := m.Instance
 		switch m.View {
 		case membership.StateEjected:
 			continue
 		case membership.StateLeaving:
-			in.State = platform.InstanceLeaving
+			in.State = external.InstanceLeaving
 		}
 		all = append(all, in)
 	}
--- a/internal/app/entry.go
+++ b/internal/app/entry.go
@@ -14,6 +14,7 @@
 
 	"github.com/quetzallug/quetzallug/dissemination"
 	"github.com/quetzallug/quetzallug/entry"
+	"github.com/quetzallug/quetzallug/external"
 	"github.com/quetzallug/quetzallug/gen/quetzallug/v1/quetzallugv1connect"
 	"github.com/quetzallug/quetzallug/internal/pause"
 	"github.com/quetzallug/quetzallug/internal/rpc"
@@ -25,7 +26,6 @@
 	"github.com/quetzallug/quetzallug/once"
 	"github.com/quetzallug/quetzallug/placement"
 	"github.com/quetzallug/quetzallug/planning"
-	"github.com/quetzallug/quetzallug/platform"
 	"github.com/quetzallug/quetzallug/retry"
 )
 
@@ -53,8 +53,8 @@
 
 func entryIdentity(s *settings.Entry) (identity, error) {
 	inc, err := newIncarnation()
-	return identity{incarnation: inc, self: platform.Instance{
-		ID: s.Instance, Role: platform.RoleEntry, DataCentre: s.DataCentre, Address: s.PeerListen,
+	return identity{incarnation: inc, self: external.Instance{
+		ID: s.Instance, Role: external.RoleEntry, DataCentre: s.DataCentre, Address: s.PeerListen,
 	}}, err
 }
 
@@ -65,7 +65,7 @@
 	}
 }
 
-func entryKV(lc fx.Lifecycle, s *settings.Entry, m *telemetry.Metrics) (platform.KV, error) {
+func entryKV(lc fx.Lifecycle, s *settings.Entry, m *telemetry.Metrics) (external.KV, error) {
 	return newKV(lc, &s.Common, m, s.KVCalls)
 }
 
@@ -73,12 +73,12 @@
 	return entry.NewFleet(cfg.Cluster, cfg.DataCentre, view, ctl.clients, xxhash.Sum64String(cfg.Instance))
 }
 
-func runMembership(lc fx.Lifecycle, view *membership.View, list platform.InstanceList, f *entry.Fleet, log logrus.FieldLogger) {
+func runMembership(lc fx.Lifecycle, view *membership.View, list external.InstanceList, f *entry.Fleet, log logrus.FieldLogger) {
 	background(lc, membership.NewRunner(view, list, f, log).Run)
 	background(lc, f.Run)
 }
 
-func newCommitter(lc fx.Lifecycle, s *settings.Entry, kv platform.KV, log logrus.FieldLogger) (*once.Committer, error) {
+func newCommitter(lc fx.Lifecycle, s *settings.Entry, kv external.KV, log logrus.FieldLogger) (*once.Committer, error) {
 	set := once.DefaultSettings()
 	set.Shards, set.Retention = s.OnceShards, s.OnceRetention
 	c, err := once.NewCommitter(kv, set, log)
@@ -89,12 +89,12 @@
 }
 
 func newClaimer(cfg entry.Config, view *membership.View, c *once.Committer, ctl *control) *once.Router {
-	entries := func() []platform.Instance { return view.Snapshot().Entries() }
+	entries := func() []external.Instance { return view.Snapshot().Entries() }
 	return once.NewRouter(cfg.Instance, entries, &entry.ClaimForwarder{Clients: ctl.clients, Cluster: cfg.Cluster}, c)
 }
 
 // newLease returns the manager of pool leases. The holder's name differs between restarts.
-func newLease(s *settings.Entry, id identity, kv platform.KV, store *dissemination.Store, view *membership.View, log logrus.FieldLogger) (*lease.Manager, error) {
+func newLease(s *settings.Entry, id identity, kv external.KV, store *dissemination.Store, view *membership.View, log logrus.FieldLogger) (*lease.Manager, error) {
 	docs := &entry.DocumentsInForce{Store: store}
 	return lease.NewManager(kv, lease.Config{
 		Holder: s.Instance + "/" + id.incarnation, TTL: s.LeaseTTL, MaxPools: s.MaxPools,
@@ -118,7 +118,7 @@
 	return max(1, (2*pools+entries-1)/entries)
 }
 
-func newPlanning(s *settings.Entry, leases *lease.Manager, store *dissemination.Store, view *membership.View, f *entry.Fleet, admit *entry.Admission, kv platform.KV, ctl *control, m *telemetry.Metrics, d *entry.DecisionLog, log logrus.FieldLogger) *planning.Loop {
+func newPlanning(s *settings.Entry, leases *lease.Manager, store *dissemination.Store, view *membership.View, f *entry.Fleet, admit *entry.Admission, kv external.KV, ctl *control, m *telemetry.Metrics, d *entry.DecisionLog, log logrus.FieldLogger) *planning.Loop {
 	return planning.New(planning.Config{
 		Interval: s.PlanInterval, Leases: leases, KV: kv,
 		Documents: &entry.DocumentsInForce{Store: store},
--- a/internal/app/sidecar.go
+++ b/internal/app/sidecar.go
@@ -12,6 +12,7 @@
 
 	"github.com/quetzallug/quetzallug/dissemination"
 	"github.com/quetzallug/quetzallug/entry"
+	"github.com/quetzallug/quetzallug/external"
 	"github.com/quetzallug/quetzallug/gen/quetzallug/v1/quetzallugv1connect"
 	"github.com/quetzallug/quetzallug/internal/pause"
 	"github.com/quetzallug/quetzallug/internal/rpc"
@@ -21,7 +22,6 @@
 	"github.com/quetzallug/quetzallug/membership"
 	"github.com/quetzallug/quetzallug/once"
 	"github.com/quetzallug/quetzallug/order"
-	"github.com/quetzallug/quetzallug/platform"
 	"github.com/quetzallug/quetzallug/sidecar"
 )
 
@@ -50,17 +50,17 @@
 
 func sidecarIdentity(s *settings.Sidecar) (identity, error) {
 	inc, err := newIncarnation()
-	return identity{incarnation: inc, self: platform.Instance{
-		ID: s.Instance, Role: platform.RoleSidecar, Service: s.Service, DataCentre: s.DataCentre, Address: s.Listen,
+	return identity{incarnation: inc, self: external.Instance{
+		ID: s.Instance, Role: external.RoleSidecar, Service: s.Service, DataCentre: s.DataCentre, Address: s.Listen,
 	}}, err
 }
 
-func sidecarKV(lc fx.Lifecycle, s *settings.Sidecar, m *telemetry.Metrics) (platform.KV, error) {
+func sidecarKV(lc fx.Lifecycle, s *settings.Sidecar, m *telemetry.Metrics) (external.KV, error) {
 	return newKV(lc, &s.Common, m, sidecarKVCalls)
 }
 
-func newInstanceList(lc fx.Lifecycle, c *settings.Common, m *telemetry.Metrics) (platform.InstanceList, error) {
-	l, err := load[platform.InstanceList](lc, c.InstancesModule, kernel.Settings{"address": c.InstancesAddress})
+func newInstanceList(lc fx.Lifecycle, c *settings.Common, m *telemetry.Metrics) (external.InstanceList, error) {
+	l, err := load[external.InstanceList](lc, c.InstancesModule, kernel.Settings{"address": c.InstancesAddress})
 	if err != nil {
 		return nil, err
 	}
@@ -69,17 +69,17 @@
 
 // backends holds the backend server of a sidecar: exactly one of the two is set.
 type backends struct {
-	engine platform.Engine
-	plain  platform.Backend
+	engine external.Engine
+	plain  external.Backend
 }
 
 func newBackends(lc fx.Lifecycle, s *settings.Sidecar) (*backends, error) {
 	set := kernel.Settings{"address": s.BackendAddress}
 	if s.Backend == settings.BackendPlain {
-		b, err := load[platform.Backend](lc, s.BackendModule, set)
+		b, err := load[external.Backend](lc, s.BackendModule, set)
 		return &backends{plain: b}, err
 	}
-	e, err := load[platform.Engine](lc, s.BackendModule, set)
+	e, err := load[external.Engine](lc, s.BackendModule, set)
 	return &backends{engine: e}, err
 }
 
@@ -96,11 +96,11 @@
 }
 
 // newExecutor returns the executor of orders, nil beside a plain backend server.
-func newExecutor(lc fx.Lifecycle, sd fx.Shutdowner, s *settings.Sidecar, b *backends, kv platform.KV, sc *sidecar.Sidecar, store *dissemination.Store, log logrus.FieldLogger) (*order.Executor, error) {
+func newExecutor(lc fx.Lifecycle, sd fx.Shutdowner, s *settings.Sidecar, b *backends, kv external.KV, sc *sidecar.Sidecar, store *dissemination.Store, log logrus.FieldLogger) (*order.Executor, error) {
 	if b.engine == nil {
 		return nil, nil
 	}
-	weights, err := load[platform.WeightStore](lc, s.WeightsModule, kernel.Settings{"address": s.WeightsAddress})
+	weights, err := load[external.WeightStore](lc, s.WeightsModule, kernel.Settings{"address": s.WeightsAddress})
 	if err != nil {
 		return nil, err
 	}
@@ -120,8 +120,8 @@
 }
 
 // modelBytes looks up the size of a model's weights in the document in force.
-func modelBytes(store *dissemination.Store, service string) func(platform.ModelVersion) int64 {
-	return func(v platform.ModelVersion) int64 {
+func modelBytes(store *dissemination.Store, service string) func(external.ModelVersion) int64 {
+	return func(v external.ModelVersion) int64 {
 		f := store.Snapshot().Service(service)
 		if f == nil {
 			return 0
@@ -136,7 +136,7 @@
 }
 
 // pollInstances reads the instance list. Sidecars do not probe: entries do.
-func pollInstances(lc fx.Lifecycle, c *settings.Common, view *membership.View, list platform.InstanceList, log logrus.FieldLogger) {
+func pollInstances(lc fx.Lifecycle, c *settings.Common, view *membership.View, list external.InstanceList, log logrus.FieldLogger) {
 	r := membership.NewRunner(view, list, nil, log)
 	background(lc, func(ctx context.Context) {
 		t := time.NewTicker(c.InstancesPoll)
@@ -185,7 +185,7 @@
 		defer t.Stop()
 		for {
 			if m, ok := view.Snapshot().Member(id.self.ID); ok && m.Address == id.self.Address {
-				sc.Listed(m.State == platform.InstanceLeaving)
+				sc.Listed(m.State == external.InstanceLeaving)
 			}
 			select {
 			case <-ctx.Done():
--- a/internal/bench/calls.go
+++ b/internal/bench/calls.go
@@ -11,6 +11,7 @@
 	"connectrpc.com/connect"
 	"github.com/sirupsen/logrus"
 
+	"github.com/quetzallug/quetzallug/external"
 	v1 "github.com/quetzallug/quetzallug/gen/quetzallug/v1"
 	"github.com/quetzallug/quetzallug/internal/peerauth"
 	"github.com/quetzallug/quetzallug/internal/rpc"
@@ -19,7 +20,6 @@
 	"github.com/quetzallug/quetzallug/kernel"
 	"github.com/quetzallug/quetzallug/modules/instanceshttp"
 	"github.com/quetzallug/quetzallug/modules/kvhttp"
-	"github.com/quetzallug/quetzallug/platform"
 )
 
 // CallCost is the mean cost of one control call without news.
@@ -166,7 +166,7 @@
 }
 
 // swapper writes the next version of a record of 512 bytes.
-func swapper(kv platform.KV) func(ctx context.Context) error {
+func swapper(kv external.KV) func(ctx context.Context) error {
 	value := make([]byte, 512)
 	var version uint64
 	return func(ctx context.Context) error {
--- a/internal/bench/capacity.go
+++ b/internal/bench/capacity.go
@@ -10,8 +10,8 @@
 	"time"
 
 	"github.com/quetzallug/quetzallug/document/registry"
+	"github.com/quetzallug/quetzallug/external"
 	"github.com/quetzallug/quetzallug/internal/testcluster"
-	"github.com/quetzallug/quetzallug/platform"
 	"github.com/quetzallug/quetzallug/standin/kv"
 )
 
@@ -72,7 +72,7 @@
 	// addresses and logs hold the entries first, then the sidecars.
 	addresses []string
 	logs      []*logReader
-	kv        platform.KV
+	kv        external.KV
 	samples   []Sample
 	changes   int
 }
--- a/internal/bench/client.go
+++ b/internal/bench/client.go
@@ -11,8 +11,8 @@
 	"strconv"
 	"time"
 
-	"github.com/quetzallug/quetzallug/platform"
-	"github.com/quetzallug/quetzallug/platform/enginewire"
+	"github.com/quetzallug/quetzallug/external"
+	"github.com/quetzallug/quetzallug/external/enginewire"
 )
 
 const (
@@ -53,7 +53,7 @@
 
 // generate asks an engine for the same answer.
 func (c *client) generate(ctx context.Context, engine string, n int) error {
-	body, err := json.Marshal(platform.GenerateRequest{
+	body, err := json.Marshal(external.GenerateRequest{
 		RequestID: "bench-" + strconv.Itoa(n), Model: model, Prompt: prompt,
 		PromptTokens: enginewire.CountWords(prompt), MaxTokens: answerTokens, Seed: uint64(n),
 	})
--- a/internal/bench/fullsize.go
+++ b/internal/bench/fullsize.go
@@ -14,6 +14,7 @@
 	"connectrpc.com/connect"
 
 	"github.com/quetzallug/quetzallug/document/registry"
+	"github.com/quetzallug/quetzallug/external"
 	v1 "github.com/quetzallug/quetzallug/gen/quetzallug/v1"
 	"github.com/quetzallug/quetzallug/gen/quetzallug/v1/quetzallugv1connect"
 	"github.com/quetzallug/quetzallug/internal/rpc"
@@ -21,7 +22,6 @@
 	"github.com/quetzallug/quetzallug/kernel"
 	"github.com/quetzallug/quetzallug/modules/instanceshttp"
 	"github.com/quetzallug/quetzallug/order"
-	"github.com/quetzallug/quetzallug/platform"
 )
 
 // Target size of the design page.
@@ -55,7 +55,7 @@
 func (w *fakeWorker) report() *v1.LoadReport {
 	return &v1.LoadReport{
 		Instance: w.id, Incarnation: "01a23f41-d0c3-7b12-a1df-beb49b71f8af", Sequence: w.sequence.Add(1),
-		TotalPieces: 256, FreePieces: 256, Role: string(platform.RoleMixed), Models: []string{w.model},
+		TotalPieces: 256, FreePieces: 256, Role: string(external.RoleMixed), Models: []string{w.model},
 	}
 }
 
@@ -131,8 +131,8 @@
 func fullDataCentre(i int) string { return fmt.Sprintf("dc-%d", i/fullServices%fullDataCentres) }
 
 // instances returns the instances that are not real.
-func (p *peers) instances(realEntries int) ([]platform.Instance, error) {
-	var all []platform.Instance
+func (p *peers) instances(realEntries int) ([]external.Instance, error) {
+	var all []external.Instance
 	for i := range fullSidecars - realSidecars {
 		id := fmt.Sprintf("worker-%d", i)
 		path, h := quetzallugv1connect.NewWorkerServiceHandler(&fakeWorker{id: id, model: fullService(i)}, rpc.WorkerOptions()...)
@@ -140,8 +140,8 @@
 		if err != nil {
 			return nil, err
 		}
-		all = append(all, platform.Instance{
-			ID: id, Role: platform.RoleSidecar, Service: fullService(i), DataCentre: fullDataCentre(i), Address: addr, State: platform.InstanceLive,
+		all = append(all, external.Instance{
+			ID: id, Role: external.RoleSidecar, Service: fullService(i), DataCentre: fullDataCentre(i), Address: addr, State: external.InstanceLive,
 		})
 	}
 	for i := range fullEntries - realEntries {
@@ -151,8 +151,8 @@
 		if err != nil {
 			return nil, err
 		}
-		all = append(all, platform.Instance{
-			ID: id, Role: platform.RoleEntry, DataCentre: fmt.Sprintf("dc-%d", i%fullDataCentres), Address: addr, State: platform.InstanceLive,
+		all = append(all, external.Instance{
+			ID: id, Role: external.RoleEntry, DataCentre: fmt.Sprintf("dc-%d", i%fullDataCentres), Address: addr, State: external.InstanceLive,
 		})
 	}
 	return all, nil
@@ -185,7 +185,7 @@
 }
 
 // prepare writes the documents and order records and registers the fleet.
-func (p *peers) prepare(ctx context.Context, kv platform.KV, list *instanceshttp.Client, realEntries int) error {
+func (p *peers) prepare(ctx context.Context, kv external.KV, list *instanceshttp.Client, realEntries int) error {
 	all, err := p.instances(realEntries)
 	if err != nil {
 		return err
@@ -201,11 +201,11 @@
 		if err := list.Register(ctx, in, registered); err != nil {
 			return err
 		}
-		if in.Role != platform.RoleSidecar {
+		if in.Role != external.RoleSidecar {
 			continue
 		}
-		b, err := json.Marshal(order.Record{Number: 1, Incarnation: 1, Phase: order.PhaseDone, Config: platform.EngineConfig{
-			Role: platform.RoleMixed, Models: []platform.ModelVersion{{Name: in.Service, Version: "1"}},
+		b, err := json.Marshal(order.Record{Number: 1, Incarnation: 1, Phase: order.PhaseDone, Config: external.EngineConfig{
+			Role: external.RoleMixed, Models: []external.ModelVersion{{Name: in.Service, Version: "1"}},
 		}})
 		if err != nil {
 			return err
--- a/internal/cas/cas.go
+++ b/internal/cas/cas.go
@@ -12,7 +12,7 @@
 
 	"github.com/google/uuid"
 
-	"github.com/quetzallug/quetzallug/platform"
+	"github.com/quetzallug/quetzallug/external"
 )
 
 // maxTries bounds the sends of one write. A write that was lost before it reached the service is
@@ -31,7 +31,7 @@
 	// Value is the encoded record. It contains ID in its field "write_id".
 	Value []byte
 	// Lease binds the key's lifetime; 0 for none.
-	Lease platform.LeaseID
+	Lease external.LeaseID
 	ID    string
 	// Check runs immediately before each send. Its error ends the write.
 	Check func() error
@@ -42,10 +42,10 @@
 // NewID returns a unique write ID.
 func NewID() string { return uuid.NewString() }
 
-// Swap performs the write and returns the key's new version. platform.ErrConflict means that the
-// key has another writer's value, platform.ErrUnavailable that nothing was written, and
-// platform.ErrOutcomeUnknown that the write may still take effect.
-func Swap(ctx context.Context, kv platform.KV, w Write) (uint64, error) {
+// Swap performs the write and returns the key's new version. external.ErrConflict means that the
+// key has another writer's value, external.ErrUnavailable that nothing was written, and
+// external.ErrOutcomeUnknown that the write may still take effect.
+func Swap(ctx context.Context, kv external.KV, w Write) (uint64, error) {
 	sent := false
 	for range maxTries {
 		if w.Check != nil {
@@ -57,7 +57,7 @@
 		switch {
 		case err == nil:
 			return version, nil
-		case errors.Is(err, platform.ErrUnavailable) && !sent, errors.Is(err, platform.ErrLeaseExpired):
+		case errors.Is(err, external.ErrUnavailable) && !sent, errors.Is(err, external.ErrLeaseExpired):
 			return 0, err
 		}
 		// A conflict is read back too: a duplicate delivery of this write may have caused it.
@@ -67,36 +67,36 @@
 			return version, err
 		}
 	}
-	return 0, fmt.Errorf("write %s of %q: %w", w.ID, w.Key, platform.ErrOutcomeUnknown)
+	return 0, fmt.Errorf("write %s of %q: %w", w.ID, w.Key, external.ErrOutcomeUnknown)
 }
 
-func send(ctx context.Context, kv platform.KV, w Write) (uint64, error) {
+func send(ctx context.Context, kv external.KV, w Write) (uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout(w.CallTimeout))
 	defer cancel()
 	return kv.CompareAndSwap(ctx, w.Key, w.Expected, w.Value, w.Lease)
 }
 
 // readBack reports the version if the write took effect, and again if the key is as before.
-func readBack(ctx context.Context, kv platform.KV, w Write) (version uint64, again bool, err error) {
+func readBack(ctx context.Context, kv external.KV, w Write) (version uint64, again bool, err error) {
 	e, err := Get(ctx, kv, w.Key, w.CallTimeout)
 	switch {
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, external.ErrNotFound):
 		if w.Expected == 0 {
 			return 0, true, nil
 		}
-		return 0, false, platform.ErrConflict
+		return 0, false, external.ErrConflict
 	case err != nil:
-		return 0, false, fmt.Errorf("write %s of %q could not be read back: %w", w.ID, w.Key, platform.ErrOutcomeUnknown)
+		return 0, false, fmt.Errorf("write %s of %q could not be read back: %w", w.ID, w.Key, external.ErrOutcomeUnknown)
 	case writeID(e.Value) == w.ID:
 		return e.Version, false, nil
 	case e.Version == w.Expected:
 		return 0, true, nil
 	}
-	return 0, false, platform.ErrConflict
+	return 0, false, external.ErrConflict
 }
 
 // Get reads a key with a bound on the call.
-func Get(ctx context.Context, kv platform.KV, key string, timeout time.Duration) (platform.Entry, error) {
+func Get(ctx context.Context, kv external.KV, key string, timeout time.Duration) (external.Entry, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout(timeout))
 	defer cancel()
 	return kv.Get(ctx, key)
--- a/internal/cas/cas_test.go
+++ b/internal/cas/cas_test.go
@@ -5,8 +5,8 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/quetzallug/quetzallug/external"
 	"github.com/quetzallug/quetzallug/internal/cas"
-	"github.com/quetzallug/quetzallug/platform"
 	"github.com/quetzallug/quetzallug/standin/fault"
 	"github.com/quetzallug/quetzallug/standin/kv"
 )
@@ -21,9 +21,9 @@
 		"plain":              {},
 		"response lost":      {action: fault.Action{Lose: true}},
 		"delivered twice":    {action: fault.Action{Twice: true}},
-		"other writer":       {present: `{"write_id":"other"}`, want: platform.ErrConflict},
-		"other writer, lost": {action: fault.Action{Lose: true}, present: `{"write_id":"other"}`, want: platform.ErrConflict},
-		"malformed record":   {present: `x`, want: platform.ErrConflict},
+		"other writer":       {present: `{"write_id":"other"}`, want: external.ErrConflict},
+		"other writer, lost": {action: fault.Action{Lose: true}, present: `{"write_id":"other"}`, want: external.ErrConflict},
+		"malformed record":   {present: `x`, want: external.ErrConflict},
 	} {
 		t.Run(name, func(t *testing.T) {
 			store := kv.NewStore(kv.Limits{})
@@ -57,5 +57,5 @@
 	})
 	view := &fault.KV{Process: p, Network: network, Store: store}
 	_, err := cas.Swap(t.Context(), view, cas.Write{Key: "k", Value: []byte(`{"write_id":"` + id + `"}`), ID: id})
-	require.ErrorIs(t, err, platform.ErrOutcomeUnknown)
+	require.ErrorIs(t, err, external.ErrOutcomeUnknown)
 }
--- a/internal/cli/apply.go
+++ b/internal/cli/apply.go
@@ -10,7 +10,7 @@
 
 	"github.com/quetzallug/quetzallug/document"
 	"github.com/quetzallug/quetzallug/document/registry"
-	"github.com/quetzallug/quetzallug/platform"
+	"github.com/quetzallug/quetzallug/external"
 )
 
 type applyFlags struct {
@@ -35,7 +35,7 @@
 		Args: cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			hasBase := cmd.Flags().Changed("base")
-			return a.withKV(cmd, func(ctx context.Context, kv platform.KV) error {
+			return a.withKV(cmd, func(ctx context.Context, kv external.KV) error {
 				if f.delete {
 					return a.remove(ctx, kv, args[0], f.base, hasBase)
 				}
@@ -48,7 +48,7 @@
 	return cmd
 }
 
-func (a *app) apply(ctx context.Context, kv platform.KV, name string, base uint64, hasBase bool) error {
+func (a *app) apply(ctx context.Context, kv external.KV, name string, base uint64, hasBase bool) error {
 	f, err := a.readFile(name)
 	if err != nil {
 		return err
@@ -63,7 +63,7 @@
 	return a.accepted(&r, err)
 }
 
-func (a *app) remove(ctx context.Context, kv platform.KV, service string, base uint64, hasBase bool) error {
+func (a *app) remove(ctx context.Context, kv external.KV, service string, base uint64, hasBase bool) error {
 	if !hasBase {
 		return usagef("--delete needs --base, the revision that you mean to delete")
 	}
@@ -93,14 +93,14 @@
 equal. The exit code is 0 in both cases.`,
 		Args: cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			return a.withKV(cmd, func(ctx context.Context, kv platform.KV) error {
+			return a.withKV(cmd, func(ctx context.Context, kv external.KV) error {
 				return a.diff(ctx, kv, args[0])
 			})
 		},
 	}
 }
 
-func (a *app) diff(ctx context.Context, kv platform.KV, name string) error {
+func (a *app) diff(ctx context.Context, kv external.KV, name string) error {
 	f, err := a.readFile(name)
 	if err != nil {
 		return err
--- a/internal/cli/exit.go
+++ b/internal/cli/exit.go
@@ -10,7 +10,7 @@
 
 	"github.com/quetzallug/quetzallug/document"
 	"github.com/quetzallug/quetzallug/document/registry"
-	"github.com/quetzallug/quetzallug/platform"
+	"github.com/quetzallug/quetzallug/external"
 )
 
 // Exit codes. They are part of the tool's interface.
@@ -63,9 +63,9 @@
 		return ExitInvalid
 	case errors.As(err, &conflict):
 		return ExitConflict
-	case errors.As(err, &unknown), errors.As(err, &sent), errors.Is(err, platform.ErrOutcomeUnknown):
+	case errors.As(err, &unknown), errors.As(err, &sent), errors.Is(err, external.ErrOutcomeUnknown):
 		return ExitUnknown
-	case errors.Is(err, platform.ErrUnavailable), unreachable(err):
+	case errors.Is(err, external.ErrUnavailable), unreachable(err):
 		return ExitUnavailable
 	}
 	return ExitUnexpected
--- a/internal/cli/get.go
+++ b/internal/cli/get.go
@@ -7,7 +7,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/quetzallug/quetzallug/document/registry"
-	"github.com/quetzallug/quetzallug/platform"
+	"github.com/quetzallug/quetzallug/external"
 )
 
 // recordView is a record as JSON and YAML output shows it.
@@ -35,7 +35,7 @@
 comment names the old revision, so give --base to apply such a file.`,
 		Args: cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			return a.withKV(cmd, func(ctx context.Context, kv platform.KV) error {
+			return a.withKV(cmd, func(ctx context.Context, kv external.KV) error {
 				return a.get(ctx, kv, args[0], revision)
 			})
 		},
@@ -44,7 +44,7 @@
 	return cmd
 }
 
-func (a *app) get(ctx context.Context, kv platform.KV, service string, revision uint64) error {
+func (a *app) get(ctx context.Context, kv external.KV, service string, revision uint64) error {
 	r, err := find(ctx, kv, service, revision)
 	if err != nil {
 		return err
@@ -59,7 +59,7 @@
 	return a.print(revisionComment(&r) + string(r.Body))
 }
 
-func find(ctx context.Context, kv platform.KV, service string, revision uint64) (registry.Record, error) {
+func find(ctx context.Context, kv external.KV, service string, revision uint64) (registry.Record, error) {
 	if revision == 0 {
 		return registry.Get(ctx, kv, service)
 	}
@@ -81,14 +81,14 @@
 		Short: "List the last revisions of a service, newest first",
 		Args:  cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			return a.withKV(cmd, func(ctx context.Context, kv platform.KV) error {
+			return a.withKV(cmd, func(ctx context.Context, kv external.KV) error {
 				return a.history(ctx, kv, args[0])
 			})
 		},
 	}
 }
 
-func (a *app) history(ctx context.Context, kv platform.KV, service string) error {
+func (a *app) history(ctx context.Context, kv external.KV, service string) error {
 	past, err := registry.History(ctx, kv, service)
 	if err != nil {
 		return err
--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -10,7 +10,7 @@
 	"github.com/spf13/cobra"
 	"github.com/spf13/viper"
 
-	"github.com/quetzallug/quetzallug/platform"
+	"github.com/quetzallug/quetzallug/external"
 )
 
 // Streams are the standard streams of a run.
@@ -27,7 +27,7 @@
 	// started is set once the command line has been accepted.
 	started bool
 	// openKV is replaced in tests.
-	openKV func(ctx context.Context, module, address string) (platform.KV, func(), error)
+	openKV func(ctx context.Context, module, address string) (external.KV, func(), error)
 }
 
 // Run runs the tool and returns its exit code.
--- a/internal/cli/settings.go
+++ b/internal/cli/settings.go
@@ -13,8 +13,8 @@
 	"github.com/spf13/pflag"
 	"github.com/spf13/viper"
 
+	"github.com/quetzallug/quetzallug/external"
 	"github.com/quetzallug/quetzallug/kernel"
-	"github.com/quetzallug/quetzallug/platform"
 )
 
 // Names of the settings. The environment variable of a setting is QUETZALLUG_ and the name in
@@ -106,7 +106,7 @@
 }
 
 // withKV runs a command with the key-value service.
-func (a *app) withKV(cmd *cobra.Command, run func(context.Context, platform.KV) error) error {
+func (a *app) withKV(cmd *cobra.Command, run func(context.Context, external.KV) error) error {
 	address := a.v.GetString(settingKVAddress)
 	if address == "" {
 		return usagef("no key-value service is known: set --%s or %s_KV_ADDRESS", settingKVAddress, envPrefix)
@@ -121,8 +121,8 @@
 	return run(ctx, kv)
 }
 
-func loadKV(ctx context.Context, module, address string) (platform.KV, func(), error) {
-	kv, err := kernel.Load[platform.KV](ctx, module, kernel.Settings{"address": address})
+func loadKV(ctx context.Context, module, address string) (external.KV, func(), error) {
+	kv, err := kernel.Load[external.KV](ctx, module, kernel.Settings{"address": address})
 	if err != nil {
 		return nil, nil, &usageError{fmt.Errorf("key-value service: %w", err)}
 	}
--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -20,9 +20,9 @@
 	"github.com/quetzallug/quetzallug/document"
 	"github.com/quetzallug/quetzallug/document/registry"
 	"github.com/quetzallug/quetzallug/examples"
+	"github.com/quetzallug/quetzallug/external"
 	"github.com/quetzallug/quetzallug/internal/app"
 	"github.com/quetzallug/quetzallug/internal/settings"
-	"github.com/quetzallug/quetzallug/platform"
 	"github.com/quetzallug/quetzallug/standin/backend"
 	"github.com/quetzallug/quetzallug/standin/engine"
 	"github.com/quetzallug/quetzallug/standin/instances"
@@ -156,8 +156,8 @@
 	if set.Listen, err = freeAddress(ctx); err != nil {
 		return err
 	}
-	return d.startApp(ctx, app.Sidecar(&set, d.cfg.SidecarLog), platform.Instance{
-		ID: set.Instance, Role: platform.RoleSidecar, Service: s.Service, DataCentre: p.DataCentre, Address: set.Listen,
+	return d.startApp(ctx, app.Sidecar(&set, d.cfg.SidecarLog), external.Instance{
+		ID: set.Instance, Role: external.RoleSidecar, Service: s.Service, DataCentre: p.DataCentre, Address: set.Listen,
 	})
 }
 
@@ -175,14 +175,14 @@
 func (d *Deployment) startEntry(ctx context.Context) error {
 	set := d.cfg.Entry
 	set.Instance, set.DataCentre, set.Key = "entry-0", d.services[0].DataCentres[0], Key
-	return d.startApp(ctx, app.Entry(&set, d.cfg.Log), platform.Instance{
-		ID: set.Instance, Role: platform.RoleEntry, DataCentre: set.DataCentre, Address: set.PeerListen,
+	return d.startApp(ctx, app.Entry(&set, d.cfg.Log), external.Instance{
+		ID: set.Instance, Role: external.RoleEntry, DataCentre: set.DataCentre, Address: set.PeerListen,
 	})
 }
 
 // startApp registers an instance and starts its role.
-func (d *Deployment) startApp(ctx context.Context, a *fx.App, in platform.Instance) error {
-	in.State = platform.InstanceLive
+func (d *Deployment) startApp(ctx context.Context, a *fx.App, in external.Instance) error {
+	in.State = external.InstanceLive
 	d.list.Register(in, registration)
 	if err := a.Err(); err != nil {
 		return eris.Wrapf(err, "set up %s", in.ID)
--- a/internal/policybench/baselines.go
+++ b/internal/policybench/baselines.go
@@ -4,7 +4,7 @@
 	"math"
 	"time"
 
-	"github.com/quetzallug/quetzallug/platform"
+	"github.com/quetzallug/quetzallug/external"
 )
 
 // base has the parts that the baselines share: a queue bound at the engine, and a request that
@@ -25,10 +25,10 @@
 func (b *base) retry(*request) bool                                        { return true }
 func (b *base) firstToken(*request)                                        {}
 func (b *base) finished(*request)                                          {}
-func (b *base) cacheEvent(*engine, platform.CacheEvent)                    {}
+func (b *base) cacheEvent(*engine, external.CacheEvent)                    {}
 func (b *base) restarted(*engine)                                          {}
 func (b *base) plan(*offered)                                              {}
-func (b *base) report(*engine, uint64, time.Duration, platform.EngineLoad) {}
+func (b *base) report(*engine, uint64, time.Duration, external.EngineLoad) {}
 
 // roundRobin sends prompts and answers to the engines of their role in turn.
 type roundRobin struct {
@@ -38,15 +38,15 @@
 }
 
 func (p *roundRobin) choose(*request) (prefill, decode *engine, refusal string) {
-	prefill = p.next(&p.prefill, platform.RoleDecode)
-	decode = p.next(&p.decode, platform.RolePrefill)
+	prefill = p.next(&p.prefill, external.RoleDecode)
+	decode = p.next(&p.decode, external.RolePrefill)
 	if prefill == nil || decode == nil {
 		return nil, nil, "no_worker"
 	}
 	return prefill, decode, ""
 }
 
-func (p *roundRobin) next(at *int, not platform.Role) *engine {
+func (p *roundRobin) next(at *int, not external.Role) *engine {
 	for range p.w.engines {
 		*at++
 		if e := p.w.engines[*at%len(p.w.engines)]; e.state == serving && e.role != not {
@@ -61,7 +61,7 @@
 type leastLoaded struct {
 	base
 
-	reports []platform.EngineLoad
+	reports []external.EngineLoad
 	recent  []offered
 }
 
@@ -69,16 +69,16 @@
 const thresholdWindow = 10
 
 func newLeastLoaded(w *world) *leastLoaded {
-	return &leastLoaded{base: base{w: w}, reports: make([]platform.EngineLoad, len(w.engines))}
+	return &leastLoaded{base: base{w: w}, reports: make([]external.EngineLoad, len(w.engines))}
 }
 
-func (p *leastLoaded) report(e *engine, _ uint64, _ time.Duration, l platform.EngineLoad) {
+func (p *leastLoaded) report(e *engine, _ uint64, _ time.Duration, l external.EngineLoad) {
 	p.reports[e.index] = l
 }
 
 func (p *leastLoaded) choose(*request) (prefill, decode *engine, refusal string) {
-	prefill = p.least(platform.RoleDecode, func(l *platform.EngineLoad) int64 { return l.PrefillTokens })
-	decode = p.least(platform.RolePrefill, func(l *platform.EngineLoad) int64 { return int64(l.Running + l.Queued) })
+	prefill = p.least(external.RoleDecode, func(l *external.EngineLoad) int64 { return l.PrefillTokens })
+	decode = p.least(external.RolePrefill, func(l *external.EngineLoad) int64 { return int64(l.Running + l.Queued) })
 	if prefill == nil || decode == nil {
 		return nil, nil, "no_worker"
 	}
@@ -86,7 +86,7 @@
 }
 
 // least breaks ties at random, so that equal reports do not send everything to one engine.
-func (p *leastLoaded) least(not platform.Role, load func(*platform.EngineLoad) int64) *engine {
+func (p *leastLoaded) least(not external.Role, load func(*external.EngineLoad) int64) *engine {
 	var best *engine
 	least, ties := int64(0), 0
 	for _, e := range p.w.engines {
@@ -134,7 +134,7 @@
 			continue
 		}
 		alive++
-		if p.target(e) == platform.RolePrefill {
+		if p.target(e) == external.RolePrefill {
 			have++
 		}
 	}
@@ -143,7 +143,7 @@
 		if have == want {
 			return
 		}
-		from, to, step := platform.RolePrefill, platform.RoleDecode, -1
+		from, to, step := external.RolePrefill, external.RoleDecode, -1
 		if have < want {
 			from, to, step = to, from, 1
 		}
@@ -154,14 +154,14 @@
 	}
 }
 
-func (p *leastLoaded) target(e *engine) platform.Role {
+func (p *leastLoaded) target(e *engine) external.Role {
 	if e.state == serving {
 		return e.role
 	}
 	return e.next
 }
 
-func (p *leastLoaded) remaining(r platform.Role) int {
+func (p *leastLoaded) remaining(r external.Role) int {
 	n := 0
 	for _, e := range p.w.engines {
 		if e.state == serving && e.role == r {
--- a/internal/policybench/engine.go
+++ b/internal/policybench/engine.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"github.com/quetzallug/quetzallug/platform"
+	"github.com/quetzallug/quetzallug/external"
 )
 
 type engineState int
@@ -34,7 +34,7 @@
 	w     *world
 	index int
 	id    string
-	role  platform.Role
+	role  external.Role
 	state engineState
 	since time.Duration
 	// slowness is the engine's speed relative to the fleet's.
@@ -55,7 +55,7 @@
 	reports  uint64
 
 	drainFrom time.Duration
-	next      platform.Role
+	next      external.Role
 }
 
 func (e *engine) queued() int {
@@ -209,7 +209,7 @@
 }
 
 // change drains the engine and then gives it a new role.
-func (e *engine) change(role platform.Role) {
+func (e *engine) change(role external.Role) {
 	e.state, e.next, e.drainFrom = draining, role, e.w.at
 	e.w.changed()
 	e.drained()
@@ -250,8 +250,8 @@
 	}
 }
 
-func (e *engine) report() platform.EngineLoad {
-	return platform.EngineLoad{
+func (e *engine) report() external.EngineLoad {
+	return external.EngineLoad{
 		Running: len(e.batch), Queued: e.queued() + len(e.waiting),
 		PrefillTokens: int64(e.queuedTokens(len(e.queue) - 1)),
 		FreePieces:    e.free, TotalPieces: enginePieces,
--- a/internal/policybench/project.go
+++ b/internal/policybench/project.go
@@ -4,9 +4,9 @@
 	"time"
 
 	"github.com/quetzallug/quetzallug/admission"
+	"github.com/quetzallug/quetzallug/external"
 	"github.com/quetzallug/quetzallug/load"
 	"github.com/quetzallug/quetzallug/placement"
-	"github.com/quetzallug/quetzallug/platform"
 	"github.com/quetzallug/quetzallug/retry"
 	"github.com/quetzallug/quetzallug/routing"
 )
@@ -180,18 +180,18 @@
 	}
 }
 
-func (p *project) report(e *engine, sequence uint64, age time.Duration, l platform.EngineLoad) {
+func (p *project) report(e *engine, sequence uint64, age time.Duration, l external.EngineLoad) {
 	for _, n := range p.entries {
 		n.tracker.Worker(e.id).Observe(load.Report{Sequence: sequence, Age: age, Load: l}, p.w.now())
 	}
 }
 
-func (p *project) cacheEvent(e *engine, c platform.CacheEvent) {
+func (p *project) cacheEvent(e *engine, c external.CacheEvent) {
 	for _, n := range p.entries {
 		f := p.snapshot(n)
 		for _, w := range n.router.Candidates("m", f) {
 			if w.ID == e.id {
-				n.router.CacheEvents(w, []platform.CacheEvent{c}, p.w.now())
+				n.router.CacheEvents(w, []external.CacheEvent{c}, p.w.now())
 			}
 		}
 	}
@@ -232,7 +232,7 @@
 func (p *project) view(e *engine, now time.Time) placement.Engine {
 	l := p.entries[0].tracker.Worker(e.id).Estimate(now)
 	v := placement.Engine{
-		ID: e.id, State: placement.Serving, Config: platform.EngineConfig{Role: e.role}, Since: epoch.Add(e.since),
+		ID: e.id, State: placement.Serving, Config: external.EngineConfig{Role: e.role}, Since: epoch.Add(e.since),
 		Sequences: l.Sequences, PrefillTokens: l.PrefillTokens,
 	}
 	switch e.state {
--- a/internal/policybench/workload.go
+++ b/internal/policybench/workload.go
@@ -7,8 +7,8 @@
 	"slices"
 	"time"
 
+	"github.com/quetzallug/quetzallug/external"
 	"github.com/quetzallug/quetzallug/placement"
-	"github.com/quetzallug/quetzallug/platform"
 )
 
 // kind is a kind of request of a fleet.
@@ -100,14 +100,14 @@
 
 type platformSplit struct{ prefill, mixed, decode int }
 
-func (s platformSplit) role(i int) platform.Role {
+func (s platformSplit) role(i int) external.Role {
 	switch {
 	case i < s.prefill:
-		return platform.RolePrefill
+		return external.RolePrefill
 	case i < s.prefill+s.mixed:
-		return platform.RoleMixed
+		return external.RoleMixed
 	default:
-		return platform.RoleDecode
+		return external.RoleDecode
 	}
 }
 
@@ -217,7 +217,7 @@
 }
 
 func (r *request) pieces() int {
-	return (r.prompt + r.output + platform.PieceTokens - 1) / platform.PieceTokens
+	return (r.prompt + r.output + external.PieceTokens - 1) / external.PieceTokens
 }
 
 // good tells whether the answer was useful: complete and within all targets.
--- a/internal/policybench/world.go
+++ b/internal/policybench/world.go
@@ -8,7 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/quetzallug/quetzallug/platform"
+	"github.com/quetzallug/quetzallug/external"
 	"github.com/quetzallug/quetzallug/routing"
 )
 
@@ -37,8 +37,8 @@
 	retry(r *request) bool
 	firstToken(r *request)
 	finished(r *request)
-	report(e *engine, sequence uint64, age time.Duration, l platform.EngineLoad)
-	cacheEvent(e *engine, c platform.CacheEvent)
+	report(e *engine, sequence uint64, age time.Duration, l external.EngineLoad)
+	cacheEvent(e *engine, c external.CacheEvent)
 	restarted(e *engine)
 	plan(o *offered)
 }
@@ -118,7 +118,7 @@
 
 // loseEngines crashes one engine of each dedicated role, or any two if a role is absent.
 func (w *world) loseEngines() {
-	for _, role := range []platform.Role{platform.RolePrefill, platform.RoleDecode} {
+	for _, role := range []external.Role{external.RolePrefill, external.RoleDecode} {
 		i := slices.IndexFunc(w.engines, func(e *engine) bool { return e.state != dead && e.role == role })
 		if i < 0 {
 			i = slices.IndexFunc(w.engines, func(e *engine) bool { return e.state != dead })
@@ -261,7 +261,7 @@
 func (w *world) changed() { w.version++ }
 
 // order starts a role change.
-func (w *world) order(e *engine, role platform.Role) {
+func (w *world) order(e *engine, role external.Role) {
 	w.stats.changes++
 	e.change(role)
 }
@@ -269,7 +269,7 @@
 func (w *world) cacheEvent(e *engine, prefix int, evicted bool) {
 	for _, b := range prefixBlocks(prefix) {
 		e.events++
-		c := platform.CacheEvent{Sequence: e.events, Prefix: b, Evicted: evicted}
+		c := external.CacheEvent{Sequence: e.events, Prefix: b, Evicted: evicted}
 		if w.noise.Float64() >= cacheLoss {
 			w.after(cacheLag, func() { w.policy.cacheEvent(e, c) })
 		}
--- a/internal/testcluster/cluster.go
+++ b/internal/testcluster/cluster.go
@@ -17,10 +17,10 @@
 	"time"
 
 	"github.com/quetzallug/quetzallug/document/registry"
+	"github.com/quetzallug/quetzallug/external"
+	"github.com/quetzallug/quetzallug/external/instancewire"
 	"github.com/quetzallug/quetzallug/kernel"
 	"github.com/quetzallug/quetzallug/modules/kvhttp"
-	"github.com/quetzallug/quetzallug/platform"
-	"github.com/quetzallug/quetzallug/platform/instancewire"
 )
 
 const (
@@ -73,7 +73,7 @@
 	Address, PeerAddress string
 	// KVLink leads to the key-value service if Config.ForwardKV is set.
 	KVLink   *Forwarder
-	instance platform.Instance
+	instance external.Instance
 }
 
 // Worker is a running sidecar with its backend server.
@@ -87,7 +87,7 @@
 	Pool           Pool
 	// Link leads from the entries to the sidecar if Pool.Forward is set.
 	Link     *Forwarder
-	instance platform.Instance
+	instance external.Instance
 }
 
 // Cluster is a set of running processes.
@@ -196,8 +196,8 @@
 	if w.Sidecar, err = c.run(id, "quetzallugd", sidecar); err != nil {
 		return err
 	}
-	w.instance = platform.Instance{
-		ID: id, Role: platform.RoleSidecar, Service: p.Service, DataCentre: p.DataCentre, Address: w.Address, State: platform.InstanceLive,
+	w.instance = external.Instance{
+		ID: id, Role: external.RoleSidecar, Service: p.Service, DataCentre: p.DataCentre, Address: w.Address, State: external.InstanceLive,
 	}
 	if p.Forward {
 		if w.Link, err = c.forward(w.Address); err != nil {
@@ -235,14 +235,14 @@
 		return err
 	}
 	c.Entries = append(c.Entries, e)
-	e.instance = platform.Instance{
-		ID: e.ID, Role: platform.RoleEntry, DataCentre: dc, Address: e.PeerAddress, State: platform.InstanceLive,
+	e.instance = external.Instance{
+		ID: e.ID, Role: external.RoleEntry, DataCentre: dc, Address: e.PeerAddress, State: external.InstanceLive,
 	}
 	return c.register(ctx, e.instance)
 }
 
 // register puts an instance in the platform's list.
-func (c *Cluster) register(ctx context.Context, in platform.Instance) error {
+func (c *Cluster) register(ctx context.Context, in external.Instance) error {
 	return post(ctx, c.instances+instancewire.PathRegister, instancewire.Registration{Instance: in, TTLMS: time.Hour.Milliseconds()})
 }
 
@@ -266,8 +266,8 @@
 func (c *Cluster) InstancesAddress() string { return c.instances }
 
 // KV returns a client of the key-value service.
-func (c *Cluster) KV(ctx context.Context) (platform.KV, error) {
-	return kernel.Load[platform.KV](ctx, kvhttp.ID, kernel.Settings{"address": c.kv})
+func (c *Cluster) KV(ctx context.Context) (external.KV, error) {
+	return kernel.Load[external.KV](ctx, kvhttp.ID, kernel.Settings{"address": c.kv})
 }
 
 // Apply accepts a document file as the next revision, with the operators' tool.
--- a/internal/testcluster/control.go
+++ b/internal/testcluster/control.go
@@ -10,13 +10,13 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/quetzallug/quetzallug/document/registry"
+	"github.com/quetzallug/quetzallug/external"
+	"github.com/quetzallug/quetzallug/external/enginewire"
 	v1 "github.com/quetzallug/quetzallug/gen/quetzallug/v1"
 	"github.com/quetzallug/quetzallug/internal/peerauth"
 	"github.com/quetzallug/quetzallug/internal/rpc"
 	"github.com/quetzallug/quetzallug/lease"
 	"github.com/quetzallug/quetzallug/order"
-	"github.com/quetzallug/quetzallug/platform"
-	"github.com/quetzallug/quetzallug/platform/enginewire"
 	"github.com/quetzallug/quetzallug/standin/backend"
 	"github.com/quetzallug/quetzallug/standin/engine"
 	"github.com/quetzallug/quetzallug/standin/instances"
@@ -78,7 +78,7 @@
 }
 
 // EngineState reads the state of an engine.
-func (w *Worker) EngineState(ctx context.Context) (s platform.EngineState, err error) {
+func (w *Worker) EngineState(ctx context.Context) (s external.EngineState, err error) {
 	err = get(ctx, w.BackendAddress+enginewire.PathState, &s)
 	return s, err
 }
@@ -96,7 +96,7 @@
 }
 
 // OrderRecord reads the order record of an engine.
-func (w *Worker) OrderRecord(ctx context.Context, kv platform.KV) (r order.Record, err error) {
+func (w *Worker) OrderRecord(ctx context.Context, kv external.KV) (r order.Record, err error) {
 	e, err := kv.Get(ctx, order.Key(w.PoolName(), w.ID))
 	if err != nil {
 		return r, err
@@ -108,7 +108,7 @@
 func (w *Worker) PoolName() string { return w.Pool.Service + "." + w.Pool.DataCentre }
 
 // Holder returns the entry that holds a pool.
-func (c *Cluster) Holder(ctx context.Context, kv platform.KV, pool string) (*Entry, error) {
+func (c *Cluster) Holder(ctx context.Context, kv external.KV, pool string) (*Entry, error) {
 	p, err := lease.ReadPool(ctx, kv, pool)
 	if err != nil {
 		return nil, err
--- a/lease/acquire.go
+++ b/lease/acquire.go
@@ -6,8 +6,8 @@
 	"fmt"
 	"time"
 
+	"github.com/quetzallug/quetzallug/external"
 	"github.com/quetzallug/quetzallug/internal/cas"
-	"github.com/quetzallug/quetzallug/platform"
 )
 
 // maxFenceTries bounds the compare-and-swap loop on the fence. Only processes whose lease was
@@ -44,7 +44,7 @@
 }
 
 // grant does not retry: a grant whose response was lost is a lease that nobody renews.
-func (m *Manager) grant(ctx context.Context) (platform.LeaseID, error) {
+func (m *Manager) grant(ctx context.Context) (external.LeaseID, error) {
 	ctx, cancel := context.WithTimeout(ctx, cas.DefaultCallTimeout)
 	defer cancel()
 	id, err := m.kv.GrantLease(ctx, m.cfg.TTL)
@@ -82,7 +82,7 @@
 		if err == nil {
 			return r.Fence, nil
 		}
-		if !errors.Is(err, platform.ErrConflict) {
+		if !errors.Is(err, external.ErrConflict) {
 			return 0, convert("increment fence of pool "+s.pool, err)
 		}
 	}
@@ -112,9 +112,9 @@
 	switch {
 	case err == nil:
 		return nil
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, external.ErrConflict):
 		return fmt.Errorf("%s: %w", what, ErrHeld)
-	case errors.Is(err, platform.ErrLeaseExpired), errors.Is(err, ErrLost):
+	case errors.Is(err, external.ErrLeaseExpired), errors.Is(err, ErrLost):
 		return fmt.Errorf("%s: %w", what, ErrLost)
 	}
 	return fmt.Errorf("%s: %w: %w", what, ErrUnavailable, err)
--- a/lease/manager.go
+++ b/lease/manager.go
@@ -13,9 +13,9 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/quetzallug/quetzallug/external"
 	"github.com/quetzallug/quetzallug/internal/cas"
 	"github.com/quetzallug/quetzallug/internal/pause"
-	"github.com/quetzallug/quetzallug/platform"
 )
 
 // Defaults of Config.
@@ -66,7 +66,7 @@
 
 // Manager competes for the configured pools and keeps alive the leases that it holds.
 type Manager struct {
-	kv  platform.KV
+	kv  external.KV
 	cfg Config
 
 	mu   sync.Mutex // guards held
@@ -74,7 +74,7 @@
 }
 
 // NewManager validates the configuration and fills in defaults.
-func NewManager(kv platform.KV, cfg Config) (*Manager, error) {
+func NewManager(kv external.KV, cfg Config) (*Manager, error) {
 	if cfg.Holder == "" {
 		return nil, fmt.Errorf("%w: holder is empty", ErrConfig)
 	}
@@ -230,7 +230,7 @@
 		}
 		sent := time.Now()
 		err := m.renew(ctx, s)
-		if errors.Is(err, platform.ErrLeaseExpired) {
+		if errors.Is(err, external.ErrLeaseExpired) {
 			return fmt.Errorf("%w: %w", ErrLost, err)
 		}
 		if err != nil {
--- a/lease/records.go
+++ b/lease/records.go
@@ -7,8 +7,8 @@
 	"strings"
 	"time"
 
+	"github.com/quetzallug/quetzallug/external"
 	"github.com/quetzallug/quetzallug/internal/cas"
-	"github.com/quetzallug/quetzallug/platform"
 )
 
 // KeyPrefix is the prefix of all pool keys.
@@ -56,7 +56,7 @@
 }
 
 // ReadPool reads the state of one pool.
-func ReadPool(ctx context.Context, kv platform.KV, pool string) (PoolState, error) {
+func ReadPool(ctx context.Context, kv external.KV, pool string) (PoolState, error) {
 	states, err := readPools(ctx, kv, KeyPrefix+pool+"/")
 	if err != nil {
 		return PoolState{}, err
@@ -64,7 +64,7 @@
 	return states[pool], states[pool].malformed
 }
 
-func readPools(ctx context.Context, kv platform.KV, prefix string) (map[string]PoolState, error) {
+func readPools(ctx context.Context, kv external.KV, prefix string) (map[string]PoolState, error) {
 	ctx, cancel := context.WithTimeout(ctx, cas.DefaultCallTimeout)
 	defer cancel()
 	entries, _, err := kv.List(ctx, prefix)
@@ -79,7 +79,7 @@
 }
 
 // addEntry decodes a pool key. A malformed record makes its own pool unusable, not the others.
-func addEntry(states map[string]PoolState, e platform.Entry) {
+func addEntry(states map[string]PoolState, e external.Entry) {
 	name := strings.TrimPrefix(e.Key, KeyPrefix)
 	pool, isHolder := strings.CutSuffix(name, holderSuffix)
 	if isHolder {
@@ -97,7 +97,7 @@
 	}
 }
 
-func (s *PoolState) decode(e platform.Entry, into any) {
+func (s *PoolState) decode(e external.Entry, into any) {
 	if err := json.Unmarshal(e.Value, into); err != nil {
 		s.malformed = fmt.Errorf("%w: key %q: %w", ErrBadRecord, e.Key, err)
 	}
@@ -115,6 +115,6 @@
 type session struct {
 	pool    string
 	id      string
-	lease   platform.LeaseID
+	lease   external.LeaseID
 	granted time.Time // when the grant was sent
 }
--- a/load/load.go
+++ b/load/load.go
@@ -11,7 +11,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/quetzallug/quetzallug/platform"
+	"github.com/quetzallug/quetzallug/external"
 )
 
 const (
@@ -35,7 +35,7 @@
 	Sequence uint64
 	// Age is the time since the worker made the report.
 	Age  time.Duration
-	Load platform.EngineLoad
+	Load external.EngineLoad
 }
 
 // Work is what one request adds to a worker.
@@ -96,7 +96,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if w = t.workers[id]; w == nil {
-		w = &Worker{learner: newLearner(t.speed), role: platform.RoleMixed, scale: &t.scale}
+		w = &Worker{learner: newLearner(t.speed), role: external.RoleMixed, scale: &t.scale}
 		t.workers[id] = w
 	}
 	return w
@@ -120,10 +120,10 @@
 type Worker struct {
 	scale    *atomic.Uint64
 	mu       sync.Mutex
-	role     platform.Role
+	role     external.Role
 	sequence uint64
 	madeAt   time.Time // zero: no report yet
-	report   platform.EngineLoad
+	report   external.EngineLoad
 	events   []event
 	// Corrections by the events, except for prefill, which also drains over time.
 	sequences int
@@ -134,7 +134,7 @@
 }
 
 // SetRole tells the worker's role, which decides whether queued requests will decode here.
-func (w *Worker) SetRole(r platform.Role) {
+func (w *Worker) SetRole(r external.Role) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.role = r
@@ -223,7 +223,7 @@
 func (w *Worker) Restarted(now time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.report = platform.EngineLoad{FreePieces: w.report.TotalPieces, TotalPieces: w.report.TotalPieces}
+	w.report = external.EngineLoad{FreePieces: w.report.TotalPieces, TotalPieces: w.report.TotalPieces}
 	w.events = w.events[:0]
 	w.sequence, w.sequences, w.pieces, w.prefill = 0, 0, 0, 0
 	w.madeAt, w.prefillAt = now, now
@@ -272,7 +272,7 @@
 
 func (w *Worker) decoding(routers float64) int {
 	n := w.report.Running + int(float64(w.sequences)*routers)
-	if w.role != platform.RolePrefill {
+	if w.role != external.RolePrefill {
 		n += w.report.Queued
 	}
 	return max(0, n)
--- a/load/load_test.go
+++ b/load/load_test.go
@@ -8,9 +8,9 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"github.com/quetzallug/quetzallug/external"
 	_ "github.com/quetzallug/quetzallug/internal/rapidseed"
 	"github.com/quetzallug/quetzallug/load"
-	"github.com/quetzallug/quetzallug/platform"
 )
 
 var start = time.Date(2026, 3, 1, 0, 0, 0, 0, time.UTC)
@@ -18,7 +18,7 @@
 func at(d time.Duration) time.Time { return start.Add(d) }
 
 func report(seq uint64, age time.Duration, prefill int64, running, free int) load.Report {
-	return load.Report{Sequence: seq, Age: age, Load: platform.EngineLoad{
+	return load.Report{Sequence: seq, Age: age, Load: external.EngineLoad{
 		PrefillTokens: prefill, Running: running, FreePieces: free, TotalPieces: 100,
 	}}
 }
@@ -60,7 +60,7 @@
 // Guards against a queue that never drains between reports.
 func TestPrefillDrains(t *testing.T) {
 	w := load.NewTracker(load.Speed{PrefillSecondsPerToken: 1e-4}).Worker("w")
-	w.SetRole(platform.RolePrefill)
+	w.SetRole(external.RolePrefill)
 	w.Observe(report(1, 0, 5000, 0, 50), at(0))
 	assert.InDelta(t, 3000, w.Estimate(at(200*time.Millisecond)).PrefillTokens, 1)
 	w.Sent(load.Work{PrefillTokens: 1000}, at(time.Second))
@@ -87,7 +87,7 @@
 // Guards against speeds that do not follow the engine, or that one absurd value spoils.
 func TestSpeedIsLearned(t *testing.T) {
 	w := load.NewTracker(load.Speed{PrefillSecondsPerToken: 1e-4}).Worker("w")
-	w.SetRole(platform.RolePrefill)
+	w.SetRole(external.RolePrefill)
 	for i := range 200 {
 		now := at(time.Duration(i) * 10 * time.Second)
 		w.Observe(report(uint64(i+1), 0, 0, 0, 50), now)
--- a/membership/bench_test.go
+++ b/membership/bench_test.go
@@ -8,23 +8,23 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/quetzallug/quetzallug/external"
 	"github.com/quetzallug/quetzallug/membership"
-	"github.com/quetzallug/quetzallug/platform"
 )
 
 // fullSize is the instance list at the target size: 640 sidecars of 8 services and 340 entries.
-func fullSize() platform.InstanceSnapshot {
-	s := platform.InstanceSnapshot{Version: 1}
+func fullSize() external.InstanceSnapshot {
+	s := external.InstanceSnapshot{Version: 1}
 	for i := range 640 {
-		s.Instances = append(s.Instances, platform.Instance{
-			ID: fmt.Sprintf("worker-%d", i), Role: platform.RoleSidecar, Service: fmt.Sprintf("model-%d", i%8),
-			DataCentre: fmt.Sprintf("dc-%d", i%5), Address: fmt.Sprintf("10.0.%d.%d:8000", i/250, i%250), State: platform.InstanceLive,
+		s.Instances = append(s.Instances, external.Instance{
+			ID: fmt.Sprintf("worker-%d", i), Role: external.RoleSidecar, Service: fmt.Sprintf("model-%d", i%8),
+			DataCentre: fmt.Sprintf("dc-%d", i%5), Address: fmt.Sprintf("10.0.%d.%d:8000", i/250, i%250), State: external.InstanceLive,
 		})
 	}
 	for i := range 340 {
-		s.Instances = append(s.Instances, platform.Instance{
-			ID: fmt.Sprintf("entry-%d", i), Role: platform.RoleEntry,
-			DataCentre: fmt.Sprintf("dc-%d", i%5), Address: fmt.Sprintf("10.1.%d.%d:8000", i/250, i%250), State: platform.InstanceLive,
+		s.Instances = append(s.Instances, external.Instance{
+			ID: fmt.Sprintf("entry-%d", i), Role: external.RoleEntry,
+			DataCentre: fmt.Sprintf("dc-%d", i%5), Address: fmt.Sprintf("10.1.%d.%d:8000", i/250, i%250), State: external.InstanceLive,
 		})
 	}
 	return s
--- a/membership/measure_test.go
+++ b/membership/measure_test.go
@@ -16,8 +16,8 @@
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
+	"github.com/quetzallug/quetzallug/external"
 	"github.com/quetzallug/quetzallug/membership"
-	"github.com/quetzallug/quetzallug/platform"
 )
 
 // measureAll runs the whole table of docs/membership.md: go test ./membership -run Measure -v -measure
@@ -63,8 +63,8 @@
 	return ""
 }
 
-// Instances implements platform.InstanceList.
-func (f *fleet) Instances(_ context.Context, after uint64) (platform.InstanceSnapshot, error) {
+// Instances implements external.InstanceList.
+func (f *fleet) Instances(_ context.Context, after uint64) (external.InstanceSnapshot, error) {
 	since := time.Since(f.eventAt)
 	if f.list == "lagging 5 s" {
 		since -= listDelay
@@ -75,25 +75,25 @@
 	}
 	switch f.list {
 	case "unreachable":
-		return platform.InstanceSnapshot{}, errors.New("instance list is down")
+		return external.InstanceSnapshot{}, errors.New("instance list is down")
 	case "empty":
 		return news(snapshot(2, nil), after)
 	case "wrong":
 		// The bad worker stays live and two good ones are missing.
-		return news(snapshot(2, slices.DeleteFunc(instances, func(in platform.Instance) bool {
+		return news(snapshot(2, slices.DeleteFunc(instances, func(in external.Instance) bool {
 			return in.ID == "a-05" || in.ID == "b-05"
 		})), after)
 	}
 	switch f.event {
 	case "leaving":
-		instances[0].State = platform.InstanceLeaving
+		instances[0].State = external.InstanceLeaving
 	case "dead":
 		instances = instances[1:]
 	}
 	return news(snapshot(2, instances), after)
 }
 
-func news(s platform.InstanceSnapshot, after uint64) (platform.InstanceSnapshot, error) {
+func news(s external.InstanceSnapshot, after uint64) (external.InstanceSnapshot, error) {
 	if s.Version <= after {
 		return snapshot(after, nil), nil
 	}
--- a/membership/recompute.go
+++ b/membership/recompute.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"github.com/quetzallug/quetzallug/platform"
+	"github.com/quetzallug/quetzallug/external"
 )
 
 // pool is the members of one service and role in one data centre.
@@ -68,7 +68,7 @@
 // stateOf returns the state without the bounds on ejection.
 func (v *View) stateOf(m *member) State {
 	switch {
-	case m.inst.State == platform.InstanceLeaving || !m.drainingSince.IsZero():
+	case m.inst.State == external.InstanceLeaving || !m.drainingSince.IsZero():
 		return StateLeaving
 	case m.refused:
 		return StateEjected
@@ -106,13 +106,13 @@
 		e := m.export()
 		s.Members[i] = e
 		s.byID[e.ID] = i
-		if e.Role == platform.RoleSidecar && e.Usable {
+		if e.Role == external.RoleSidecar && e.Usable {
 			if s.usable[e.Service] == nil {
 				s.usable[e.Service] = make([]Member, 0, len(all)-i)
 			}
 			s.usable[e.Service] = append(s.usable[e.Service], e)
 		}
-		if e.Role == platform.RoleEntry && e.View == StateLive {
+		if e.Role == external.RoleEntry && e.View == StateLive {
 			s.entries = append(s.entries, e.Instance)
 		}
 	}
--- a/membership/runner.go
+++ b/membership/runner.go
@@ -8,7 +8,7 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/quetzallug/quetzallug/platform"
+	"github.com/quetzallug/quetzallug/external"
 )
 
 // ErrConnectionRefused means that nothing listens at the member's address.
@@ -29,13 +29,13 @@
 // Runner polls the instance list and probes members.
 type Runner struct {
 	view   *View
-	list   platform.InstanceList
+	list   external.InstanceList
 	prober Prober
 	log    logrus.FieldLogger
 }
 
 // NewRunner returns a runner for the view.
-func NewRunner(v *View, list platform.InstanceList, p Prober, log logrus.FieldLogger) *Runner {
+func NewRunner(v *View, list external.InstanceList, p Prober, log logrus.FieldLogger) *Runner {
 	return &Runner{view: v, list: list, prober: p, log: log}
 }
 
--- a/membership/view.go
+++ b/membership/view.go
@@ -18,7 +18,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/quetzallug/quetzallug/platform"
+	"github.com/quetzallug/quetzallug/external"
 )
 
 // State is the state of a member.
@@ -34,7 +34,7 @@
 
 // Member is one slot of the instance list as this process sees it.
 type Member struct {
-	platform.Instance
+	external.Instance
 	// View replaces the state of the list.
 	View State
 	// Incarnation is the highest one that has answered, empty if none has.
@@ -50,7 +50,7 @@
 	Members []Member
 
 	usable  map[string][]Member
-	entries []platform.Instance
+	entries []external.Instance
 	byID    map[string]int
 }
 
@@ -58,7 +58,7 @@
 func (s *Snapshot) Usable(service string) []Member { return s.usable[service] }
 
 // Entries returns the entries that are live.
-func (s *Snapshot) Entries() []platform.Instance { return s.entries }
+func (s *Snapshot) Entries() []external.Instance { return s.entries }
 
 // Member returns a member by its ID.
 func (s *Snapshot) Member(id string) (Member, bool) {
@@ -97,7 +97,7 @@
 
 // member is the mutable state of one slot.
 type member struct {
-	inst        platform.Instance
+	inst        external.Instance
 	view        State
 	usable      bool
 	inList      bool
@@ -142,7 +142,7 @@
 }
 
 // ApplyList joins a list that has been read. It returns false if the list is not believed yet.
-func (v *View) ApplyList(now time.Time, s platform.InstanceSnapshot) bool {
+func (v *View) ApplyList(now time.Time, s external.InstanceSnapshot) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	doubtful := len(s.Instances) == 0 && v.list.size > 0 || s.Version < v.list.version
@@ -184,8 +184,8 @@
 	v.list.doubtfulSince = time.Time{}
 }
 
-func (v *View) join(now time.Time, instances []platform.Instance) {
-	listed := map[string]platform.Instance{}
+func (v *View) join(now time.Time, instances []external.Instance) {
+	listed := map[string]external.Instance{}
 	for _, in := range instances {
 		if old, ok := listed[in.ID]; ok {
 			in = v.choose(old, in)
@@ -210,7 +210,7 @@
 
 // choose returns which of two list entries of one slot counts: the one at the address of the highest
 // incarnation that has answered, otherwise the one that is not leaving, otherwise the later one.
-func (v *View) choose(a, b platform.Instance) platform.Instance {
+func (v *View) choose(a, b external.Instance) external.Instance {
 	if m := v.members[a.ID]; m != nil && m.incarnationAddress != "" {
 		switch m.incarnationAddress {
 		case a.Address:
@@ -219,7 +219,7 @@
 			return b
 		}
 	}
-	if b.State == platform.InstanceLeaving && a.State != platform.InstanceLeaving {
+	if b.State == external.InstanceLeaving && a.State != external.InstanceLeaving {
 		return a
 	}
 	return b
@@ -227,7 +227,7 @@
 
 // list takes over what the list says. A new address is a new process: the evidence about the old one
 // no longer counts, but its incarnation still has to be exceeded.
-func (m *member) list(in platform.Instance) {
+func (m *member) list(in external.Instance) {
 	m.inList, m.listAddress = true, in.Address
 	if in.Address == m.loserAddress && m.incarnationAddress != "" {
 		in.Address = m.incarnationAddress
--- a/membership/view_test.go
+++ b/membership/view_test.go
@@ -9,9 +9,9 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"github.com/quetzallug/quetzallug/external"
 	_ "github.com/quetzallug/quetzallug/internal/rapidseed"
 	"github.com/quetzallug/quetzallug/membership"
-	"github.com/quetzallug/quetzallug/platform"
 )
 
 const service = "halte-llm"
@@ -25,21 +25,21 @@
 }
 
 // workers returns n workers in each data centre.
-func workers(n int, dataCentres ...string) []platform.Instance {
-	var list []platform.Instance
+func workers(n int, dataCentres ...string) []external.Instance {
+	var list []external.Instance
 	for _, dc := range dataCentres {
 		for i := range n {
 			id := fmt.Sprintf("%s-%02d", dc, i)
-			list = append(list, platform.Instance{
-				ID: id, Role: platform.RoleSidecar, Service: service, DataCentre: dc, Address: id + ":1", State: platform.InstanceLive,
+			list = append(list, external.Instance{
+				ID: id, Role: external.RoleSidecar, Service: service, DataCentre: dc, Address: id + ":1", State: external.InstanceLive,
 			})
 		}
 	}
 	return list
 }
 
-func snapshot(version uint64, list []platform.Instance) platform.InstanceSnapshot {
-	return platform.InstanceSnapshot{Version: version, Instances: list}
+func snapshot(version uint64, list []external.Instance) external.InstanceSnapshot {
+	return external.InstanceSnapshot{Version: version, Instances: list}
 }
 
 func state(v *membership.View, id string) membership.State {
@@ -55,7 +55,7 @@
 // never believed.
 func TestDoubtfulLists(t *testing.T) {
 	set := membership.DefaultSettings()
-	for name, list := range map[string]platform.InstanceSnapshot{
+	for name, list := range map[string]external.InstanceSnapshot{
 		"empty": snapshot(6, nil),
 		"older": snapshot(4, workers(1, "a")),
 	} {
@@ -103,7 +103,7 @@
 	v.Observe(at(6), evidence("a-00", membership.Answered, "2", at(4)))
 	require.Equal(t, membership.StateLive, state(v, "a-00"), "a new incarnation is not draining")
 
-	list[1].State = platform.InstanceLeaving
+	list[1].State = external.InstanceLeaving
 	v.ApplyList(at(7), snapshot(2, list))
 	v.Observe(at(8), evidence("a-01", membership.Answered, "1", at(8)))
 	require.Equal(t, membership.StateLeaving, state(v, "a-01"), "only the list takes it back")
@@ -117,7 +117,7 @@
 		in := workers(1, "a")[0]
 		other := in
 		other.Address = "other:1"
-		v.ApplyList(start, snapshot(1, []platform.Instance{in, other}))
+		v.ApplyList(start, snapshot(1, []external.Instance{in, other}))
 		address := map[string]string{"9": in.Address, "10": other.Address}
 		for range 2 {
 			for _, incarnation := range order {
@@ -129,7 +129,7 @@
 			require.Equal(t, other.Address, m.Address)
 			require.Equal(t, "10", m.Incarnation)
 			// The list names the loser only.
-			v.ApplyList(start, snapshot(2, []platform.Instance{in}))
+			v.ApplyList(start, snapshot(2, []external.Instance{in}))
 			m, _ = v.Snapshot().Member(in.ID)
 			require.Equal(t, other.Address, m.Address)
 		}
--- a/modules/backendhttp/backendhttp.go
+++ b/modules/backendhttp/backendhttp.go
@@ -10,9 +10,9 @@
 	"net/http"
 	"time"
 
+	"github.com/quetzallug/quetzallug/external"
 	"github.com/quetzallug/quetzallug/internal/httpjson"
 	"github.com/quetzallug/quetzallug/kernel"
-	"github.com/quetzallug/quetzallug/platform"
 )
 
 // ID is the module's ID.
@@ -32,7 +32,7 @@
 	loadPath string
 }
 
-var _ platform.Backend = (*Client)(nil)
+var _ external.Backend = (*Client)(nil)
 
 // Module implements kernel.Module.
 func (*Client) Module() kernel.ModuleInfo {
@@ -45,8 +45,8 @@
 	return c.Client.Provision(ctx, s)
 }
 
-// Do implements platform.Backend. Any status is an answer. A redirect is passed on, not followed.
-func (c *Client) Do(ctx context.Context, r *platform.PlainRequest) (*platform.PlainResponse, error) {
+// Do implements external.Backend. Any status is an answer. A redirect is passed on, not followed.
+func (c *Client) Do(ctx context.Context, r *external.PlainRequest) (*external.PlainResponse, error) {
 	if r.Timeout > 0 {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, r.Timeout)
@@ -69,18 +69,18 @@
 		return nil, convert(err)
 	}
 	if len(body) > maxResponseBytes {
-		return nil, fmt.Errorf("%w: response is larger than %d bytes", platform.ErrEngineFailed, maxResponseBytes)
+		return nil, fmt.Errorf("%w: response is larger than %d bytes", external.ErrEngineFailed, maxResponseBytes)
 	}
-	return &platform.PlainResponse{
+	return &external.PlainResponse{
 		Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: body,
 	}, nil
 }
 
-// Load implements platform.Backend.
-func (c *Client) Load(ctx context.Context) (platform.EngineLoad, error) {
+// Load implements external.Backend.
+func (c *Client) Load(ctx context.Context) (external.EngineLoad, error) {
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
-	var l platform.EngineLoad
+	var l external.EngineLoad
 	if err := c.Call(ctx, http.MethodGet, c.loadPath, nil, &l); err != nil {
 		return l, convert(err)
 	}
@@ -95,7 +95,7 @@
 
 func convert(err error) error {
 	if errors.Is(err, httpjson.ErrNotSent) {
-		return fmt.Errorf("%w: %w", platform.ErrEngineRefused, err)
+		return fmt.Errorf("%w: %w", external.ErrEngineRefused, err)
 	}
-	return fmt.Errorf("%w: %w", platform.ErrEngineFailed, err)
+	return fmt.Errorf("%w: %w", external.ErrEngineFailed, err)
 }
--- a/modules/backendhttp/backendhttp_test.go
+++ b/modules/backendhttp/backendhttp_test.go
@@ -14,15 +14,15 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/quetzallug/quetzallug/external"
 	"github.com/quetzallug/quetzallug/kernel"
 	"github.com/quetzallug/quetzallug/modules/backendhttp"
-	"github.com/quetzallug/quetzallug/platform"
 	"github.com/quetzallug/quetzallug/standin/backend"
 )
 
-func load(t *testing.T, address string) platform.Backend {
+func load(t *testing.T, address string) external.Backend {
 	t.Helper()
-	c, err := kernel.Load[platform.Backend](t.Context(), backendhttp.ID, kernel.Settings{"address": address})
+	c, err := kernel.Load[external.Backend](t.Context(), backendhttp.ID, kernel.Settings{"address": address})
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = kernel.Cleanup(c) })
 	return c
@@ -68,7 +68,7 @@
 // GET and for any method with an Idempotency-Key header, and against "not run" for a request
 // that was sent. Both would run an action twice.
 func TestReusedConnectionIsNotRetried(t *testing.T) {
-	for _, r := range []platform.PlainRequest{
+	for _, r := range []external.PlainRequest{
 		{Method: http.MethodGet, Path: "/board"},
 		{Method: http.MethodPost, Path: "/pump"},
 		{Method: http.MethodPost, Path: "/pump", IdempotencyKey: "k"},
@@ -81,8 +81,8 @@
 			_, err := c.Do(t.Context(), &r)
 			require.NoError(t, err)
 			_, err = c.Do(t.Context(), &r)
-			require.ErrorIs(t, err, platform.ErrEngineFailed, "%+v", r)
-			require.NotErrorIs(t, err, platform.ErrEngineRefused)
+			require.ErrorIs(t, err, external.ErrEngineFailed, "%+v", r)
+			require.NotErrorIs(t, err, external.ErrEngineRefused)
 			require.Equal(t, int64(2), requests.Load(), "%+v", r)
 		}
 	}
@@ -95,7 +95,7 @@
 	srv := httptest.NewServer(s.Handler())
 	defer srv.Close()
 	c := load(t, srv.URL)
-	r := &platform.PlainRequest{
+	r := &external.PlainRequest{
 		RequestID: "r1", Method: http.MethodPost, Path: "/pumps/3?on=1", IdempotencyKey: "k1", Body: []byte("{}"),
 	}
 	resp, err := c.Do(t.Context(), r)
@@ -108,11 +108,11 @@
 
 	s.SetFaults(backend.Faults{LoseResponse: 1})
 	_, err = c.Do(t.Context(), r)
-	require.ErrorIs(t, err, platform.ErrEngineFailed)
+	require.ErrorIs(t, err, external.ErrEngineFailed)
 	require.Equal(t, 2, s.Executions("k1"), "the action ran twice and the journal shows it")
 	s.SetFaults(backend.Faults{FailBeforeRun: 1})
 	_, err = c.Do(t.Context(), r)
-	require.ErrorIs(t, err, platform.ErrEngineFailed)
+	require.ErrorIs(t, err, external.ErrEngineFailed)
 	require.Len(t, s.Journal(), 2)
 
 	s.SetFaults(backend.Faults{SlowMS: 60_000})
@@ -120,7 +120,7 @@
 	slow.Timeout = 20 * time.Millisecond
 	_, err = c.Do(t.Context(), &slow)
 	require.ErrorIs(t, err, context.DeadlineExceeded)
-	require.ErrorIs(t, err, platform.ErrEngineFailed)
+	require.ErrorIs(t, err, external.ErrEngineFailed)
 	l, err := c.Load(t.Context())
 	require.NoError(t, err)
 	require.Equal(t, backend.DefaultLimit, l.TotalPieces)
@@ -128,8 +128,8 @@
 	// A new client has no open connection, so its dial fails.
 	srv.Close()
 	_, err = load(t, srv.URL).Do(t.Context(), r)
-	require.ErrorIs(t, err, platform.ErrEngineRefused)
-	require.NotErrorIs(t, err, platform.ErrEngineFailed)
+	require.ErrorIs(t, err, external.ErrEngineRefused)
+	require.NotErrorIs(t, err, external.ErrEngineFailed)
 }
 
 // Guards against a caller's path that reaches another host, and against redirects that send the
@@ -143,11 +143,11 @@
 	c := load(t, srv.URL)
 	host := elsewhere.Listener.Addr().String()
 	for _, path := range []string{"@" + host, elsewhere.URL, ""} {
-		_, err := c.Do(t.Context(), &platform.PlainRequest{Method: http.MethodGet, Path: path})
-		require.ErrorIs(t, err, platform.ErrEngineRefused, path)
+		_, err := c.Do(t.Context(), &external.PlainRequest{Method: http.MethodGet, Path: path})
+		require.ErrorIs(t, err, external.ErrEngineRefused, path)
 	}
 	for _, path := range []string{"//" + host + "/x", "/x"} {
-		resp, err := c.Do(t.Context(), &platform.PlainRequest{Method: http.MethodPost, Path: path})
+		resp, err := c.Do(t.Context(), &external.PlainRequest{Method: http.MethodPost, Path: path})
 		require.NoError(t, err)
 		require.Equal(t, http.StatusFound, resp.Status)
 	}
--- a/modules/enginehttp/enginehttp.go
+++ b/modules/enginehttp/enginehttp.go
@@ -9,10 +9,10 @@
 	"strconv"
 	"time"
 
+	"github.com/quetzallug/quetzallug/external"
+	"github.com/quetzallug/quetzallug/external/enginewire"
 	"github.com/quetzallug/quetzallug/internal/httpjson"
 	"github.com/quetzallug/quetzallug/kernel"
-	"github.com/quetzallug/quetzallug/platform"
-	"github.com/quetzallug/quetzallug/platform/enginewire"
 )
 
 // ID is the module's ID.
@@ -26,50 +26,50 @@
 // Client calls an engine.
 type Client struct{ httpjson.Client }
 
-var _ platform.Engine = (*Client)(nil)
+var _ external.Engine = (*Client)(nil)
 
 // Module implements kernel.Module.
 func (*Client) Module() kernel.ModuleInfo {
 	return kernel.ModuleInfo{ID: ID, New: func() kernel.Module { return &Client{} }}
 }
 
-// Cancel implements platform.Engine.
+// Cancel implements external.Engine.
 func (c *Client) Cancel(ctx context.Context, requestID string) error {
 	return c.short(ctx, http.MethodPost, enginewire.PathCancel, enginewire.Cancel{RequestID: requestID}, nil)
 }
 
-// State implements platform.Engine.
-func (c *Client) State(ctx context.Context) (s platform.EngineState, err error) {
+// State implements external.Engine.
+func (c *Client) State(ctx context.Context) (s external.EngineState, err error) {
 	err = c.short(ctx, http.MethodGet, enginewire.PathState, nil, &s)
 	return s, err
 }
 
-// Apply implements platform.Engine.
-func (c *Client) Apply(ctx context.Context, o platform.EngineOrder) error {
+// Apply implements external.Engine.
+func (c *Client) Apply(ctx context.Context, o external.EngineOrder) error {
 	return convert(c.Call(ctx, http.MethodPost, enginewire.PathApply, o, nil))
 }
 
-// Load implements platform.Engine.
-func (c *Client) Load(ctx context.Context) (l platform.EngineLoad, err error) {
+// Load implements external.Engine.
+func (c *Client) Load(ctx context.Context) (l external.EngineLoad, err error) {
 	err = c.short(ctx, http.MethodGet, enginewire.PathLoad, nil, &l)
 	return l, err
 }
 
-// CacheEvents implements platform.Engine.
-func (c *Client) CacheEvents(ctx context.Context, after uint64) (events []platform.CacheEvent, err error) {
+// CacheEvents implements external.Engine.
+func (c *Client) CacheEvents(ctx context.Context, after uint64) (events []external.CacheEvent, err error) {
 	path := enginewire.PathEvents + "?after=" + strconv.FormatUint(after, 10)
 	err = c.short(ctx, http.MethodGet, path, nil, &events)
 	return events, err
 }
 
-// ExportKV implements platform.Engine.
+// ExportKV implements external.Engine.
 func (c *Client) ExportKV(ctx context.Context, requestID string) ([]byte, error) {
 	var b enginewire.Blob
 	err := c.short(ctx, http.MethodPost, enginewire.PathExport, enginewire.Cancel{RequestID: requestID}, &b)
 	return b.Data, err
 }
 
-// ImportKV implements platform.Engine.
+// ImportKV implements external.Engine.
 func (c *Client) ImportKV(ctx context.Context, data []byte) (string, error) {
 	var h enginewire.Handle
 	err := c.short(ctx, http.MethodPost, enginewire.PathImport, enginewire.Blob{Data: data}, &h)
@@ -88,11 +88,11 @@
 		return nil
 	}
 	if errors.Is(err, httpjson.ErrNotSent) {
-		return fmt.Errorf("%w: %w", platform.ErrEngineRefused, err)
+		return fmt.Errorf("%w: %w", external.ErrEngineRefused, err)
 	}
 	var status *httpjson.StatusError
 	if errors.As(err, &status) {
 		return fmt.Errorf("%w: %w", enginewire.Error(status.Code), err)
 	}
-	return fmt.Errorf("%w: %w", platform.ErrEngineFailed, err)
+	return fmt.Errorf("%w: %w", external.ErrEngineFailed, err)
 }
--- a/modules/enginehttp/enginehttp_test.go
+++ b/modules/enginehttp/enginehttp_test.go
@@ -13,21 +13,21 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/quetzallug/quetzallug/external"
 	"github.com/quetzallug/quetzallug/kernel"
 	"github.com/quetzallug/quetzallug/modules/enginehttp"
-	"github.com/quetzallug/quetzallug/platform"
 	"github.com/quetzallug/quetzallug/standin/engine"
 )
 
-var loaded = platform.EngineConfig{
-	Role: platform.RoleMixed, Models: []platform.ModelVersion{{Name: "m", Version: "1"}},
+var loaded = external.EngineConfig{
+	Role: external.RoleMixed, Models: []external.ModelVersion{{Name: "m", Version: "1"}},
 }
 
-func serve(tb testing.TB, h http.Handler) (platform.Engine, *httptest.Server) {
+func serve(tb testing.TB, h http.Handler) (external.Engine, *httptest.Server) {
 	tb.Helper()
 	srv := httptest.NewServer(h)
 	tb.Cleanup(srv.Close)
-	c, err := kernel.Load[platform.Engine](context.Background(), enginehttp.ID, kernel.Settings{"address": srv.URL})
+	c, err := kernel.Load[external.Engine](context.Background(), enginehttp.ID, kernel.Settings{"address": srv.URL})
 	require.NoError(tb, err)
 	tb.Cleanup(func() { _ = kernel.Cleanup(c) })
 	return c, srv
@@ -40,11 +40,11 @@
 	return e
 }
 
-func request(id string, maxTokens int) *platform.GenerateRequest {
-	return &platform.GenerateRequest{RequestID: id, Model: "m", Prompt: "p " + id, MaxTokens: maxTokens}
+func request(id string, maxTokens int) *external.GenerateRequest {
+	return &external.GenerateRequest{RequestID: id, Model: "m", Prompt: "p " + id, MaxTokens: maxTokens}
 }
 
-func drain(s platform.TokenStream) (text string, err error) {
+func drain(s external.TokenStream) (text string, err error) {
 	defer s.Close()
 	for {
 		c, err := s.Next()
@@ -78,10 +78,10 @@
 	require.NoError(t, err)
 	require.NotEmpty(t, handle)
 	require.NoError(t, c.Cancel(ctx, "unknown"))
-	o := platform.EngineOrder{Fence: 3, Number: 2, Config: loaded}
+	o := external.EngineOrder{Fence: 3, Number: 2, Config: loaded}
 	require.NoError(t, c.Apply(ctx, o))
 	o.Fence = 2
-	require.ErrorIs(t, c.Apply(ctx, o), platform.ErrStaleFence)
+	require.ErrorIs(t, c.Apply(ctx, o), external.ErrStaleFence)
 	state, err := c.State(ctx)
 	require.NoError(t, err)
 	inProcess, err := e.State(ctx)
@@ -104,7 +104,7 @@
 	r := request("a", 1000)
 	r.Model = "not loaded"
 	_, err := c.Generate(ctx, r)
-	require.ErrorIs(t, err, platform.ErrEngineRefused)
+	require.ErrorIs(t, err, external.ErrEngineRefused)
 
 	s, err := c.Generate(ctx, request("a", 1000))
 	require.NoError(t, err)
@@ -112,11 +112,11 @@
 	require.NoError(t, err)
 	e.Crash()
 	_, err = drain(s)
-	require.ErrorIs(t, err, platform.ErrEngineFailed)
+	require.ErrorIs(t, err, external.ErrEngineFailed)
 
 	srv.Close()
 	_, err = c.Generate(ctx, request("b", 10))
-	require.ErrorIs(t, err, platform.ErrEngineRefused, "a failed dial sends nothing")
+	require.ErrorIs(t, err, external.ErrEngineRefused, "a failed dial sends nothing")
 
 	streams := map[string]string{
 		"no finish reason": "data: {\"offset\":0,\"tokens\":1,\"text\":\" a\"}\n\n",
@@ -129,13 +129,13 @@
 		s, err := c.Generate(ctx, request("c", 10))
 		require.NoError(t, err, name)
 		_, err = drain(s)
-		require.ErrorIs(t, err, platform.ErrEngineFailed, name)
-		require.NotErrorIs(t, err, platform.ErrEngineRefused, name)
+		require.ErrorIs(t, err, external.ErrEngineFailed, name)
+		require.NotErrorIs(t, err, external.ErrEngineRefused, name)
 	}
 	c, _ = serve(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
 	_, err = c.Generate(ctx, request("d", 10))
-	require.ErrorIs(t, err, platform.ErrEngineFailed)
-	require.NotErrorIs(t, err, platform.ErrEngineRefused)
+	require.ErrorIs(t, err, external.ErrEngineFailed)
+	require.NotErrorIs(t, err, external.ErrEngineRefused)
 }
 
 // Guards against generations that go on for callers that have left.
@@ -152,7 +152,7 @@
 		return j[len(j)-1].Kind == engine.RequestCancelled
 	}, 10*time.Second, time.Millisecond)
 	_, err = drain(s)
-	require.ErrorIs(t, err, platform.ErrEngineFailed)
+	require.ErrorIs(t, err, external.ErrEngineFailed)
 }
 
 // Guards against events that are lost, repeated, joined out of order or delayed when several have
@@ -170,15 +170,15 @@
 	defer s.Close()
 	first, err := s.Next()
 	require.NoError(t, err)
-	require.Equal(t, platform.TokenChunk{Offset: 0, Tokens: 3, Text: "abc"}, first)
-	rest := platform.TokenChunk{Offset: 7}
+	require.Equal(t, external.TokenChunk{Offset: 0, Tokens: 3, Text: "abc"}, first)
+	rest := external.TokenChunk{Offset: 7}
 	for rest.FinishReason == "" {
 		next, err := s.Next()
 		require.NoError(t, err)
 		require.Equal(t, rest.Offset+rest.Tokens, next.Offset)
 		rest.Tokens, rest.Text, rest.FinishReason = rest.Tokens+next.Tokens, rest.Text+next.Text, next.FinishReason
 	}
-	require.Equal(t, platform.TokenChunk{Offset: 7, Tokens: 3, Text: "gap" + long, FinishReason: "stop"}, rest)
+	require.Equal(t, external.TokenChunk{Offset: 7, Tokens: 3, Text: "gap" + long, FinishReason: "stop"}, rest)
 	_, err = s.Next()
 	require.ErrorIs(t, err, io.EOF)
 }
@@ -198,7 +198,7 @@
 	require.Equal(t, "a", first.Text)
 	close(release)
 	_, err = s.Next()
-	require.ErrorIs(t, err, platform.ErrEngineFailed)
+	require.ErrorIs(t, err, external.ErrEngineFailed)
 	require.NoError(t, s.Close())
 }
 
--- a/modules/enginehttp/stream.go
+++ b/modules/enginehttp/stream.go
@@ -10,9 +10,9 @@
 	"io"
 	"net/http"
 
+	"github.com/quetzallug/quetzallug/external"
+	"github.com/quetzallug/quetzallug/external/enginewire"
 	"github.com/quetzallug/quetzallug/internal/httpjson"
-	"github.com/quetzallug/quetzallug/platform"
-	"github.com/quetzallug/quetzallug/platform/enginewire"
 )
 
 // maxLineBytes bounds one event. Engines send a few tokens per event.
@@ -34,17 +34,17 @@
 
 	// next and nextErr are an event that was read and could not be merged, if hasNext is set.
 	hasNext bool
-	next    platform.TokenChunk
+	next    external.TokenChunk
 	nextErr error
 	// text holds the merged text between its collection and its copy.
 	text []byte
 }
 
-// Generate implements platform.Engine.
-func (c *Client) Generate(ctx context.Context, r *platform.GenerateRequest) (platform.TokenStream, error) {
+// Generate implements external.Engine.
+func (c *Client) Generate(ctx context.Context, r *external.GenerateRequest) (external.TokenStream, error) {
 	body, err := json.Marshal(r)
 	if err != nil {
-		return nil, fmt.Errorf("%w: encode request: %w", platform.ErrEngineRefused, err)
+		return nil, fmt.Errorf("%w: encode request: %w", external.ErrEngineRefused, err)
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	s, err := c.open(ctx, body)
@@ -73,12 +73,12 @@
 	return &stream{body: resp.Body, lines: bufio.NewReader(resp.Body)}, nil
 }
 
-// Next implements platform.TokenStream. Events that have arrived already are returned as one chunk,
+// Next implements external.TokenStream. Events that have arrived already are returned as one chunk,
 // so that a burst costs one frame on the way to the caller. It never waits for a second event.
-func (s *stream) Next() (platform.TokenChunk, error) {
+func (s *stream) Next() (external.TokenChunk, error) {
 	c, err := s.first()
 	if err != nil {
-		return platform.TokenChunk{}, err
+		return external.TokenChunk{}, err
 	}
 	s.merge(&c)
 	s.done = c.FinishReason != ""
@@ -86,9 +86,9 @@
 }
 
 // first returns the event that was left over, or waits for the next one.
-func (s *stream) first() (platform.TokenChunk, error) {
+func (s *stream) first() (external.TokenChunk, error) {
 	if s.done {
-		return platform.TokenChunk{}, io.EOF
+		return external.TokenChunk{}, io.EOF
 	}
 	if s.hasNext {
 		s.hasNext = false
@@ -98,7 +98,7 @@
 }
 
 // merge appends the buffered events that continue the chunk. One that does not is left over.
-func (s *stream) merge(c *platform.TokenChunk) {
+func (s *stream) merge(c *external.TokenChunk) {
 	s.text = s.text[:0]
 	for c.FinishReason == "" && s.eventBuffered() {
 		next, err := s.event()
@@ -134,11 +134,11 @@
 }
 
 // event waits for the next event.
-func (s *stream) event() (platform.TokenChunk, error) {
+func (s *stream) event() (external.TokenChunk, error) {
 	for {
 		line, err := s.line()
 		if err != nil {
-			return platform.TokenChunk{}, fmt.Errorf("%w: stream ended without a finish reason: %w", platform.ErrEngineFailed, err)
+			return external.TokenChunk{}, fmt.Errorf("%w: stream ended without a finish reason: %w", external.ErrEngineFailed, err)
 		}
 		data, ok := bytes.CutPrefix(line, dataPrefix)
 		if !ok {
@@ -146,11 +146,11 @@
 		}
 		ev, err := enginewire.DecodeEvent(data)
 		if err != nil {
-			return platform.TokenChunk{}, fmt.Errorf("%w: decode event: %w", platform.ErrEngineFailed, err)
+			return external.TokenChunk{}, fmt.Errorf("%w: decode event: %w", external.ErrEngineFailed, err)
 		}
 		if ev.Error != "" {
 			// The request was accepted, so no error that follows is a refusal.
-			return platform.TokenChunk{}, fmt.Errorf("%w: engine reports %q", platform.ErrEngineFailed, ev.Error)
+			return external.TokenChunk{}, fmt.Errorf("%w: engine reports %q", external.ErrEngineFailed, ev.Error)
 		}
 		return ev.TokenChunk, nil
 	}
@@ -183,7 +183,7 @@
 	}
 }
 
-// Close implements platform.TokenStream. It closes the connection of an unfinished stream, which
+// Close implements external.TokenStream. It closes the connection of an unfinished stream, which
 // makes the engine cancel the request.
 func (s *stream) Close() error {
 	if s.done {
--- a/modules/instanceshttp/instanceshttp.go
+++ b/modules/instanceshttp/instanceshttp.go
@@ -15,10 +15,10 @@
 	"sync"
 	"time"
 
+	"github.com/quetzallug/quetzallug/external"
+	"github.com/quetzallug/quetzallug/external/instancewire"
 	"github.com/quetzallug/quetzallug/internal/httpjson"
 	"github.com/quetzallug/quetzallug/kernel"
-	"github.com/quetzallug/quetzallug/platform"
-	"github.com/quetzallug/quetzallug/platform/instancewire"
 )
 
 // ID is the module's ID.
@@ -36,24 +36,24 @@
 	mu      sync.Mutex
 	epoch   string
 	version uint64
-	known   map[string]platform.Instance
+	known   map[string]external.Instance
 }
 
-var _ platform.InstanceList = (*Client)(nil)
+var _ external.InstanceList = (*Client)(nil)
 
 // Module implements kernel.Module.
 func (*Client) Module() kernel.ModuleInfo {
 	return kernel.ModuleInfo{ID: ID, New: func() kernel.Module { return &Client{} }}
 }
 
-// Instances implements platform.InstanceList. A service that has started again has another epoch
+// Instances implements external.InstanceList. A service that has started again has another epoch
 // and answers with its whole list, also if its version is not above after.
-func (c *Client) Instances(ctx context.Context, after uint64) (platform.InstanceSnapshot, error) {
+func (c *Client) Instances(ctx context.Context, after uint64) (external.InstanceSnapshot, error) {
 	epoch, version := c.held()
 	var l instancewire.List
 	path := instancewire.PathList + "?after=" + strconv.FormatUint(version, 10) + "&epoch=" + url.QueryEscape(epoch)
 	if err := c.call(ctx, http.MethodGet, path, nil, &l); err != nil {
-		return platform.InstanceSnapshot{}, err
+		return external.InstanceSnapshot{}, err
 	}
 	return c.take(&l, after, epoch)
 }
@@ -68,15 +68,15 @@
 var errChanges = errors.New("instance list: changes do not follow the list that is held")
 
 // take joins an answer with the list that is held.
-func (c *Client) take(l *instancewire.List, after uint64, asked string) (platform.InstanceSnapshot, error) {
+func (c *Client) take(l *instancewire.List, after uint64, asked string) (external.InstanceSnapshot, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
 	case l.Since == 0:
-		c.known = make(map[string]platform.Instance, len(l.Instances))
+		c.known = make(map[string]external.Instance, len(l.Instances))
 	case l.Epoch != c.epoch || l.Since > c.version:
 		c.epoch, c.version, c.known = "", 0, nil
-		return platform.InstanceSnapshot{}, errChanges
+		return external.InstanceSnapshot{}, errChanges
 	case l.Version < c.version:
 		// An older answer than that of a call that ran at the same time.
 		l.Instances, l.Removed, l.Version = nil, nil, c.version
@@ -90,14 +90,14 @@
 	restarted := asked != "" && l.Epoch != asked
 	c.epoch, c.version = l.Epoch, l.Version
 	if l.Version == after && !restarted {
-		return platform.InstanceSnapshot{Version: after}, nil
+		return external.InstanceSnapshot{Version: after}, nil
 	}
-	all := slices.SortedFunc(maps.Values(c.known), func(a, b platform.Instance) int { return strings.Compare(a.ID, b.ID) })
-	return platform.InstanceSnapshot{Version: l.Version, Instances: all}, nil
+	all := slices.SortedFunc(maps.Values(c.known), func(a, b external.Instance) int { return strings.Compare(a.ID, b.ID) })
+	return external.InstanceSnapshot{Version: l.Version, Instances: all}, nil
 }
 
 // Register registers an instance for a time to live; repeat it to stay in the list.
-func (c *Client) Register(ctx context.Context, in platform.Instance, ttl time.Duration) error {
+func (c *Client) Register(ctx context.Context, in external.Instance, ttl time.Duration) error {
 	r := instancewire.Registration{Instance: in, TTLMS: ttl.Milliseconds()}
 	return c.call(ctx, http.MethodPost, instancewire.PathRegister, r, nil)
 }
--- a/modules/instanceshttp/instanceshttp_test.go
+++ b/modules/instanceshttp/instanceshttp_test.go
@@ -11,21 +11,21 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/quetzallug/quetzallug/external"
 	"github.com/quetzallug/quetzallug/kernel"
 	"github.com/quetzallug/quetzallug/modules/instanceshttp"
-	"github.com/quetzallug/quetzallug/platform"
 	"github.com/quetzallug/quetzallug/standin/instances"
 )
 
-var worker = platform.Instance{
-	ID: "w1", Role: platform.RoleSidecar, Service: "oracolo", DataCentre: "palermo", Address: "127.0.0.1:1",
+var worker = external.Instance{
+	ID: "w1", Role: external.RoleSidecar, Service: "oracolo", DataCentre: "palermo", Address: "127.0.0.1:1",
 }
 
-func states(t *testing.T, l platform.InstanceList) map[string]platform.InstanceState {
+func states(t *testing.T, l external.InstanceList) map[string]external.InstanceState {
 	t.Helper()
 	s, err := l.Instances(t.Context(), 0)
 	require.NoError(t, err)
-	out := map[string]platform.InstanceState{}
+	out := map[string]external.InstanceState{}
 	for _, in := range s.Instances {
 		out[in.ID] = in.State
 	}
@@ -40,13 +40,13 @@
 		l.Register(worker, 5*time.Second)
 		require.Empty(t, states(t, l))
 		time.Sleep(2 * time.Second)
-		require.Equal(t, map[string]platform.InstanceState{"w1": platform.InstanceLive}, states(t, l))
+		require.Equal(t, map[string]external.InstanceState{"w1": external.InstanceLive}, states(t, l))
 		l.Register(worker, 5*time.Second)
 		l.Leave("w1")
 		time.Sleep(time.Second)
-		require.Equal(t, platform.InstanceLive, states(t, l)["w1"])
+		require.Equal(t, external.InstanceLive, states(t, l)["w1"])
 		time.Sleep(time.Second)
-		require.Equal(t, platform.InstanceLeaving, states(t, l)["w1"])
+		require.Equal(t, external.InstanceLeaving, states(t, l)["w1"])
 		time.Sleep(4 * time.Second)
 		require.Len(t, states(t, l), 1, "expired 1 s ago, shown 1 s from now")
 		time.Sleep(time.Second)
@@ -67,17 +67,17 @@
 	first, err := c.Instances(t.Context(), 0)
 	require.NoError(t, err)
 	want := worker
-	want.State = platform.InstanceLive
-	require.Equal(t, []platform.Instance{want}, first.Instances)
+	want.State = external.InstanceLive
+	require.Equal(t, []external.Instance{want}, first.Instances)
 	require.NoError(t, c.Register(t.Context(), worker, time.Hour))
 	again, err := c.Instances(t.Context(), first.Version)
 	require.NoError(t, err)
-	require.Equal(t, platform.InstanceSnapshot{Version: first.Version}, again)
+	require.Equal(t, external.InstanceSnapshot{Version: first.Version}, again)
 	require.NoError(t, c.Leave(t.Context(), "w1"))
 	left, err := c.Instances(t.Context(), first.Version)
 	require.NoError(t, err)
 	require.Greater(t, left.Version, first.Version)
-	require.Equal(t, platform.InstanceLeaving, left.Instances[0].State)
+	require.Equal(t, external.InstanceLeaving, left.Instances[0].State)
 	l.SetDown(true)
 	_, err = c.Instances(t.Context(), 0)
 	require.Error(t, err)
@@ -102,7 +102,7 @@
 	require.NoError(t, err)
 	defer func() { _ = c.Cleanup() }()
 	for i := range 500 {
-		l.Register(platform.Instance{ID: fmt.Sprintf("w%d", i), Address: "127.0.0.1:1"}, 0)
+		l.Register(external.Instance{ID: fmt.Sprintf("w%d", i), Address: "127.0.0.1:1"}, 0)
 	}
 	check := func(l *instances.List, after uint64) uint64 {
 		want, err := l.Instances(t.Context(), 0)
@@ -116,7 +116,7 @@
 	require.Greater(t, sent.Load(), int64(20_000))
 	l.Leave("w7")
 	l.Remove("w9")
-	l.Register(platform.Instance{ID: "new", Address: "127.0.0.1:2"}, 0)
+	l.Register(external.Instance{ID: "new", Address: "127.0.0.1:2"}, 0)
 	version = check(l, version)
 	require.Less(t, sent.Load(), int64(1000))
 	check(l, 0)
@@ -129,7 +129,7 @@
 	require.Less(t, low, version, "the list of a service that has started again is lower")
 
 	same := instances.New(0)
-	same.Register(platform.Instance{ID: "other", Address: "127.0.0.1:3"}, 0)
+	same.Register(external.Instance{ID: "other", Address: "127.0.0.1:3"}, 0)
 	serve(same)
 	require.Equal(t, low, check(same, low), "another list with the same version")
 }
--- a/modules/kvhttp/kvhttp.go
+++ b/modules/kvhttp/kvhttp.go
@@ -8,10 +8,10 @@
 	"net/http"
 	"time"
 
+	"github.com/quetzallug/quetzallug/external"
+	"github.com/quetzallug/quetzallug/external/kvwire"
 	"github.com/quetzallug/quetzallug/internal/httpjson"
 	"github.com/quetzallug/quetzallug/kernel"
-	"github.com/quetzallug/quetzallug/platform"
-	"github.com/quetzallug/quetzallug/platform/kvwire"
 )
 
 // ID is the module's ID.
@@ -28,46 +28,46 @@
 // Client calls the key-value service.
 type Client struct{ httpjson.Client }
 
-var _ platform.KV = (*Client)(nil)
+var _ external.KV = (*Client)(nil)
 
 // Module implements kernel.Module.
 func (*Client) Module() kernel.ModuleInfo {
 	return kernel.ModuleInfo{ID: ID, New: func() kernel.Module { return &Client{} }}
 }
 
-// Get implements platform.KV.
-func (c *Client) Get(ctx context.Context, key string) (platform.Entry, error) {
+// Get implements external.KV.
+func (c *Client) Get(ctx context.Context, key string) (external.Entry, error) {
 	resp, err := c.call(ctx, kvwire.PathGet, kvwire.Request{Key: key}, callTimeout)
 	if err != nil {
-		return platform.Entry{}, readError(err)
+		return external.Entry{}, readError(err)
 	}
 	if len(resp.Entries) == 0 {
-		return platform.Entry{}, platform.ErrUnavailable
+		return external.Entry{}, external.ErrUnavailable
 	}
 	return resp.Entries[0], nil
 }
 
-// List implements platform.KV.
-func (c *Client) List(ctx context.Context, prefix string) ([]platform.Entry, uint64, error) {
+// List implements external.KV.
+func (c *Client) List(ctx context.Context, prefix string) ([]external.Entry, uint64, error) {
 	resp, err := c.call(ctx, kvwire.PathList, kvwire.Request{Key: prefix}, callTimeout)
 	return resp.Entries, resp.Revision, readError(err)
 }
 
-// CompareAndSwap implements platform.KV.
-func (c *Client) CompareAndSwap(ctx context.Context, key string, expected uint64, value []byte, lease platform.LeaseID) (uint64, error) {
+// CompareAndSwap implements external.KV.
+func (c *Client) CompareAndSwap(ctx context.Context, key string, expected uint64, value []byte, lease external.LeaseID) (uint64, error) {
 	r := kvwire.Request{Key: key, Expected: expected, Value: value, Lease: lease}
 	resp, err := c.call(ctx, kvwire.PathSwap, r, callTimeout)
 	return resp.Version, err
 }
 
-// Delete implements platform.KV.
+// Delete implements external.KV.
 func (c *Client) Delete(ctx context.Context, key string, expected uint64) error {
 	_, err := c.call(ctx, kvwire.PathDelete, kvwire.Request{Key: key, Expected: expected}, callTimeout)
 	return err
 }
 
-// Watch implements platform.KV.
-func (c *Client) Watch(ctx context.Context, prefix string, after uint64) ([]platform.Event, uint64, error) {
+// Watch implements external.KV.
+func (c *Client) Watch(ctx context.Context, prefix string, after uint64) ([]external.Event, uint64, error) {
 	resp, err := c.call(ctx, kvwire.PathWatch, kvwire.Request{Key: prefix, After: after}, watchTimeout)
 	if err != nil {
 		return nil, after, readError(err)
@@ -75,28 +75,28 @@
 	return resp.Events, resp.Revision, nil
 }
 
-// GrantLease implements platform.KV.
-func (c *Client) GrantLease(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
+// GrantLease implements external.KV.
+func (c *Client) GrantLease(ctx context.Context, ttl time.Duration) (external.LeaseID, error) {
 	resp, err := c.call(ctx, kvwire.PathGrant, kvwire.Request{TTLMS: ttl.Milliseconds()}, callTimeout)
 	return resp.Lease, err
 }
 
-// KeepAlive implements platform.KV.
-func (c *Client) KeepAlive(ctx context.Context, id platform.LeaseID) error {
+// KeepAlive implements external.KV.
+func (c *Client) KeepAlive(ctx context.Context, id external.LeaseID) error {
 	_, err := c.call(ctx, kvwire.PathKeepAlive, kvwire.Request{Lease: id}, callTimeout)
 	return err
 }
 
-// RevokeLease implements platform.KV.
-func (c *Client) RevokeLease(ctx context.Context, id platform.LeaseID) error {
+// RevokeLease implements external.KV.
+func (c *Client) RevokeLease(ctx context.Context, id external.LeaseID) error {
 	_, err := c.call(ctx, kvwire.PathRevoke, kvwire.Request{Lease: id}, callTimeout)
 	return err
 }
 
 // readError converts an unknown outcome of a read, which has no effect, to unavailable.
 func readError(err error) error {
-	if errors.Is(err, platform.ErrOutcomeUnknown) {
-		return platform.ErrUnavailable
+	if errors.Is(err, external.ErrOutcomeUnknown) {
+		return external.ErrUnavailable
 	}
 	return err
 }
@@ -115,7 +115,7 @@
 	var status *httpjson.StatusError
 	if errors.Is(err, httpjson.ErrNotSent) ||
 		errors.As(err, &status) && status.Status < http.StatusInternalServerError {
-		return fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+		return fmt.Errorf("%w: %w", external.ErrUnavailable, err)
 	}
-	return fmt.Errorf("%w: %w", platform.ErrOutcomeUnknown, err)
+	return fmt.Errorf("%w: %w", external.ErrOutcomeUnknown, err)
 }
--- a/modules/kvhttp/kvhttp_test.go
+++ b/modules/kvhttp/kvhttp_test.go
@@ -8,17 +8,17 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/quetzallug/quetzallug/external"
 	"github.com/quetzallug/quetzallug/kernel"
 	"github.com/quetzallug/quetzallug/modules/kvhttp"
-	"github.com/quetzallug/quetzallug/platform"
 	"github.com/quetzallug/quetzallug/standin/kv"
 )
 
-func load(t *testing.T, h http.Handler) (platform.KV, *httptest.Server) {
+func load(t *testing.T, h http.Handler) (external.KV, *httptest.Server) {
 	t.Helper()
 	srv := httptest.NewServer(h)
 	t.Cleanup(srv.Close)
-	c, err := kernel.Load[platform.KV](t.Context(), kvhttp.ID, kernel.Settings{"address": srv.URL})
+	c, err := kernel.Load[external.KV](t.Context(), kvhttp.ID, kernel.Settings{"address": srv.URL})
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = kernel.Cleanup(c) })
 	return c, srv
@@ -31,32 +31,32 @@
 	ctx := t.Context()
 	s.Faults().Set(kv.FaultState{LoseAnswers: 1})
 	_, err := c.CompareAndSwap(ctx, "a", 0, []byte("x"), 0)
-	require.ErrorIs(t, err, platform.ErrOutcomeUnknown)
+	require.ErrorIs(t, err, external.ErrOutcomeUnknown)
 	_, err = c.CompareAndSwap(ctx, "a", 0, []byte("y"), 0)
-	require.ErrorIs(t, err, platform.ErrConflict)
+	require.ErrorIs(t, err, external.ErrConflict)
 	e, err := c.Get(ctx, "a")
 	require.NoError(t, err)
-	require.Equal(t, platform.Entry{Key: "a", Version: 1, Revision: 1, Value: []byte("x")}, e)
+	require.Equal(t, external.Entry{Key: "a", Version: 1, Revision: 1, Value: []byte("x")}, e)
 	events, next, err := c.Watch(ctx, "a", 0)
 	require.NoError(t, err)
-	require.Equal(t, []platform.Event{{Entry: e}}, events)
+	require.Equal(t, []external.Event{{Entry: e}}, events)
 	require.Equal(t, uint64(1), next)
 	id, err := c.GrantLease(ctx, time.Hour)
 	require.NoError(t, err)
 	require.NoError(t, c.KeepAlive(ctx, id))
 	require.NoError(t, c.RevokeLease(ctx, id))
-	require.ErrorIs(t, c.KeepAlive(ctx, id), platform.ErrLeaseExpired)
+	require.ErrorIs(t, c.KeepAlive(ctx, id), external.ErrLeaseExpired)
 	s.Faults().Set(kv.FaultState{Down: true})
-	require.ErrorIs(t, c.Delete(ctx, "a", 1), platform.ErrUnavailable)
+	require.ErrorIs(t, c.Delete(ctx, "a", 1), external.ErrUnavailable)
 
 	srv.Close()
-	fresh, err := kernel.Load[platform.KV](ctx, kvhttp.ID, kernel.Settings{"address": srv.URL})
+	fresh, err := kernel.Load[external.KV](ctx, kvhttp.ID, kernel.Settings{"address": srv.URL})
 	require.NoError(t, err)
-	require.ErrorIs(t, fresh.Delete(ctx, "a", 1), platform.ErrUnavailable)
+	require.ErrorIs(t, fresh.Delete(ctx, "a", 1), external.ErrUnavailable)
 
 	// A gateway answers 502 also if the service took the write and then broke off.
 	gateway, _ := load(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusBadGateway) }))
-	require.ErrorIs(t, gateway.Delete(ctx, "a", 1), platform.ErrOutcomeUnknown)
+	require.ErrorIs(t, gateway.Delete(ctx, "a", 1), external.ErrOutcomeUnknown)
 	_, err = gateway.Get(ctx, "a")
-	require.ErrorIs(t, err, platform.ErrUnavailable, "a read has no effect")
+	require.ErrorIs(t, err, external.ErrUnavailable, "a read has no effect")
 }
--- a/modules/weightshttp/weightshttp_test.go
+++ b/modules/weightshttp/weightshttp_test.go
@@ -9,9 +9,9 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/quetzallug/quetzallug/external"
 	"github.com/quetzallug/quetzallug/kernel"
 	"github.com/quetzallug/quetzallug/modules/weightshttp"
-	"github.com/quetzallug/quetzallug/platform"
 	"github.com/quetzallug/quetzallug/standin/weights"
 )
 
@@ -39,12 +39,12 @@
 	s := weights.New(1 << 30)
 	srv := httptest.NewServer(s.Handler())
 	defer srv.Close()
-	c, err := kernel.Load[platform.WeightStore](t.Context(), weightshttp.ID, kernel.Settings{"address": srv.URL})
+	c, err := kernel.Load[external.WeightStore](t.Context(), weightshttp.ID, kernel.Settings{"address": srv.URL})
 	require.NoError(t, err)
 	defer func() { _ = kernel.Cleanup(c) }()
 	require.NoError(t, c.Acquire(t.Context(), "m", 1<<20))
 	require.Equal(t, map[string]int64{"m": 1 << 20}, s.Granted())
 	require.Error(t, c.Acquire(t.Context(), "m", -1))
-	_, err = kernel.Load[platform.WeightStore](t.Context(), weightshttp.ID, kernel.Settings{"address": "localhost"})
+	_, err = kernel.Load[external.WeightStore](t.Context(), weightshttp.ID, kernel.Settings{"address": "localhost"})
 	require.ErrorContains(t, err, "not an http or https URL")
 }
--- a/once/commit.go
+++ b/once/commit.go
@@ -5,7 +5,7 @@
 	"errors"
 	"time"
 
-	"github.com/quetzallug/quetzallug/platform"
+	"github.com/quetzallug/quetzallug/external"
 )
 
 // cachedRecord is the open record as it was last read or written.
@@ -109,7 +109,7 @@
 		return nil
 	}
 	e, err := w.c.get(ctx, w.key)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, external.ErrNotFound) {
 		w.record = &cachedRecord{shard: newShard(), fresh: true}
 		return nil
 	}
@@ -177,7 +177,7 @@
 // made at the version that was read, and a delayed write at the old version can no longer take effect
 // after it.
 func markSent(written []*op, err error) {
-	if !errors.Is(err, platform.ErrOutcomeUnknown) {
+	if !errors.Is(err, external.ErrOutcomeUnknown) {
 		return
 	}
 	for _, o := range written {
--- a/once/committer.go
+++ b/once/committer.go
@@ -11,7 +11,7 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/time/rate"
 
-	"github.com/quetzallug/quetzallug/platform"
+	"github.com/quetzallug/quetzallug/external"
 )
 
 // Committer commits claims, completions and releases to the key-value service in batches. It is
@@ -19,7 +19,7 @@
 //
 // Lock order: Committer.mu, then shardWorker.mu. No lock is held during I/O.
 type Committer struct {
-	kv  platform.KV
+	kv  external.KV
 	set Settings
 	log logrus.FieldLogger
 
@@ -41,7 +41,7 @@
 var _ Claimer = (*Committer)(nil)
 
 // NewCommitter returns a committer. The settings must be valid.
-func NewCommitter(kv platform.KV, set Settings, log logrus.FieldLogger) (*Committer, error) {
+func NewCommitter(kv external.KV, set Settings, log logrus.FieldLogger) (*Committer, error) {
 	if err := set.Validate(); err != nil {
 		return nil, err
 	}
@@ -199,7 +199,7 @@
 func (c *Committer) tryLayout(ctx context.Context, service string) (int, error) {
 	key := layoutKey(service)
 	e, err := c.get(ctx, key)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, external.ErrNotFound) {
 		n := c.set.Shards
 		if _, err = c.swap(ctx, key, 0, []byte{layoutVersion, byte(n >> 8), byte(n)}); err == nil {
 			return n, nil
@@ -216,7 +216,7 @@
 	return int(v[1])<<8 | int(v[2]), nil
 }
 
-func (c *Committer) get(ctx context.Context, key string) (platform.Entry, error) {
+func (c *Committer) get(ctx context.Context, key string) (external.Entry, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.set.CallTimeout)
 	defer cancel()
 	return c.kv.Get(ctx, key)
@@ -231,10 +231,10 @@
 	switch {
 	case err == nil:
 		return version, nil
-	case errors.Is(err, platform.ErrOutcomeUnknown), errors.Is(err, platform.ErrConflict), errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, external.ErrOutcomeUnknown), errors.Is(err, external.ErrConflict), errors.Is(err, external.ErrUnavailable):
 		return 0, err
 	}
-	return 0, fmt.Errorf("%w: %w", platform.ErrOutcomeUnknown, err)
+	return 0, fmt.Errorf("%w: %w", external.ErrOutcomeUnknown, err)
 }
 
 // pauser is a jittered exponential back-off.
--- a/once/harness_test.go
+++ b/once/harness_test.go
@@ -9,8 +9,8 @@
 	"sync"
 	"time"
 
+	"github.com/quetzallug/quetzallug/external"
 	"github.com/quetzallug/quetzallug/once"
-	"github.com/quetzallug/quetzallug/platform"
 	"github.com/quetzallug/quetzallug/standin/kv"
 )
 
@@ -141,12 +141,12 @@
 }
 
 // view is the instance list of an entry. With disagreement each entry sees only itself.
-func (e *entry) view() []platform.Instance {
-	var list []platform.Instance
+func (e *entry) view() []external.Instance {
+	var list []external.Instance
 	all, _, disagree := e.c.present()
 	for _, o := range all {
 		if !disagree || o == e {
-			list = append(list, platform.Instance{ID: o.id, Role: platform.RoleEntry, State: platform.InstanceLive})
+			list = append(list, external.Instance{ID: o.id, Role: external.RoleEntry, State: external.InstanceLive})
 		}
 	}
 	return list
@@ -254,8 +254,8 @@
 	return "segment." + call
 }
 
-func (k entryKV) Get(ctx context.Context, key string) (e platform.Entry, err error) {
-	err = k.e.call(ctx, stepOf(key, "get"), platform.ErrUnavailable, platform.ErrUnavailable, func(ctx context.Context) error {
+func (k entryKV) Get(ctx context.Context, key string) (e external.Entry, err error) {
+	err = k.e.call(ctx, stepOf(key, "get"), external.ErrUnavailable, external.ErrUnavailable, func(ctx context.Context) error {
 		time.Sleep(kvLatency)
 		var err error
 		e, err = k.Store.Get(ctx, key)
@@ -264,8 +264,8 @@
 	return e, err
 }
 
-func (k entryKV) CompareAndSwap(ctx context.Context, key string, expected uint64, value []byte, l platform.LeaseID) (v uint64, err error) {
-	err = k.e.call(ctx, stepOf(key, "swap"), platform.ErrUnavailable, platform.ErrOutcomeUnknown, func(ctx context.Context) error {
+func (k entryKV) CompareAndSwap(ctx context.Context, key string, expected uint64, value []byte, l external.LeaseID) (v uint64, err error) {
+	err = k.e.call(ctx, stepOf(key, "swap"), external.ErrUnavailable, external.ErrOutcomeUnknown, func(ctx context.Context) error {
 		time.Sleep(kvLatency)
 		n, err := k.Store.CompareAndSwap(ctx, key, expected, value, l)
 		v = n
@@ -275,13 +275,13 @@
 }
 
 func (k entryKV) Delete(ctx context.Context, key string, expected uint64) error {
-	return k.e.call(ctx, "segment.delete", platform.ErrUnavailable, platform.ErrOutcomeUnknown, func(ctx context.Context) error {
+	return k.e.call(ctx, "segment.delete", external.ErrUnavailable, external.ErrOutcomeUnknown, func(ctx context.Context) error {
 		return k.Store.Delete(ctx, key, expected)
 	})
 }
 
 // Forward implements once.Forwarder over direct calls.
-func (e *entry) Forward(ctx context.Context, to platform.Instance, r once.Request) (once.Result, error) {
+func (e *entry) Forward(ctx context.Context, to external.Instance, r once.Request) (once.Result, error) {
 	done := make(chan once.Result, 2)
 	err := e.call(ctx, "forward", once.ErrNotSent, errLost, func(ctx context.Context) error {
 		all, _, _ := e.c.present()
--- a/once/measure_test.go
+++ b/once/measure_test.go
@@ -14,8 +14,8 @@
 	"github.com/google/uuid"
 	"github.com/stretchr/testify/require"
 
+	"github.com/quetzallug/quetzallug/external"
 	"github.com/quetzallug/quetzallug/once"
-	"github.com/quetzallug/quetzallug/platform"
 	"github.com/quetzallug/quetzallug/standin/kv"
 )
 
@@ -37,12 +37,12 @@
 	largest int
 }
 
-func (m *meteredKV) Get(ctx context.Context, key string) (platform.Entry, error) {
+func (m *meteredKV) Get(ctx context.Context, key string) (external.Entry, error) {
 	time.Sleep(kvLatency)
 	return m.Store.Get(ctx, key)
 }
 
-func (m *meteredKV) CompareAndSwap(ctx context.Context, key string, expected uint64, value []byte, l platform.LeaseID) (uint64, error) {
+func (m *meteredKV) CompareAndSwap(ctx context.Context, key string, expected uint64, value []byte, l external.LeaseID) (uint64, error) {
 	time.Sleep(kvLatency)
 	m.mu.Lock()
 	m.bytes += len(value)
@@ -162,7 +162,7 @@
 	routers []*once.Router
 }
 
-func (f *simFleet) Forward(ctx context.Context, to platform.Instance, r once.Request) (once.Result, error) {
+func (f *simFleet) Forward(ctx context.Context, to external.Instance, r once.Request) (once.Result, error) {
 	time.Sleep(simRTT / 2)
 	res := f.commits[to.ID].Do(ctx, r)
 	time.Sleep(simRTT / 2)
@@ -173,15 +173,15 @@
 func (s simulation) batched(t *testing.T) figures {
 	store := &meteredKV{Store: kv.NewStore(kv.Limits{Writes: simWriteRate})}
 	fleet := &simFleet{commits: map[string]*once.Committer{}}
-	var list []platform.Instance
+	var list []external.Instance
 	for i := range simEntries {
-		list = append(list, platform.Instance{ID: fmt.Sprint("entry-", i), Role: platform.RoleEntry, State: platform.InstanceLive})
+		list = append(list, external.Instance{ID: fmt.Sprint("entry-", i), Role: external.RoleEntry, State: external.InstanceLive})
 	}
 	for _, in := range list {
 		c, err := once.NewCommitter(store, s.set, silentLog())
 		require.NoError(t, err)
 		fleet.commits[in.ID] = c
-		fleet.routers = append(fleet.routers, once.NewRouter(in.ID, func() []platform.Instance { return list }, fleet, c))
+		fleet.routers = append(fleet.routers, once.NewRouter(in.ID, func() []external.Instance { return list }, fleet, c))
 		// The layout is read before the measurement, as in a fleet that is up.
 		c.Do(t.Context(), once.Request{Service: service, Key: "warm", RequestID: "w", Action: once.ActionRelease})
 	}
--- a/once/protocol_test.go
+++ b/once/protocol_test.go
@@ -11,9 +11,9 @@
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
+	"github.com/quetzallug/quetzallug/external"
 	quetzallugv1 "github.com/quetzallug/quetzallug/gen/quetzallug/v1"
 	"github.com/quetzallug/quetzallug/once"
-	"github.com/quetzallug/quetzallug/platform"
 	"github.com/quetzallug/quetzallug/standin/kv"
 )
 
@@ -276,9 +276,9 @@
 }
 
 // recorder is a forwarder whose entries all answer that the key-value service is unavailable.
-type recorder struct{ asked []platform.Instance }
+type recorder struct{ asked []external.Instance }
 
-func (r *recorder) Forward(_ context.Context, to platform.Instance, _ once.Request) (once.Result, error) {
+func (r *recorder) Forward(_ context.Context, to external.Instance, _ once.Request) (once.Result, error) {
 	r.asked = append(r.asked, to)
 	return once.Result{State: once.StateUnavailable}, nil
 }
@@ -286,10 +286,10 @@
 // Guards against a second choice that fails together with the owner's data centre, and against more
 // than two processes that write to a shard's record after an outage.
 func TestChoicesOfAShard(t *testing.T) {
-	var list []platform.Instance
+	var list []external.Instance
 	for i := range 12 {
-		list = append(list, platform.Instance{
-			ID: fmt.Sprint("entry-", i), Role: platform.RoleEntry, State: platform.InstanceLive, DataCentre: fmt.Sprint("dc-", i%3),
+		list = append(list, external.Instance{
+			ID: fmt.Sprint("entry-", i), Role: external.RoleEntry, State: external.InstanceLive, DataCentre: fmt.Sprint("dc-", i%3),
 		})
 	}
 	store := kv.NewStore(kv.Limits{})
@@ -299,7 +299,7 @@
 		c, err := once.NewCommitter(store, set, silentLog())
 		require.NoError(t, err)
 		r := &recorder{}
-		router := once.NewRouter("caller", func() []platform.Instance { return list }, r, c)
+		router := once.NewRouter("caller", func() []external.Instance { return list }, r, c)
 		key := fmt.Sprint("key-", shards)
 		require.Equal(t, once.StateUnavailable, router.Do(t.Context(), claim(key, "a")).State)
 		require.Len(t, r.asked, 2)
--- a/once/router.go
+++ b/once/router.go
@@ -7,13 +7,13 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/quetzallug/quetzallug/platform"
+	"github.com/quetzallug/quetzallug/external"
 )
 
 // Forwarder sends a request to another entry. It returns an error that wraps ErrNotSent if the
 // request certainly did not reach the entry; after any other error it may have been recorded.
 type Forwarder interface {
-	Forward(ctx context.Context, to platform.Instance, r Request) (Result, error)
+	Forward(ctx context.Context, to external.Instance, r Request) (Result, error)
 }
 
 // Router sends each request to the entry that owns its shard, so that claims are batched there. A
@@ -21,7 +21,7 @@
 // again.
 type Router struct {
 	self    string
-	entries func() []platform.Instance
+	entries func() []external.Instance
 	forward Forwarder
 	commit  *Committer
 }
@@ -29,7 +29,7 @@
 var _ Claimer = (*Router)(nil)
 
 // NewRouter returns a router. The function entries returns the entries that are live.
-func NewRouter(self string, entries func() []platform.Instance, f Forwarder, c *Committer) *Router {
+func NewRouter(self string, entries func() []external.Instance, f Forwarder, c *Committer) *Router {
 	return &Router{self: self, entries: entries, forward: f, commit: c}
 }
 
@@ -76,13 +76,13 @@
 }
 
 // targets returns the IDs of the shard's first and second choice and this entry, without repetition.
-func (r *Router) targets(req *Request) []platform.Instance {
+func (r *Router) targets(req *Request) []external.Instance {
 	entries := r.entries()
-	self := platform.Instance{ID: r.self}
+	self := external.Instance{ID: r.self}
 	first, second := rendezvous(shardKey(req.Service, ShardOf(req.Key, r.commit.Shards(req.Service))), entries)
-	targets := make([]platform.Instance, 0, 3)
-	for _, in := range []platform.Instance{first, second, self} {
-		if in.ID != "" && !slices.ContainsFunc(targets, func(o platform.Instance) bool { return o.ID == in.ID }) {
+	targets := make([]external.Instance, 0, 3)
+	for _, in := range []external.Instance{first, second, self} {
+		if in.ID != "" && !slices.ContainsFunc(targets, func(o external.Instance) bool { return o.ID == in.ID }) {
 			targets = append(targets, in)
 		}
 	}
@@ -90,7 +90,7 @@
 }
 
 // ask sends the request to an entry and reports whether that entry answered.
-func (r *Router) ask(ctx context.Context, to platform.Instance, req Request) (Result, bool) {
+func (r *Router) ask(ctx context.Context, to external.Instance, req Request) (Result, bool) {
 	if to.ID == r.self {
 		return r.commit.Do(ctx, req), true
 	}
@@ -107,27 +107,27 @@
 }
 
 // Owner returns the entry that owns the key's shard by rendezvous hashing, and false without entries.
-func (r *Router) Owner(service, key string) (platform.Instance, bool) {
+func (r *Router) Owner(service, key string) (external.Instance, bool) {
 	first, _ := rendezvous(shardKey(service, ShardOf(key, r.commit.Shards(service))), r.entries())
 	return first, first.ID != ""
 }
 
 // rendezvous returns the live entry with the highest hash of subject and instance ID, and the highest
 // of the others, preferably in another data centre.
-func rendezvous(subject string, instances []platform.Instance) (first, second platform.Instance) {
-	first = highest(subject, instances, func(platform.Instance) bool { return true })
-	second = highest(subject, instances, func(in platform.Instance) bool { return in.DataCentre != first.DataCentre })
+func rendezvous(subject string, instances []external.Instance) (first, second external.Instance) {
+	first = highest(subject, instances, func(external.Instance) bool { return true })
+	second = highest(subject, instances, func(in external.Instance) bool { return in.DataCentre != first.DataCentre })
 	if second.ID == "" {
-		second = highest(subject, instances, func(in platform.Instance) bool { return in.ID != first.ID })
+		second = highest(subject, instances, func(in external.Instance) bool { return in.ID != first.ID })
 	}
 	return first, second
 }
 
-func highest(subject string, instances []platform.Instance, allowed func(platform.Instance) bool) platform.Instance {
-	var best platform.Instance
+func highest(subject string, instances []external.Instance, allowed func(external.Instance) bool) external.Instance {
+	var best external.Instance
 	var bestHash uint64
 	for _, in := range instances {
-		if in.Role != platform.RoleEntry || in.State != platform.InstanceLive || !allowed(in) {
+		if in.Role != external.RoleEntry || in.State != external.InstanceLive || !allowed(in) {
 			continue
 		}
 		h := xxhash.Sum64String(subject + "\x00" + in.ID)
--- a/once/segments.go
+++ b/once/segments.go
@@ -9,7 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/quetzallug/quetzallug/platform"
+	"github.com/quetzallug/quetzallug/external"
 )
 
 // segmentIndex holds the sorted hashes of the keys of a sealed record. It stays valid because
@@ -49,10 +49,10 @@
 	sealed, open := w.record.shard.seal(version)
 	key := segmentKey(w.key, version)
 	_, err := w.c.swap(ctx, key, 0, sealed.Encode())
-	if errors.Is(err, platform.ErrOutcomeUnknown) {
+	if errors.Is(err, external.ErrOutcomeUnknown) {
 		_, err = w.c.get(ctx, key)
 	}
-	if err != nil && !errors.Is(err, platform.ErrConflict) {
+	if err != nil && !errors.Is(err, external.ErrConflict) {
 		return fmt.Errorf("seal claim record %q: %w", key, err)
 	}
 	next, err := w.c.swap(ctx, w.key, version, open.Encode())
@@ -150,7 +150,7 @@
 func (w *shardWorker) readSegment(ctx context.Context, seg Segment) (*segmentGroup, error) {
 	key := segmentKey(w.key, seg.Version)
 	e, err := w.c.get(ctx, key)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, external.ErrNotFound) {
 		if w.isPastKeep(seg) {
 			return &segmentGroup{key: key, shard: newShard()}, nil
 		}
@@ -211,7 +211,7 @@
 		err = w.c.kv.Delete(callCtx, key, e.Version)
 		cancel()
 	}
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, external.ErrNotFound) {
 		w.log.WithError(err).WithField("record", key).Info("expired claim record was not deleted; it is tried again")
 		return
 	}
--- a/order/attempt.go
+++ b/order/attempt.go
@@ -9,9 +9,9 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/quetzallug/quetzallug/external"
 	"github.com/quetzallug/quetzallug/internal/pause"
 	"github.com/quetzallug/quetzallug/lease"
-	"github.com/quetzallug/quetzallug/platform"
 )
 
 // outcomeTries bounds the immediate retries of the write that ends an order, which a planner's
@@ -94,7 +94,7 @@
 
 // prepare ends with no request in flight that may not be interrupted, an engine that is not
 // changing, and weights granted.
-func (e *Executor) prepare(ctx context.Context, config platform.EngineConfig) error {
+func (e *Executor) prepare(ctx context.Context, config external.EngineConfig) error {
 	if err := e.drain(ctx); err != nil {
 		return err
 	}
@@ -190,7 +190,7 @@
 func (e *Executor) send(ctx context.Context, v versioned) (Event, error) {
 	applyCtx, cancel := context.WithTimeout(ctx, e.cfg.ApplyTimeout)
 	defer cancel()
-	err := e.cfg.Backend.Apply(applyCtx, platform.EngineOrder{Fence: v.Fence, Number: v.Number, Config: v.Config})
+	err := e.cfg.Backend.Apply(applyCtx, external.EngineOrder{Fence: v.Fence, Number: v.Number, Config: v.Config})
 	if ctx.Err() != nil {
 		// The next incarnation finds out what the engine did.
 		return nil, ctx.Err()
@@ -199,7 +199,7 @@
 	switch {
 	case err == nil:
 		return Finish{Incarnation: e.incarnation, Number: v.Number, StartID: e.startID(ctx)}, nil
-	case errors.Is(err, platform.ErrStaleFence), errors.Is(err, platform.ErrEngineRefused):
+	case errors.Is(err, external.ErrStaleFence), errors.Is(err, external.ErrEngineRefused):
 		fail.Detail = err.Error()
 		return fail, nil
 	}
@@ -252,7 +252,7 @@
 }
 
 // steadyState waits until the engine answers and is not changing.
-func (e *Executor) steadyState(ctx context.Context) (platform.EngineState, error) {
+func (e *Executor) steadyState(ctx context.Context) (external.EngineState, error) {
 	ctx, cancel := context.WithTimeout(ctx, e.cfg.ApplyTimeout)
 	defer cancel()
 	for {
@@ -266,7 +266,7 @@
 	}
 }
 
-func (e *Executor) state(ctx context.Context) (platform.EngineState, error) {
+func (e *Executor) state(ctx context.Context) (external.EngineState, error) {
 	ctx, cancel := context.WithTimeout(ctx, stateTimeout)
 	defer cancel()
 	s, err := e.cfg.Backend.State(ctx)
--- a/order/engine_test.go
+++ b/order/engine_test.go
@@ -6,8 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/quetzallug/quetzallug/external"
 	"github.com/quetzallug/quetzallug/lease"
-	"github.com/quetzallug/quetzallug/platform"
 )
 
 // entry is one line of the journal that the checker reads.
@@ -17,7 +17,7 @@
 	kind          string
 	sidecar       string
 	fence, number uint64
-	config        platform.EngineConfig
+	config        external.EngineConfig
 	// inFlight counts requests that may not be interrupted, at the begin of an apply.
 	inFlight int
 	open     bool // the engine took new work
@@ -56,13 +56,13 @@
 	checksFence bool
 
 	mu    sync.Mutex
-	state platform.EngineState
+	state external.EngineState
 	down  bool
 	run   int
 }
 
 func newFakeEngine(j *journal, checksFence bool) *fakeEngine {
-	return &fakeEngine{journal: j, checksFence: checksFence, state: platform.EngineState{StartID: "start-0"}}
+	return &fakeEngine{journal: j, checksFence: checksFence, state: external.EngineState{StartID: "start-0"}}
 }
 
 // crash loses all state. The engine is back after restartTime.
@@ -71,7 +71,7 @@
 	defer f.mu.Unlock()
 	f.run++
 	f.down = true
-	f.state = platform.EngineState{StartID: fmt.Sprintf("start-%d", f.run)}
+	f.state = external.EngineState{StartID: fmt.Sprintf("start-%d", f.run)}
 	run := f.run
 	f.journal.add(journalEntry{kind: "crash"})
 	time.AfterFunc(restartTime, func() {
@@ -83,25 +83,25 @@
 	})
 }
 
-func (f *fakeEngine) current() (platform.EngineState, bool) {
+func (f *fakeEngine) current() (external.EngineState, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.state, f.down
 }
 
 // apply runs to its end even if the sidecar that sent the order dies.
-func (f *fakeEngine) apply(e journalEntry, o platform.EngineOrder) error {
+func (f *fakeEngine) apply(e journalEntry, o external.EngineOrder) error {
 	f.mu.Lock()
 	e.fence, e.number, e.config = o.Fence, o.Number, o.Config
 	if f.down {
 		f.mu.Unlock()
-		return platform.ErrEngineFailed
+		return external.ErrEngineFailed
 	}
 	if f.checksFence && o.Fence < f.state.Fence {
 		f.mu.Unlock()
 		e.kind = "refused"
 		f.journal.add(e)
-		return platform.ErrStaleFence
+		return external.ErrStaleFence
 	}
 	e.kind = "apply"
 	f.journal.add(e)
@@ -112,7 +112,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.run != run {
-		return platform.ErrEngineFailed
+		return external.ErrEngineFailed
 	}
 	f.state.Changing, f.state.Number, f.state.Config = false, o.Number, o.Config
 	e.kind = "applied"
--- a/order/executor.go
+++ b/order/executor.go
@@ -10,9 +10,9 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/quetzallug/quetzallug/external"
 	"github.com/quetzallug/quetzallug/internal/pause"
 	"github.com/quetzallug/quetzallug/lease"
-	"github.com/quetzallug/quetzallug/platform"
 )
 
 // EffectBound is the longest time between the start of the read that allows an effect and the
@@ -46,12 +46,12 @@
 // ExecutorConfig configures an Executor.
 type ExecutorConfig struct {
 	Pool, Engine string
-	KV           platform.KV
-	Backend      platform.Engine
-	Weights      platform.WeightStore
+	KV           external.KV
+	Backend      external.Engine
+	Weights      external.WeightStore
 	Drainer      Drainer
 	// ModelBytes returns the size of a model's weights; nil means 0 for all.
-	ModelBytes    func(platform.ModelVersion) int64
+	ModelBytes    func(external.ModelVersion) int64
 	DrainTimeout  time.Duration
 	WeightTimeout time.Duration
 	ApplyTimeout  time.Duration
@@ -99,7 +99,7 @@
 		cfg.Random = rand.Float64
 	}
 	if cfg.ModelBytes == nil {
-		cfg.ModelBytes = func(platform.ModelVersion) int64 { return 0 }
+		cfg.ModelBytes = func(external.ModelVersion) int64 { return 0 }
 	}
 	if cfg.Log == nil {
 		cfg.Log = discardLog()
--- a/order/machine.go
+++ b/order/machine.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"github.com/quetzallug/quetzallug/platform"
+	"github.com/quetzallug/quetzallug/external"
 )
 
 // Event is a step of the state machine.
@@ -27,7 +27,7 @@
 // Issue starts a new order.
 type Issue struct {
 	Fence  uint64
-	Config platform.EngineConfig
+	Config external.EngineConfig
 }
 
 func (e Issue) next(r Record) (Record, error) {
@@ -77,7 +77,7 @@
 // be changing.
 type Resolve struct {
 	Incarnation uint64
-	State       platform.EngineState
+	State       external.EngineState
 }
 
 func (e Resolve) next(r Record) (Record, error) {
@@ -106,7 +106,7 @@
 // Observe compares a settled record with the engine's state.
 type Observe struct {
 	Incarnation uint64
-	State       platform.EngineState
+	State       external.EngineState
 }
 
 func (e Observe) next(r Record) (Record, error) {
@@ -208,13 +208,13 @@
 }
 
 // holds reports whether the engine's state is what the record wants.
-func holds(s platform.EngineState, r Record) bool {
+func holds(s external.EngineState, r Record) bool {
 	return !s.Changing && s.Number == r.Number && sameConfig(s.Config, r.Config)
 }
 
 // compare marks a settled record whose engine is not in the recorded state. A failed order leaves
 // the engine at an earlier number, so only a restart shows there.
-func compare(r Record, s platform.EngineState) Record {
+func compare(r Record, s external.EngineState) Record {
 	restarted := r.StartID != "" && r.StartID != s.StartID
 	if restarted || (r.Phase == PhaseDone && r.Number > 0 && !holds(s, r)) {
 		r.Unknown = true
--- a/order/matrix_test.go
+++ b/order/matrix_test.go
@@ -6,11 +6,11 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/quetzallug/quetzallug/external"
 	"github.com/quetzallug/quetzallug/internal/faultmatrix"
-	"github.com/quetzallug/quetzallug/platform"
 )
 
-func leaseID(n int) platform.LeaseID { return platform.LeaseID(n) }
+func leaseID(n int) external.LeaseID { return external.LeaseID(n) }
 
 // uncovered names the cells whose fault the protocol does not withstand or cannot meet.
 func uncovered(s step, f string) string {
--- a/order/planner.go
+++ b/order/planner.go
@@ -11,9 +11,9 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/quetzallug/quetzallug/external"
 	"github.com/quetzallug/quetzallug/internal/cas"
 	"github.com/quetzallug/quetzallug/lease"
-	"github.com/quetzallug/quetzallug/platform"
 )
 
 // sidecarTimeout bounds one call to a sidecar. A seal makes the sidecar read the key-value service.
@@ -21,7 +21,7 @@
 
 // Planner issues orders to the engines of the pools that this process holds.
 type Planner struct {
-	kv   platform.KV
+	kv   external.KV
 	dial func(pool, engine string) (Sidecar, error)
 	log  logrus.FieldLogger
 
@@ -30,7 +30,7 @@
 }
 
 // NewPlanner returns a planner. dial returns the sidecar of an engine. log may be nil.
-func NewPlanner(kv platform.KV, dial func(pool, engine string) (Sidecar, error), log logrus.FieldLogger) *Planner {
+func NewPlanner(kv external.KV, dial func(pool, engine string) (Sidecar, error), log logrus.FieldLogger) *Planner {
 	if log == nil {
 		log = discardLog()
 	}
@@ -107,7 +107,7 @@
 
 // Issue records a new order for an engine and notifies its sidecar. The order stands even if the
 // notice is lost, because the sidecar also reads its record from time to time.
-func (p *Planner) Issue(ctx context.Context, a lease.Authority, engine string, config platform.EngineConfig) (Record, error) {
+func (p *Planner) Issue(ctx context.Context, a lease.Authority, engine string, config external.EngineConfig) (Record, error) {
 	if err := p.checkOwned(a, engine); err != nil {
 		return Record{}, err
 	}
@@ -172,7 +172,7 @@
 	return records, nil
 }
 
-func (p *Planner) issue(ctx context.Context, a lease.Authority, engine string, v versioned, config platform.EngineConfig) (Record, error) {
+func (p *Planner) issue(ctx context.Context, a lease.Authority, engine string, v versioned, config external.EngineConfig) (Record, error) {
 	s := store{kv: p.kv, key: Key(a.Pool, engine)}
 	n, err := s.write(ctx, v, Issue{Fence: a.Fence, Config: config}, func() error { return valid(a) })
 	if err != nil {
--- a/order/property_test.go
+++ b/order/property_test.go
@@ -9,9 +9,9 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"github.com/quetzallug/quetzallug/external"
 	_ "github.com/quetzallug/quetzallug/internal/rapidseed"
 	"github.com/quetzallug/quetzallug/order"
-	"github.com/quetzallug/quetzallug/platform"
 	"github.com/quetzallug/quetzallug/standin/fault"
 )
 
@@ -150,8 +150,8 @@
 				Incarnation: near(m.r.Incarnation, "incarnation"), Fence: near(m.r.Fence, "fence"), Number: near(m.r.Number, "number"),
 			}
 		}
-		state := func() platform.EngineState {
-			return platform.EngineState{
+		state := func() external.EngineState {
+			return external.EngineState{
 				Config: config(rapid.IntRange(0, 2).Draw(t, "config")), Number: near(m.r.Number, "engine number"),
 				StartID: fmt.Sprint(rapid.IntRange(0, 1).Draw(t, "start")),
 			}
@@ -180,6 +180,6 @@
 	})
 }
 
-func config(n int) platform.EngineConfig {
-	return platform.EngineConfig{Role: platform.RoleMixed, Models: []platform.ModelVersion{{Name: "m", Version: fmt.Sprint(n)}}}
+func config(n int) external.EngineConfig {
+	return external.EngineConfig{Role: external.RoleMixed, Models: []external.ModelVersion{{Name: "m", Version: fmt.Sprint(n)}}}
 }
--- a/order/record.go
+++ b/order/record.go
@@ -3,7 +3,7 @@
 import (
 	"slices"
 
-	"github.com/quetzallug/quetzallug/platform"
+	"github.com/quetzallug/quetzallug/external"
 )
 
 // Phase is the progress of an order.
@@ -30,7 +30,7 @@
 	// after a handover.
 	IssuedFence uint64                `json:"issued_fence"`
 	Number      uint64                `json:"number"`
-	Config      platform.EngineConfig `json:"wanted"`
+	Config      external.EngineConfig `json:"wanted"`
 	Phase       Phase                 `json:"phase"`
 	WriteID     string                `json:"write_id"`
 	// Incarnation numbers the sidecars that have claimed the engine; the highest is in force.
@@ -46,11 +46,11 @@
 func Key(pool, engine string) string { return "order/" + pool + "/" + engine }
 
 // sameConfig compares configurations without regard to the order of models and adapters.
-func sameConfig(a, b platform.EngineConfig) bool {
+func sameConfig(a, b external.EngineConfig) bool {
 	return a.Role == b.Role && sameSet(a.Models, b.Models) && sameSet(a.Adapters, b.Adapters)
 }
 
-func sameSet(a, b []platform.ModelVersion) bool {
+func sameSet(a, b []external.ModelVersion) bool {
 	if len(a) != len(b) {
 		return false
 	}
--- a/order/store.go
+++ b/order/store.go
@@ -6,13 +6,13 @@
 	"errors"
 	"fmt"
 
+	"github.com/quetzallug/quetzallug/external"
 	"github.com/quetzallug/quetzallug/internal/cas"
-	"github.com/quetzallug/quetzallug/platform"
 )
 
 // store reads and writes the record of one engine.
 type store struct {
-	kv  platform.KV
+	kv  external.KV
 	key string
 }
 
@@ -24,7 +24,7 @@
 
 func (s store) read(ctx context.Context) (versioned, error) {
 	e, err := cas.Get(ctx, s.kv, s.key, 0)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, external.ErrNotFound) {
 		return versioned{}, nil
 	}
 	if err != nil {
@@ -33,7 +33,7 @@
 	return decode(e)
 }
 
-func decode(e platform.Entry) (versioned, error) {
+func decode(e external.Entry) (versioned, error) {
 	v := versioned{version: e.Version}
 	if err := json.Unmarshal(e.Value, &v.Record); err != nil {
 		return versioned{}, fmt.Errorf("read %q: %w: %w", e.Key, ErrBadRecord, err)
@@ -60,7 +60,7 @@
 		return versioned{Record: n, version: version}, nil
 	case errors.Is(err, ErrNoAuthority):
 		return v, err
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, external.ErrConflict):
 		return v, fmt.Errorf("write %q: %w", s.key, ErrConflict)
 	}
 	return v, fmt.Errorf("write %q: %w: %w", s.key, ErrStore, err)
--- a/order/world_test.go
+++ b/order/world_test.go
@@ -13,9 +13,9 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/quetzallug/quetzallug/external"
 	"github.com/quetzallug/quetzallug/lease"
 	"github.com/quetzallug/quetzallug/order"
-	"github.com/quetzallug/quetzallug/platform"
 	"github.com/quetzallug/quetzallug/standin/fault"
 	"github.com/quetzallug/quetzallug/standin/kv"
 )
@@ -119,7 +119,7 @@
 	return p
 }
 
-func (w *world) view(p *fault.Process) platform.KV {
+func (w *world) view(p *fault.Process) external.KV {
 	return &fault.KV{Process: p, Network: w.network, Store: w.store}
 }
 
@@ -169,10 +169,10 @@
 	}
 }
 
-func (w *world) wanted() platform.EngineConfig {
-	roles := []platform.Role{platform.RoleMixed, platform.RolePrefill, platform.RoleDecode}
+func (w *world) wanted() external.EngineConfig {
+	roles := []external.Role{external.RoleMixed, external.RolePrefill, external.RoleDecode}
 	n := int(min(time.Since(w.began), changesEnd) / (7 * time.Second))
-	return platform.EngineConfig{Role: roles[n%len(roles)], Models: []platform.ModelVersion{{Name: "m", Version: fmt.Sprint(n)}}}
+	return external.EngineConfig{Role: roles[n%len(roles)], Models: []external.ModelVersion{{Name: "m", Version: fmt.Sprint(n)}}}
 }
 
 func (w *world) startSidecar() *sidecar {
@@ -242,7 +242,7 @@
 	err = r.from.Do(fault.Call{Op: op}, errLost, func() error {
 		s := r.w.dial()
 		if s == nil {
-			return platform.ErrUnavailable
+			return external.ErrUnavailable
 		}
 		done := make(chan answer, 1)
 		go func() {
@@ -266,24 +266,24 @@
 
 // gatedEngine is a sidecar's view of the engine.
 type gatedEngine struct {
-	platform.Engine
+	external.Engine
 	s *sidecar
 	w *world
 }
 
-func (g *gatedEngine) State(context.Context) (st platform.EngineState, err error) {
+func (g *gatedEngine) State(context.Context) (st external.EngineState, err error) {
 	err = g.s.process.Do(fault.Call{Op: "state"}, errLost, func() error {
 		var down bool
 		if st, down = g.w.engine.current(); down {
-			return platform.ErrEngineFailed
+			return external.ErrEngineFailed
 		}
 		return nil
 	})
 	return st, err
 }
 
-func (g *gatedEngine) Apply(ctx context.Context, o platform.EngineOrder) error {
-	return g.s.process.Do(fault.Call{Op: "apply"}, platform.ErrEngineFailed, func() error {
+func (g *gatedEngine) Apply(ctx context.Context, o external.EngineOrder) error {
+	return g.s.process.Do(fault.Call{Op: "apply"}, external.ErrEngineFailed, func() error {
 		n, draining := g.s.drainer.counts()
 		done := make(chan error, 1)
 		go func() {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -12,8 +12,8 @@
 	"slices"
 	"time"
 
+	"github.com/quetzallug/quetzallug/external"
 	"github.com/quetzallug/quetzallug/load"
-	"github.com/quetzallug/quetzallug/platform"
 )
 
 // Defaults of Config.
@@ -122,7 +122,7 @@
 	ID    string
 	State State
 	// Config is what the engine has, or will have when its change is done.
-	Config platform.EngineConfig
+	Config external.EngineConfig
 	// Since is when the engine took its role.
 	Since time.Time
 	// Sequences and PrefillTokens are its current work, which a planned change lets finish.
@@ -157,9 +157,9 @@
 	// means unknown.
 	SequencePieces, EnginePieces float64
 	// Models and Adapters are those that each engine of the pool should have.
-	Models, Adapters []platform.ModelVersion
+	Models, Adapters []external.ModelVersion
 	// LoadWait is the expected time to load a model or adapter, with the wait for the weight store.
-	LoadWait func(platform.ModelVersion) time.Duration
+	LoadWait func(external.ModelVersion) time.Duration
 	// FixedRoles forbids role changes.
 	FixedRoles bool
 }
@@ -173,7 +173,7 @@
 // Change is a planned change of one engine.
 type Change struct {
 	Engine string
-	Config platform.EngineConfig
+	Config external.EngineConfig
 	// Gain and Cost are the weighted engine-seconds that led to the decision.
 	Gain, Cost float64
 	Reason     string
@@ -269,7 +269,7 @@
 // everything that it lacks.
 func missing(e *Engine, s *Snapshot) (string, time.Duration) {
 	name, wait := "", time.Duration(0)
-	check := func(wanted, have []platform.ModelVersion) {
+	check := func(wanted, have []external.ModelVersion) {
 		for _, m := range wanted {
 			if slices.Contains(have, m) {
 				continue
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -9,10 +9,10 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"github.com/quetzallug/quetzallug/external"
 	_ "github.com/quetzallug/quetzallug/internal/rapidseed"
 	"github.com/quetzallug/quetzallug/load"
 	"github.com/quetzallug/quetzallug/placement"
-	"github.com/quetzallug/quetzallug/platform"
 )
 
 var (
@@ -30,13 +30,13 @@
 		},
 	}
 	for i := range prefill + decode {
-		role := platform.RolePrefill
+		role := external.RolePrefill
 		if i >= prefill {
-			role = platform.RoleDecode
+			role = external.RoleDecode
 		}
 		s.Engines = append(s.Engines, placement.Engine{
 			ID: fmt.Sprint("e", i), State: placement.Serving, Since: start.Add(-time.Hour),
-			Config: platform.EngineConfig{Role: role},
+			Config: external.EngineConfig{Role: role},
 		})
 	}
 	return s
@@ -68,7 +68,7 @@
 	changes := run(p, s, weights, 300, 120)
 	require.NotEmpty(t, changes)
 	for _, c := range changes {
-		assert.NotEqual(t, platform.RolePrefill, c.Config.Role)
+		assert.NotEqual(t, external.RolePrefill, c.Config.Role)
 		assert.NotEmpty(t, c.Reason)
 	}
 	assert.Empty(t, run(p, s, weights, 420, 300), "settled")
@@ -128,10 +128,10 @@
 			canPrefill, canDecode := 0, 0
 			for _, e := range byID {
 				if e.State == placement.Serving || e.State == placement.Changing {
-					if e.Config.Role != platform.RoleDecode {
+					if e.Config.Role != external.RoleDecode {
 						canPrefill++
 					}
-					if e.Config.Role != platform.RolePrefill {
+					if e.Config.Role != external.RolePrefill {
 						canDecode++
 					}
 				}
@@ -147,8 +147,8 @@
 // Guards against engines that keep an old model version, and against loading on all at once.
 func TestModels(t *testing.T) {
 	s := snapshot(2, 2, 1, 1)
-	s.Models = []platform.ModelVersion{{Name: "halte", Version: "2"}}
-	s.LoadWait = func(platform.ModelVersion) time.Duration { return 40 * time.Second }
+	s.Models = []external.ModelVersion{{Name: "halte", Version: "2"}}
+	s.LoadWait = func(external.ModelVersion) time.Duration { return 40 * time.Second }
 	s.FixedRoles = true
 	s.Engines[1].Config.Models = s.Models
 	p := placement.New(placement.Config{})
@@ -156,7 +156,7 @@
 	require.Len(t, changes, 1)
 	assert.Equal(t, "e0", changes[0].Engine)
 	assert.Equal(t, s.Models, changes[0].Config.Models)
-	assert.Equal(t, platform.RolePrefill, changes[0].Config.Role)
+	assert.Equal(t, external.RolePrefill, changes[0].Config.Role)
 	assert.InDelta(t, 45, changes[0].Cost, 0.1)
 	assert.Len(t, run(p, s, weights, 1, 10), 3)
 }
