--- a/placement/split.go
+++ b/placement/split.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"github.com/quetzallug/quetzallug/platform"
+	"github.com/quetzallug/quetzallug/external"
 )
 
 // split is the number of engines per role.
@@ -14,29 +14,29 @@
 	return fmt.Sprintf("%d prefill, %d mixed, %d decode", s.prefill, s.mixed, s.decode)
 }
 
-func (s split) of(r platform.Role) int {
+func (s split) of(r external.Role) int {
 	switch r {
-	case platform.RolePrefill:
+	case external.RolePrefill:
 		return s.prefill
-	case platform.RoleDecode:
+	case external.RoleDecode:
 		return s.decode
 	default:
 		return s.mixed
 	}
 }
 
-func (s *split) add(r platform.Role, n int) {
+func (s *split) add(r external.Role, n int) {
 	switch r {
-	case platform.RolePrefill:
+	case external.RolePrefill:
 		s.prefill += n
-	case platform.RoleDecode:
+	case external.RoleDecode:
 		s.decode += n
 	default:
 		s.mixed += n
 	}
 }
 
-var roles = [...]platform.Role{platform.RolePrefill, platform.RoleMixed, platform.RoleDecode}
+var roles = [...]external.Role{external.RolePrefill, external.RoleMixed, external.RoleDecode}
 
 // pool is the part of a snapshot that a round works on.
 type pool struct {
@@ -78,8 +78,8 @@
 
 // changeCost is the engine time that a change of one engine takes out of service: half of the
 // drain, because the engine still works on what it has, and the change itself.
-func (p *Planner) changeCost(from platform.Role) float64 {
-	if from == platform.RolePrefill {
+func (p *Planner) changeCost(from external.Role) float64 {
+	if from == external.RolePrefill {
 		return p.cfg.Change.Seconds() + 1
 	}
 	return p.cfg.Change.Seconds() + drainSeconds/2
@@ -167,7 +167,7 @@
 }
 
 // surplus returns a role with too many engines and the role that is shortest.
-func surplus(current, to split) (from, want platform.Role) {
+func surplus(current, to split) (from, want external.Role) {
 	most, least := 0, 0
 	for _, r := range roles {
 		diff := current.of(r) - to.of(r)
@@ -184,7 +184,7 @@
 // sequenceTokens weighs a running sequence against queued prefill tokens when engines are compared.
 const sequenceTokens = 100
 
-func lightest(s *Snapshot, pool *pool, role platform.Role) int {
+func lightest(s *Snapshot, pool *pool, role external.Role) int {
 	best, work := -1, 0.0
 	for i := range s.Engines {
 		e := &s.Engines[i]
--- a/planning/planning.go
+++ b/planning/planning.go
@@ -15,12 +15,12 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/quetzallug/quetzallug/document"
+	"github.com/quetzallug/quetzallug/external"
 	v1 "github.com/quetzallug/quetzallug/gen/quetzallug/v1"
 	"github.com/quetzallug/quetzallug/lease"
 	"github.com/quetzallug/quetzallug/load"
 	"github.com/quetzallug/quetzallug/order"
 	"github.com/quetzallug/quetzallug/placement"
-	"github.com/quetzallug/quetzallug/platform"
 )
 
 // Documents gives the documents in force.
@@ -33,7 +33,7 @@
 	// Interval is the time between two rounds.
 	Interval  time.Duration
 	Leases    *lease.Manager
-	KV        platform.KV
+	KV        external.KV
 	Documents Documents
 	// Confirmed reports whether the documents are confirmed with the key-value service.
 	Confirmed func() bool
@@ -199,7 +199,7 @@
 		if !e.owned || !e.settled() || len(e.config().Models) > 0 {
 			continue
 		}
-		c := platform.EngineConfig{Role: roles[i], Models: models, Adapters: adapters}
+		c := external.EngineConfig{Role: roles[i], Models: models, Adapters: adapters}
 		l.issue(ctx, a, p, e, c, "first configuration")
 	}
 }
@@ -225,7 +225,7 @@
 	}
 }
 
-func (l *Loop) issue(ctx context.Context, a lease.Authority, p *pool, e *engine, c platform.EngineConfig, reason string) {
+func (l *Loop) issue(ctx context.Context, a lease.Authority, p *pool, e *engine, c external.EngineConfig, reason string) {
 	from := e.config().Role
 	r, err := l.orders.Issue(ctx, a, e.id, c)
 	if err != nil {
--- a/planning/planning_test.go
+++ b/planning/planning_test.go
@@ -13,13 +13,13 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/quetzallug/quetzallug/document"
+	"github.com/quetzallug/quetzallug/external"
 	v1 "github.com/quetzallug/quetzallug/gen/quetzallug/v1"
 	"github.com/quetzallug/quetzallug/lease"
 	"github.com/quetzallug/quetzallug/load"
 	"github.com/quetzallug/quetzallug/order"
 	"github.com/quetzallug/quetzallug/placement"
 	"github.com/quetzallug/quetzallug/planning"
-	"github.com/quetzallug/quetzallug/platform"
 	"github.com/quetzallug/quetzallug/standin/engine"
 	"github.com/quetzallug/quetzallug/standin/kv"
 	"github.com/quetzallug/quetzallug/standin/weights"
@@ -126,7 +126,7 @@
 	for id, e := range w.engines {
 		s, err := e.State(w.ctx)
 		require.NoError(w.t, err, id)
-		require.Equal(w.t, []platform.ModelVersion{{Name: "v", Version: w.doc.Models[0].Version}}, s.Config.Models, id)
+		require.Equal(w.t, []external.ModelVersion{{Name: "v", Version: w.doc.Models[0].Version}}, s.Config.Models, id)
 		require.Empty(w.t, e.Violations(), id)
 	}
 }
@@ -140,13 +140,13 @@
 		w.entry("e1")
 		time.Sleep(30 * time.Second)
 		w.check()
-		roles := map[platform.Role]int{}
+		roles := map[external.Role]int{}
 		for _, e := range w.engines {
 			s, err := e.State(t.Context())
 			require.NoError(t, err)
 			roles[s.Config.Role]++
 		}
-		require.Equal(t, map[platform.Role]int{platform.RolePrefill: 1, platform.RoleDecode: 1, platform.RoleMixed: 2}, roles)
+		require.Equal(t, map[external.Role]int{external.RolePrefill: 1, external.RoleDecode: 1, external.RoleMixed: 2}, roles)
 	})
 }
 
@@ -175,7 +175,7 @@
 				time.Sleep(after)
 				w.engines["w1"].Crash()
 				time.Sleep(3 * time.Second)
-				w.engines["w1"].Restart(platform.EngineConfig{Role: platform.RolePrefill})
+				w.engines["w1"].Restart(external.EngineConfig{Role: external.RolePrefill})
 				time.Sleep(time.Minute)
 				w.check()
 			})
--- a/planning/pool.go
+++ b/planning/pool.go
@@ -10,12 +10,12 @@
 	"time"
 
 	"github.com/quetzallug/quetzallug/document"
+	"github.com/quetzallug/quetzallug/external"
 	v1 "github.com/quetzallug/quetzallug/gen/quetzallug/v1"
 	"github.com/quetzallug/quetzallug/lease"
 	"github.com/quetzallug/quetzallug/load"
 	"github.com/quetzallug/quetzallug/order"
 	"github.com/quetzallug/quetzallug/placement"
-	"github.com/quetzallug/quetzallug/platform"
 )
 
 // probeTimeout bounds the question for one sidecar's work.
@@ -136,7 +136,7 @@
 }
 
 // config is the engine's configuration as recorded, or as reported before its first order.
-func (e *engine) config() platform.EngineConfig { return e.record.Config }
+func (e *engine) config() external.EngineConfig { return e.record.Config }
 
 // observe refreshes the pool's engines: a probe of each sidecar, and one read of all order records
 // if they may have changed.
@@ -359,22 +359,22 @@
 // rolesOf assigns the document's initial roles to n engines in the order of their IDs. If n
 // differs from the document's count, the shares are kept and the rest is mixed, so that a small
 // pool always has an engine that does both parts.
-func rolesOf(spec *document.Pool, n int) []platform.Role {
+func rolesOf(spec *document.Pool, n int) []external.Role {
 	total := max(1, spec.Roles.Prefill+spec.Roles.Decode+spec.Roles.Mixed)
-	roles := slices.Repeat([]platform.Role{platform.RolePrefill}, spec.Roles.Prefill*n/total)
-	roles = append(roles, slices.Repeat([]platform.Role{platform.RoleDecode}, spec.Roles.Decode*n/total)...)
-	return append(roles, slices.Repeat([]platform.Role{platform.RoleMixed}, n-len(roles))...)
+	roles := slices.Repeat([]external.Role{external.RolePrefill}, spec.Roles.Prefill*n/total)
+	roles = append(roles, slices.Repeat([]external.Role{external.RoleDecode}, spec.Roles.Decode*n/total)...)
+	return append(roles, slices.Repeat([]external.Role{external.RoleMixed}, n-len(roles))...)
 }
 
 // wantedModels returns the models and adapters that each engine of a pool should have.
-func wantedModels(doc *document.Service, spec *document.Pool) (models, adapters []platform.ModelVersion) {
+func wantedModels(doc *document.Service, spec *document.Pool) (models, adapters []external.ModelVersion) {
 	for _, m := range doc.Models {
 		if len(spec.Models) > 0 && !slices.Contains(spec.Models, m.Name) {
 			continue
 		}
-		models = append(models, platform.ModelVersion{Name: m.Name, Version: m.Version})
+		models = append(models, external.ModelVersion{Name: m.Name, Version: m.Version})
 		for _, a := range m.Adapters {
-			adapters = append(adapters, platform.ModelVersion{Name: a.Name, Version: a.Version})
+			adapters = append(adapters, external.ModelVersion{Name: a.Name, Version: a.Version})
 		}
 	}
 	return models, adapters
--- a/planning/pool_test.go
+++ b/planning/pool_test.go
@@ -7,10 +7,10 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/quetzallug/quetzallug/external"
 	v1 "github.com/quetzallug/quetzallug/gen/quetzallug/v1"
 	"github.com/quetzallug/quetzallug/order"
 	"github.com/quetzallug/quetzallug/placement"
-	"github.com/quetzallug/quetzallug/platform"
 )
 
 // Guards against records that are read in each round of a quiet pool, and against records that are
@@ -55,8 +55,8 @@
 func quietPool() (*pool, *engine) {
 	e := &engine{
 		id: "e0", owned: true, reachable: true, recorded: true,
-		record: order.Record{Number: 1, Phase: order.PhaseDone, Config: platform.EngineConfig{
-			Models: []platform.ModelVersion{{Name: "m"}},
+		record: order.Record{Number: 1, Phase: order.PhaseDone, Config: external.EngineConfig{
+			Models: []external.ModelVersion{{Name: "m"}},
 		}},
 		report: &v1.LoadReport{Incarnation: "1", Models: []string{"m"}},
 	}
--- a/routing/fleet.go
+++ b/routing/fleet.go
@@ -6,8 +6,8 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/quetzallug/quetzallug/external"
 	"github.com/quetzallug/quetzallug/load"
-	"github.com/quetzallug/quetzallug/platform"
 )
 
 // LoadSource gives a worker's load at a time. *load.Worker implements it.
@@ -25,7 +25,7 @@
 type Worker struct {
 	ID         string
 	DataCentre string
-	Role       platform.Role
+	Role       external.Role
 	// Models are the models that the worker has loaded. Empty means any.
 	Models []string
 	Load   LoadSource
@@ -110,7 +110,7 @@
 		}
 	})
 	chosen := slices.Clone(all[:limit])
-	count := make(map[platform.Role]int)
+	count := make(map[external.Role]int)
 	for _, w := range chosen {
 		count[w.Role]++
 	}
--- a/routing/prefix.go
+++ b/routing/prefix.go
@@ -6,7 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/quetzallug/quetzallug/platform"
+	"github.com/quetzallug/quetzallug/external"
 )
 
 const (
@@ -112,7 +112,7 @@
 }
 
 // observe takes cache events of a worker in the order received.
-func (t *prefixTable) observe(worker uint64, events []platform.CacheEvent, now time.Time) {
+func (t *prefixTable) observe(worker uint64, events []external.CacheEvent, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	st := t.streams[worker]
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"github.com/quetzallug/quetzallug/platform"
+	"github.com/quetzallug/quetzallug/external"
 )
 
 // Defaults of Config.
@@ -88,7 +88,7 @@
 
 // Pieces returns the pieces of KV cache that the request needs when its answer is complete.
 func (r *Request) Pieces() int {
-	return (r.PromptTokens + r.OutputTokens + platform.PieceTokens - 1) / platform.PieceTokens
+	return (r.PromptTokens + r.OutputTokens + external.PieceTokens - 1) / external.PieceTokens
 }
 
 // Reasons of decisions.
@@ -146,7 +146,7 @@
 }
 
 // CacheEvents takes a worker's cache events.
-func (r *Router) CacheEvents(w *Worker, events []platform.CacheEvent, now time.Time) {
+func (r *Router) CacheEvents(w *Worker, events []external.CacheEvent, now time.Time) {
 	r.prefix.observe(w.hash, events, now)
 }
 
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -10,9 +10,9 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"github.com/quetzallug/quetzallug/external"
 	_ "github.com/quetzallug/quetzallug/internal/rapidseed"
 	"github.com/quetzallug/quetzallug/load"
-	"github.com/quetzallug/quetzallug/platform"
 	"github.com/quetzallug/quetzallug/routing"
 )
 
@@ -25,12 +25,12 @@
 	}
 }
 
-func worker(id, dc string, role platform.Role, l routing.LoadSource) routing.Worker {
+func worker(id, dc string, role external.Role, l routing.LoadSource) routing.Worker {
 	return routing.Worker{ID: id, DataCentre: dc, Role: role, Load: l}
 }
 
 func fleet(n int) []routing.Worker {
-	roles := []platform.Role{platform.RolePrefill, platform.RoleDecode, platform.RoleDecode, platform.RoleMixed}
+	roles := []external.Role{external.RolePrefill, external.RoleDecode, external.RoleDecode, external.RoleMixed}
 	ws := make([]routing.Worker, n)
 	for i := range ws {
 		ws[i] = worker(fmt.Sprint("w", i), fmt.Sprint("dc", i%5), roles[i%4], fixed(float64(i%7)*300, i%40))
@@ -46,12 +46,12 @@
 	chat.PromptTokens, chat.OutputTokens = 200, 300
 	retried := long
 	retried.Exclude = []string{"p1"}
-	draining := worker("p1", "a", platform.RolePrefill, fixed(0, 0))
+	draining := worker("p1", "a", external.RolePrefill, fixed(0, 0))
 	draining.Draining = true
-	otherModel := worker("p1", "a", platform.RolePrefill, fixed(0, 0))
+	otherModel := worker("p1", "a", external.RolePrefill, fixed(0, 0))
 	otherModel.Models = []string{"x"}
-	p := platform.RolePrefill
-	d := platform.RoleDecode
+	p := external.RolePrefill
+	d := external.RoleDecode
 	for _, c := range []struct {
 		name    string
 		request routing.Request
@@ -63,7 +63,7 @@
 		{"short prefill on the decode engine", chat, []routing.Worker{worker("p1", "a", p, fixed(9000, 0)), worker("d1", "a", d, fixed(0, 5))}, "d1", "d1"},
 		{"less loaded pair", long, []routing.Worker{worker("p1", "a", p, fixed(4000, 0)), worker("p2", "a", p, fixed(0, 0)), worker("d1", "a", d, fixed(0, 50)), worker("d2", "a", d, fixed(0, 5))}, "p2", "d2"},
 		{"no transfer between data centres", long, []routing.Worker{worker("p1", "a", p, fixed(0, 0)), worker("d1", "b", d, fixed(0, 0)), worker("d2", "a", d, fixed(0, 3))}, "p1", "d2"},
-		{"one engine when cheaper", long, []routing.Worker{worker("m1", "a", platform.RoleMixed, fixed(0, 0)), worker("d1", "b", d, fixed(0, 0))}, "m1", "m1"},
+		{"one engine when cheaper", long, []routing.Worker{worker("m1", "a", external.RoleMixed, fixed(0, 0)), worker("d1", "b", d, fixed(0, 0))}, "m1", "m1"},
 		{"draining engine", long, []routing.Worker{draining, worker("p2", "a", p, fixed(900, 0)), worker("d1", "a", d, fixed(0, 0))}, "p2", "d1"},
 		{"other model", long, []routing.Worker{otherModel, worker("p2", "a", p, fixed(900, 0)), worker("d1", "a", d, fixed(0, 0))}, "p2", "d1"},
 		{"failed engine excluded", retried, []routing.Worker{worker("p1", "a", p, fixed(0, 0)), worker("p2", "a", p, fixed(900, 0)), worker("d1", "a", d, fixed(0, 0))}, "p2", "d1"},
@@ -90,7 +90,7 @@
 		ws := fleet(n)
 		r := routing.New(routing.Config{Seed: rapid.Uint64().Draw(t, "seed")})
 		ids := func(ws []routing.Worker) map[string]bool {
-			out, roles := map[string]bool{}, map[platform.Role]int{}
+			out, roles := map[string]bool{}, map[external.Role]int{}
 			for _, w := range r.Candidates("m", routing.NewFleet(ws)) {
 				out[w.ID] = true
 				roles[w.Role]++
@@ -124,9 +124,9 @@
 	q := long
 	q.Blocks = blocks
 	build := func(queue float64) *routing.Fleet {
-		ws := []routing.Worker{worker("d1", "a", platform.RoleDecode, fixed(0, 0))}
+		ws := []routing.Worker{worker("d1", "a", external.RoleDecode, fixed(0, 0))}
 		for i := range 4 {
-			ws = append(ws, worker(fmt.Sprint("p", i), "a", platform.RolePrefill, fixed(0, 0)))
+			ws = append(ws, worker(fmt.Sprint("p", i), "a", external.RolePrefill, fixed(0, 0)))
 		}
 		ws[2].Load = fixed(queue, 0)
 		return routing.NewFleet(ws)
@@ -136,9 +136,9 @@
 	home := r.Choose(&q, f, start)
 	require.Equal(t, routing.ReasonHome, home.Reason)
 	cached := r.Candidates("m", f)[2]
-	events := func(first uint64) (out []platform.CacheEvent) {
+	events := func(first uint64) (out []external.CacheEvent) {
 		for i, b := range blocks {
-			out = append(out, platform.CacheEvent{Sequence: first + uint64(i), Prefix: b})
+			out = append(out, external.CacheEvent{Sequence: first + uint64(i), Prefix: b})
 		}
 		return out
 	}
@@ -146,7 +146,7 @@
 	got := r.Choose(&q, f, start)
 	assert.Equal(t, cached.ID, got.Prefill.ID)
 	assert.Less(t, got.PrefillTokens, 100)
-	r.CacheEvents(cached, []platform.CacheEvent{{Sequence: 100, Prefix: 1}}, start)
+	r.CacheEvents(cached, []external.CacheEvent{{Sequence: 100, Prefix: 1}}, start)
 	assert.Greater(t, r.Choose(&q, f, start).PrefillTokens, 1000, "lost events may be evictions")
 	r.CacheEvents(cached, events(101), start)
 	assert.NotEqual(t, cached.ID, r.Choose(&q, build(50_000), start).Prefill.ID, "a long queue outweighs the cache")
@@ -175,7 +175,7 @@
 			ws := fleet(n)
 			for i := range ws {
 				w := tracker.Worker(ws[i].ID)
-				w.Observe(load.Report{Sequence: 1, Load: platform.EngineLoad{Running: i % 40, PrefillTokens: int64(i%7) * 300, FreePieces: 50, TotalPieces: 100}}, now)
+				w.Observe(load.Report{Sequence: 1, Load: external.EngineLoad{Running: i % 40, PrefillTokens: int64(i%7) * 300, FreePieces: 50, TotalPieces: 100}}, now)
 				ws[i].Load = w
 			}
 			f, r := routing.NewFleet(ws), routing.New(routing.Config{})
--- a/routing/score.go
+++ b/routing/score.go
@@ -4,8 +4,8 @@
 	"slices"
 	"time"
 
+	"github.com/quetzallug/quetzallug/external"
 	"github.com/quetzallug/quetzallug/load"
-	"github.com/quetzallug/quetzallug/platform"
 )
 
 const (
@@ -81,7 +81,7 @@
 func (s *scratch) findHome(q *Request, bound float64) {
 	total, count := 0.0, 0
 	for i := range s.candidates {
-		if s.candidates[i].worker.Role != platform.RoleDecode {
+		if s.candidates[i].worker.Role != external.RoleDecode {
 			total += s.candidates[i].estimate.PrefillTokens
 			count++
 		}
@@ -94,7 +94,7 @@
 	var top uint64
 	for i := range s.candidates {
 		c := &s.candidates[i]
-		if c.worker.Role == platform.RoleDecode || c.estimate.PrefillTokens > limit {
+		if c.worker.Role == external.RoleDecode || c.estimate.PrefillTokens > limit {
 			continue
 		}
 		if score := mix(c.worker.hash ^ first); score >= top {
@@ -120,7 +120,7 @@
 		if !c.estimate.Fits(pieces) {
 			c.decode += noRoomSeconds
 		}
-		if c.worker.Role == platform.RolePrefill {
+		if c.worker.Role == external.RolePrefill {
 			continue
 		}
 		if n := s.near[c.worker.dc]; n < 0 || c.decode < s.candidates[n].decode {
@@ -141,7 +141,7 @@
 func (s *scratch) considerPrefill(r *Router, q *Request, i int, best *float64) {
 	c := &s.candidates[i]
 	tokens := float64(q.PromptTokens) - c.saved
-	if c.worker.Role == platform.RoleDecode && tokens > float64(r.cfg.ShortPrefill) {
+	if c.worker.Role == external.RoleDecode && tokens > float64(r.cfg.ShortPrefill) {
 		return
 	}
 	first := c.estimate.FirstToken(tokens)
@@ -150,12 +150,12 @@
 	}
 	cost := first + late(first, s.first)
 	work := tokens * c.estimate.Speed.PrefillSecondsPerToken
-	if c.worker.Role != platform.RolePrefill {
+	if c.worker.Role != external.RolePrefill {
 		// Each running sequence is delayed by the time of the prefill.
 		cost += r.cfg.Interference * work * float64(c.estimate.Sequences)
 		s.consider(i, i, first, cost, best)
 	}
-	if c.worker.Role == platform.RoleDecode {
+	if c.worker.Role == external.RoleDecode {
 		return
 	}
 	for _, n := range s.near {
@@ -192,7 +192,7 @@
 	d.BetweenTokens = seconds(decode.between)
 	d.Total = seconds(first + transfer + float64(q.OutputTokens)*decode.between)
 	switch {
-	case p == n && prefill.worker.Role == platform.RoleDecode:
+	case p == n && prefill.worker.Role == external.RoleDecode:
 		d.Reason = ReasonShort
 	case p == s.home && prefill.saved > 0:
 		d.Reason = ReasonHome
--- a/sidecar/execute.go
+++ b/sidecar/execute.go
@@ -9,8 +9,8 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/quetzallug/quetzallug/external"
 	v1 "github.com/quetzallug/quetzallug/gen/quetzallug/v1"
-	"github.com/quetzallug/quetzallug/platform"
 )
 
 // Sender sends the frames of one attempt to the entry.
@@ -90,7 +90,7 @@
 // call runs a plain request and returns the final frame's content.
 func (s *Sidecar) call(ctx context.Context, r *v1.ExecuteRequest, out Sender) *v1.Final {
 	p := r.GetPlain()
-	resp, err := s.backend.Do(ctx, &platform.PlainRequest{
+	resp, err := s.backend.Do(ctx, &external.PlainRequest{
 		RequestID: r.GetRequestId(), Method: p.GetMethod(), Path: p.GetPath(), ContentType: p.GetContentType(),
 		IdempotencyKey: r.GetIdempotencyKey(), Body: p.GetBody(),
 	})
@@ -114,7 +114,7 @@
 // failure converts an error of the backend server to a final frame. Only an explicit refusal
 // by the backend server, or a request that was certainly not sent, is "not run".
 func (s *Sidecar) failure(ctx context.Context, err error) *v1.Final {
-	if errors.Is(err, platform.ErrEngineRefused) {
+	if errors.Is(err, external.ErrEngineRefused) {
 		return &v1.Final{Outcome: v1.Outcome_OUTCOME_NOT_RUN, Reason: v1.Reason_REASON_BACKEND_FAILED, Detail: err.Error()}
 	}
 	f := &v1.Final{Outcome: v1.Outcome_OUTCOME_UNKNOWN, Reason: v1.Reason_REASON_BACKEND_FAILED, Detail: err.Error()}
--- a/sidecar/prefill.go
+++ b/sidecar/prefill.go
@@ -9,8 +9,8 @@
 	"connectrpc.com/connect"
 	"github.com/sirupsen/logrus"
 
+	"github.com/quetzallug/quetzallug/external"
 	v1 "github.com/quetzallug/quetzallug/gen/quetzallug/v1"
-	"github.com/quetzallug/quetzallug/platform"
 )
 
 const (
@@ -132,9 +132,9 @@
 	}
 }
 
-func generateRequest(r *v1.ExecuteRequest) *platform.GenerateRequest {
+func generateRequest(r *v1.ExecuteRequest) *external.GenerateRequest {
 	m := r.GetModel()
-	return &platform.GenerateRequest{
+	return &external.GenerateRequest{
 		RequestID: engineRequestID(r), Model: m.GetModel(), Adapter: m.GetAdapter(), Prompt: m.GetPrompt(),
 		PromptTokens: int(m.GetPromptTokens()), MaxTokens: int(m.GetMaxTokens()), Seed: m.GetSeed(),
 		Priority: int(r.GetPriority()), Offset: int(r.GetOffset()),
--- a/sidecar/relay_test.go
+++ b/sidecar/relay_test.go
@@ -11,13 +11,13 @@
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
+	"github.com/quetzallug/quetzallug/external"
+	"github.com/quetzallug/quetzallug/external/enginewire"
 	v1 "github.com/quetzallug/quetzallug/gen/quetzallug/v1"
 	"github.com/quetzallug/quetzallug/internal/telemetry"
 	"github.com/quetzallug/quetzallug/kernel"
 	"github.com/quetzallug/quetzallug/modules/enginehttp"
 	"github.com/quetzallug/quetzallug/once"
-	"github.com/quetzallug/quetzallug/platform"
-	"github.com/quetzallug/quetzallug/platform/enginewire"
 	"github.com/quetzallug/quetzallug/sidecar"
 )
 
@@ -50,7 +50,7 @@
 	}
 	var answer []byte
 	for i := range relayTokens {
-		c := platform.TokenChunk{Offset: i, Tokens: 1, Text: "token "}
+		c := external.TokenChunk{Offset: i, Tokens: 1, Text: "token "}
 		if i == relayTokens-1 {
 			c.FinishReason = "length"
 		}
@@ -68,7 +68,7 @@
 	require.NoError(b, err)
 	server := httptest.NewServer(http.HandlerFunc(serveTokens))
 	defer server.Close()
-	engine, err := kernel.Load[platform.Engine](b.Context(), enginehttp.ID, kernel.Settings{"address": server.URL})
+	engine, err := kernel.Load[external.Engine](b.Context(), enginehttp.ID, kernel.Settings{"address": server.URL})
 	require.NoError(b, err)
 	sc, err := sidecar.New(sidecar.Config{
 		Cluster: "bench", Instance: "w0", Service: "s", Incarnation: "1", MaxInFlight: 256, Attempts: once.DefaultExecutorSettings(),
--- a/sidecar/report_test.go
+++ b/sidecar/report_test.go
@@ -8,9 +8,9 @@
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
+	"github.com/quetzallug/quetzallug/external"
 	v1 "github.com/quetzallug/quetzallug/gen/quetzallug/v1"
 	"github.com/quetzallug/quetzallug/once"
-	"github.com/quetzallug/quetzallug/platform"
 	"github.com/quetzallug/quetzallug/standin/backend"
 	"github.com/quetzallug/quetzallug/standin/engine"
 )
@@ -28,8 +28,8 @@
 // newTestSidecar returns a sidecar beside an engine with the model "m".
 func newTestSidecar(t *testing.T) (*Sidecar, *engine.Engine) {
 	t.Helper()
-	e := engine.New(engine.Config{OrderTime: time.Millisecond, Initial: platform.EngineConfig{
-		Role: platform.RoleDecode, Models: []platform.ModelVersion{{Name: "m", Version: "1"}},
+	e := engine.New(engine.Config{OrderTime: time.Millisecond, Initial: external.EngineConfig{
+		Role: external.RoleDecode, Models: []external.ModelVersion{{Name: "m", Version: "1"}},
 	}})
 	t.Cleanup(func() { require.NoError(t, e.Close()) })
 	log := logrus.New()
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -14,10 +14,10 @@
 	"github.com/sirupsen/logrus"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/quetzallug/quetzallug/external"
 	v1 "github.com/quetzallug/quetzallug/gen/quetzallug/v1"
 	"github.com/quetzallug/quetzallug/internal/rpc"
 	"github.com/quetzallug/quetzallug/once"
-	"github.com/quetzallug/quetzallug/platform"
 )
 
 // Documents is what the sidecar needs from the documents in force.
@@ -46,8 +46,8 @@
 // Sidecar serves one backend server. Exactly one of Engine and Backend is set.
 type Sidecar struct {
 	cfg     Config
-	engine  platform.Engine
-	backend platform.Backend
+	engine  external.Engine
+	backend external.Backend
 	docs    Documents
 	log     logrus.FieldLogger
 	metrics Metrics
@@ -86,7 +86,7 @@
 
 // engineView is the engine's configuration as last read.
 type engineView struct {
-	state       platform.EngineState
+	state       external.EngineState
 	totalPieces int
 }
 
@@ -97,7 +97,7 @@
 }
 
 // New returns a sidecar beside an engine or a plain backend server.
-func New(cfg Config, engine platform.Engine, backend platform.Backend, docs Documents, m Metrics, log logrus.FieldLogger) (*Sidecar, error) {
+func New(cfg Config, engine external.Engine, backend external.Backend, docs Documents, m Metrics, log logrus.FieldLogger) (*Sidecar, error) {
 	if (engine == nil) == (backend == nil) {
 		return nil, errors.New("a sidecar needs either an engine or a plain backend server")
 	}
@@ -146,7 +146,7 @@
 	prompt, answer := int(r.GetModel().GetPromptTokens()), int(r.GetModel().GetMaxTokens())
 	s.inFlight[key] = &attempt{
 		cancel: cancel, interruptible: r.GetInterruptible(), prefillTokens: prompt, decodeTokens: answer,
-		pieces: (prompt + answer + platform.PieceTokens - 1) / platform.PieceTokens,
+		pieces: (prompt + answer + external.PieceTokens - 1) / external.PieceTokens,
 	}
 	s.metrics.InFlight(len(s.inFlight))
 	return nil
@@ -203,7 +203,7 @@
 		(m.GetAdapter() == "" || hasVersion(v.state.Config.Adapters, m.GetAdapter()))
 }
 
-func hasVersion(list []platform.ModelVersion, name string) bool {
+func hasVersion(list []external.ModelVersion, name string) bool {
 	for _, v := range list {
 		if v.Name == name {
 			return true
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -15,11 +15,11 @@
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
+	"github.com/quetzallug/quetzallug/external"
 	v1 "github.com/quetzallug/quetzallug/gen/quetzallug/v1"
 	"github.com/quetzallug/quetzallug/gen/quetzallug/v1/quetzallugv1connect"
 	"github.com/quetzallug/quetzallug/internal/rpc"
 	"github.com/quetzallug/quetzallug/once"
-	"github.com/quetzallug/quetzallug/platform"
 	"github.com/quetzallug/quetzallug/sidecar"
 	"github.com/quetzallug/quetzallug/standin/backend"
 	"github.com/quetzallug/quetzallug/standin/engine"
@@ -65,7 +65,7 @@
 	return b.String()
 }
 
-func newSidecar(t *testing.T, e platform.Engine, b platform.Backend) *sidecar.Sidecar {
+func newSidecar(t *testing.T, e external.Engine, b external.Backend) *sidecar.Sidecar {
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
@@ -80,8 +80,8 @@
 
 func newEngine(t *testing.T) *engine.Engine {
 	t.Helper()
-	e := engine.New(engine.Config{Initial: platform.EngineConfig{
-		Role: platform.RoleMixed, Models: []platform.ModelVersion{{Name: model, Version: "1"}},
+	e := engine.New(engine.Config{Initial: external.EngineConfig{
+		Role: external.RoleMixed, Models: []external.ModelVersion{{Name: model, Version: "1"}},
 	}})
 	t.Cleanup(func() { _ = e.Close() })
 	return e
@@ -194,7 +194,7 @@
 	prefill, decode := newEngine(t), newEngine(t)
 	address := serveWorker(t, newSidecar(t, prefill, nil))
 	s := newSidecar(t, decode, nil)
-	want, _, _ := engine.Answer(&platform.GenerateRequest{Model: model, Prompt: "next arrival", MaxTokens: 12})
+	want, _, _ := engine.Answer(&external.GenerateRequest{Model: model, Prompt: "next arrival", MaxTokens: 12})
 	for _, tt := range []struct{ id, address string }{{"r1", address}, {"r2", "127.0.0.1:1"}} {
 		r := modelRequest(tt.id)
 		r.Prefill = &v1.PrefillSource{Instance: "p", Address: tt.address}
--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -13,7 +13,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/quetzallug/quetzallug/platform"
+	"github.com/quetzallug/quetzallug/external"
 )
 
 // Defaults of Config.
@@ -77,7 +77,7 @@
 	executions map[string]int
 }
 
-var _ platform.Backend = (*Server)(nil)
+var _ external.Backend = (*Server)(nil)
 
 // New returns a server.
 func New(cfg Config) *Server {
@@ -112,9 +112,9 @@
 	return s.executions[key]
 }
 
-// Do implements platform.Backend. Once an action is in the journal it has run, whether or not
+// Do implements external.Backend. Once an action is in the journal it has run, whether or not
 // its response arrives.
-func (s *Server) Do(ctx context.Context, r *platform.PlainRequest) (*platform.PlainResponse, error) {
+func (s *Server) Do(ctx context.Context, r *external.PlainRequest) (*external.PlainResponse, error) {
 	if r.Timeout > 0 {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, r.Timeout)
@@ -127,14 +127,14 @@
 	defer release()
 	slow, fail := s.nextFaults()
 	if fail {
-		return nil, fmt.Errorf("%w: switched to fail before the run", platform.ErrEngineFailed)
+		return nil, fmt.Errorf("%w: switched to fail before the run", external.ErrEngineFailed)
 	}
 	if err := sleep(ctx, s.cfg.ServiceTime+slow); err != nil {
-		return nil, fmt.Errorf("%w: %w", platform.ErrEngineFailed, err)
+		return nil, fmt.Errorf("%w: %w", external.ErrEngineFailed, err)
 	}
 	n, lost := s.execute(r)
 	if lost {
-		return nil, fmt.Errorf("%w: response lost", platform.ErrEngineFailed)
+		return nil, fmt.Errorf("%w: response lost", external.ErrEngineFailed)
 	}
 	a := Answer{RequestID: r.RequestID, IdempotencyKey: r.IdempotencyKey, Path: r.Path, Executions: n}
 	if r.Method == http.MethodGet {
@@ -142,9 +142,9 @@
 	}
 	body, err := json.Marshal(a)
 	if err != nil {
-		return nil, fmt.Errorf("%w: %w", platform.ErrEngineFailed, err)
+		return nil, fmt.Errorf("%w: %w", external.ErrEngineFailed, err)
 	}
-	return &platform.PlainResponse{Status: http.StatusOK, ContentType: "application/json", Body: body}, nil
+	return &external.PlainResponse{Status: http.StatusOK, ContentType: "application/json", Body: body}, nil
 }
 
 func (s *Server) acquire(ctx context.Context) (release func(), err error) {
@@ -154,7 +154,7 @@
 	case s.slots <- struct{}{}:
 		return func() { <-s.slots }, nil
 	case <-ctx.Done():
-		return nil, fmt.Errorf("%w: %w", platform.ErrEngineFailed, ctx.Err())
+		return nil, fmt.Errorf("%w: %w", external.ErrEngineFailed, ctx.Err())
 	}
 }
 
@@ -175,7 +175,7 @@
 }
 
 // execute runs the request. It returns the executions under its key, 0 for a GET.
-func (s *Server) execute(r *platform.PlainRequest) (n int, lost bool) {
+func (s *Server) execute(r *external.PlainRequest) (n int, lost bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.faults.LoseResponse > 0 {
@@ -200,12 +200,12 @@
 	return s.executions[key], lost
 }
 
-// Load implements platform.Backend. Pieces are request slots.
-func (s *Server) Load(context.Context) (platform.EngineLoad, error) {
+// Load implements external.Backend. Pieces are request slots.
+func (s *Server) Load(context.Context) (external.EngineLoad, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	running := len(s.slots)
-	return platform.EngineLoad{
+	return external.EngineLoad{
 		Running: running, Queued: s.waiting,
 		FreePieces: s.cfg.Limit - running, TotalPieces: s.cfg.Limit,
 	}, nil
--- a/standin/backend/server.go
+++ b/standin/backend/server.go
@@ -5,8 +5,8 @@
 	"io"
 	"net/http"
 
+	"github.com/quetzallug/quetzallug/external"
 	"github.com/quetzallug/quetzallug/internal/httpjson"
-	"github.com/quetzallug/quetzallug/platform"
 )
 
 // Paths of the server itself; every other path is a request.
@@ -20,7 +20,7 @@
 // request. A request that fails breaks its connection.
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
-	httpjson.Handle(mux, "GET "+PathLoad, func(ctx context.Context, _ struct{}) (platform.EngineLoad, error) {
+	httpjson.Handle(mux, "GET "+PathLoad, func(ctx context.Context, _ struct{}) (external.EngineLoad, error) {
 		return s.Load(ctx)
 	}, fail)
 	mux.HandleFunc("GET "+PathJournal, func(w http.ResponseWriter, _ *http.Request) {
@@ -44,7 +44,7 @@
 		httpjson.WriteError(w, http.StatusBadRequest, "invalid", err)
 		return
 	}
-	resp, err := s.Do(r.Context(), &platform.PlainRequest{
+	resp, err := s.Do(r.Context(), &external.PlainRequest{
 		RequestID:      r.Header.Get("X-Request-Id"),
 		Method:         r.Method,
 		Path:           r.URL.RequestURI(),
--- a/standin/engine/cache.go
+++ b/standin/engine/cache.go
@@ -4,11 +4,11 @@
 	"container/list"
 	"time"
 
-	"github.com/quetzallug/quetzallug/platform"
+	"github.com/quetzallug/quetzallug/external"
 )
 
 type loggedEvent struct {
-	platform.CacheEvent
+	external.CacheEvent
 	at time.Time
 }
 
@@ -61,7 +61,7 @@
 func (c *prefixCache) log(prefix uint64, evicted bool) {
 	c.next++
 	c.events = append(c.events, loggedEvent{
-		CacheEvent: platform.CacheEvent{Sequence: c.next, Prefix: prefix, Evicted: evicted},
+		CacheEvent: external.CacheEvent{Sequence: c.next, Prefix: prefix, Evicted: evicted},
 		at:         time.Now(),
 	})
 	if len(c.events) >= 2*eventLogLength {
@@ -71,8 +71,8 @@
 
 // visible returns the events after a sequence number that are at least delay old. The gap'th
 // part of them is lost, chosen by seed and sequence number.
-func (c *prefixCache) visible(after uint64, delay time.Duration, gap int, seed uint64) []platform.CacheEvent {
-	var out []platform.CacheEvent
+func (c *prefixCache) visible(after uint64, delay time.Duration, gap int, seed uint64) []external.CacheEvent {
+	var out []external.CacheEvent
 	for _, ev := range c.events {
 		if ev.Sequence <= after {
 			continue
--- a/standin/engine/config.go
+++ b/standin/engine/config.go
@@ -6,7 +6,7 @@
 import (
 	"time"
 
-	"github.com/quetzallug/quetzallug/platform"
+	"github.com/quetzallug/quetzallug/external"
 )
 
 // Defaults of Config. A full step of a mixed engine takes 4 ms + 1,024 × 9 µs + 32 × 60 µs,
@@ -43,7 +43,7 @@
 	Name string
 	Seed uint64
 	// Initial is the configuration at the first start.
-	Initial platform.EngineConfig
+	Initial external.EngineConfig
 
 	// Step time is StepBase + PrefillCost per prefilled token + SequenceCost per running answer.
 	StepBase     time.Duration
@@ -51,7 +51,7 @@
 	SequenceCost time.Duration
 	// PrefillChunk bounds the prefill tokens per step of a mixed engine.
 	PrefillChunk int
-	// Pieces is the capacity in pieces of platform.PieceTokens tokens. A request reserves pieces
+	// Pieces is the capacity in pieces of external.PieceTokens tokens. A request reserves pieces
 	// for its prompt and its longest answer.
 	Pieces     int
 	MaxRunning int
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -8,7 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/quetzallug/quetzallug/platform"
+	"github.com/quetzallug/quetzallug/external"
 )
 
 // loadSamples is the number of load samples kept per lag.
@@ -16,7 +16,7 @@
 
 type loadSample struct {
 	at   time.Time
-	load platform.EngineLoad
+	load external.EngineLoad
 }
 
 // Engine is a model engine. All methods are safe for concurrent use. A step loop runs only
@@ -27,7 +27,7 @@
 	loop   sync.WaitGroup
 
 	mu       sync.Mutex
-	state    platform.EngineState
+	state    external.EngineState
 	down     bool
 	isClosed bool
 	starts   uint64
@@ -43,30 +43,30 @@
 	order    *runningOrder
 	// highestFence and orders outlive crashes: they serve only to observe violations.
 	highestFence uint64
-	orders       map[orderID]platform.EngineConfig
+	orders       map[orderID]external.EngineConfig
 	loseOrders   int
 	journal      []Record
 	violations   []Violation
 }
 
-var _ platform.Engine = (*Engine)(nil)
+var _ external.Engine = (*Engine)(nil)
 
 // New starts an engine.
 func New(cfg Config) *Engine {
 	e := &Engine{
 		cfg:    cfg.withDefaults(),
 		closed: make(chan struct{}),
-		orders: map[orderID]platform.EngineConfig{},
+		orders: map[orderID]external.EngineConfig{},
 	}
 	e.start(cfg.Initial)
 	return e
 }
 
 // start sets the state of a fresh process.
-func (e *Engine) start(c platform.EngineConfig) {
+func (e *Engine) start(c external.EngineConfig) {
 	e.starts++
 	id := mix(xxhash.Sum64String(e.cfg.Name) ^ mix(e.cfg.Seed+e.starts))
-	e.state = platform.EngineState{Config: cloneConfig(c), StartID: fmt.Sprintf("%016x", id)}
+	e.state = external.EngineState{Config: cloneConfig(c), StartID: fmt.Sprintf("%016x", id)}
 	e.down = false
 	e.free = e.cfg.Pieces
 	e.cache = newPrefixCache(e.cfg.CacheBlocks)
@@ -102,7 +102,7 @@
 
 // Restart starts a crashed engine with the given configuration, which is usually empty, but may
 // be a wrong one. It forgets order and fence numbers.
-func (e *Engine) Restart(c platform.EngineConfig) {
+func (e *Engine) Restart(c external.EngineConfig) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.isClosed {
@@ -122,7 +122,7 @@
 	e.cutAll(reason)
 	if e.order != nil {
 		e.recordOrder(OrderLost, e.order.order, reason)
-		e.endOrder(fmt.Errorf("%w: %s", platform.ErrEngineFailed, reason))
+		e.endOrder(fmt.Errorf("%w: %s", external.ErrEngineFailed, reason))
 	}
 }
 
@@ -133,32 +133,32 @@
 	return e.down
 }
 
-// State implements platform.Engine.
-func (e *Engine) State(ctx context.Context) (platform.EngineState, error) {
+// State implements external.Engine.
+func (e *Engine) State(ctx context.Context) (external.EngineState, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if err := e.readable(ctx); err != nil {
-		return platform.EngineState{}, err
+		return external.EngineState{}, err
 	}
 	s := e.state
 	s.Config = cloneConfig(s.Config)
 	return s, nil
 }
 
-// Load implements platform.Engine. PrefillTokens and DecodeTokens are the outstanding work of
+// Load implements external.Engine. PrefillTokens and DecodeTokens are the outstanding work of
 // running and queued requests, where an answer counts with its longest possible length.
-func (e *Engine) Load(ctx context.Context) (platform.EngineLoad, error) {
+func (e *Engine) Load(ctx context.Context) (external.EngineLoad, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if err := e.readable(ctx); err != nil {
-		return platform.EngineLoad{}, err
+		return external.EngineLoad{}, err
 	}
 	e.noteLoad()
 	return e.loads[0].load, nil
 }
 
-// CacheEvents implements platform.Engine.
-func (e *Engine) CacheEvents(ctx context.Context, after uint64) ([]platform.CacheEvent, error) {
+// CacheEvents implements external.Engine.
+func (e *Engine) CacheEvents(ctx context.Context, after uint64) ([]external.CacheEvent, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if err := e.readable(ctx); err != nil {
@@ -169,10 +169,10 @@
 
 func (e *Engine) readable(ctx context.Context) error {
 	if err := ctx.Err(); err != nil {
-		return fmt.Errorf("%w: %w", platform.ErrEngineFailed, err)
+		return fmt.Errorf("%w: %w", external.ErrEngineFailed, err)
 	}
 	if e.down {
-		return fmt.Errorf("%w: engine is down", platform.ErrEngineFailed)
+		return fmt.Errorf("%w: engine is down", external.ErrEngineFailed)
 	}
 	return nil
 }
@@ -193,8 +193,8 @@
 	}
 }
 
-func (e *Engine) currentLoad() platform.EngineLoad {
-	l := platform.EngineLoad{
+func (e *Engine) currentLoad() external.EngineLoad {
+	l := external.EngineLoad{
 		Running: len(e.running) + len(e.instant), Queued: len(e.queue),
 		FreePieces: e.free, TotalPieces: e.cfg.Pieces,
 	}
@@ -207,8 +207,8 @@
 	return l
 }
 
-func cloneConfig(c platform.EngineConfig) platform.EngineConfig {
-	c.Models = append([]platform.ModelVersion(nil), c.Models...)
-	c.Adapters = append([]platform.ModelVersion(nil), c.Adapters...)
+func cloneConfig(c external.EngineConfig) external.EngineConfig {
+	c.Models = append([]external.ModelVersion(nil), c.Models...)
+	c.Adapters = append([]external.ModelVersion(nil), c.Adapters...)
 	return c
 }
--- a/standin/engine/engine_test.go
+++ b/standin/engine/engine_test.go
@@ -13,18 +13,18 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"github.com/quetzallug/quetzallug/external"
+	"github.com/quetzallug/quetzallug/external/enginewire"
 	_ "github.com/quetzallug/quetzallug/internal/rapidseed"
-	"github.com/quetzallug/quetzallug/platform"
-	"github.com/quetzallug/quetzallug/platform/enginewire"
 	"github.com/quetzallug/quetzallug/standin/engine"
 )
 
-var loaded = platform.EngineConfig{
-	Role: platform.RoleMixed, Models: []platform.ModelVersion{{Name: "m", Version: "1"}},
+var loaded = external.EngineConfig{
+	Role: external.RoleMixed, Models: []external.ModelVersion{{Name: "m", Version: "1"}},
 }
 
-func request(id string, promptTokens, maxTokens int) *platform.GenerateRequest {
-	return &platform.GenerateRequest{
+func request(id string, promptTokens, maxTokens int) *external.GenerateRequest {
+	return &external.GenerateRequest{
 		RequestID: id, Model: "m", Prompt: "prompt of " + id, PromptTokens: promptTokens, MaxTokens: maxTokens,
 	}
 }
@@ -39,7 +39,7 @@
 }
 
 // read returns the text of a stream and its finish reason, and checks the offsets.
-func read(s platform.TokenStream, offset int) (text, finish string, err error) {
+func read(s external.TokenStream, offset int) (text, finish string, err error) {
 	defer s.Close()
 	for {
 		c, err := s.Next()
@@ -58,7 +58,7 @@
 	}
 }
 
-func run(t *testing.T, e *engine.Engine, r *platform.GenerateRequest) string {
+func run(t *testing.T, e *engine.Engine, r *external.GenerateRequest) string {
 	t.Helper()
 	s, err := e.Generate(t.Context(), r)
 	require.NoError(t, err)
@@ -80,7 +80,7 @@
 // mixing of tokens by the proxy undetectable.
 func TestResumeYieldsTheSameAnswer(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		r := &platform.GenerateRequest{
+		r := &external.GenerateRequest{
 			RequestID: "a", Model: "m", Prompt: rapid.String().Draw(rt, "prompt"),
 			MaxTokens: rapid.IntRange(1, 300).Draw(rt, "max"), Seed: rapid.Uint64().Draw(rt, "seed"),
 		}
@@ -143,7 +143,7 @@
 func TestAdmissionByPiecesAndPriority(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		e := newEngine(t, engine.Config{Pieces: 2})
-		var streams []platform.TokenStream
+		var streams []external.TokenStream
 		for i, priority := range []int{5, 5, 1, 3} {
 			r := request(fmt.Sprint(i), 1500, 40)
 			r.Priority = priority
@@ -165,9 +165,9 @@
 		require.Equal(t, []string{"0", "2", "3", "1"}, started(e))
 		load, err = e.Load(t.Context())
 		require.NoError(t, err)
-		require.Equal(t, platform.EngineLoad{FreePieces: 2, TotalPieces: 2}, load)
+		require.Equal(t, external.EngineLoad{FreePieces: 2, TotalPieces: 2}, load)
 		_, err = e.Generate(t.Context(), request("large", 3000, 1))
-		require.ErrorIs(t, err, platform.ErrEngineRefused)
+		require.ErrorIs(t, err, external.ErrEngineRefused)
 	})
 }
 
@@ -187,7 +187,7 @@
 		for err == nil {
 			_, err = s.Next()
 		}
-		require.ErrorIs(t, err, platform.ErrEngineFailed)
+		require.ErrorIs(t, err, external.ErrEngineFailed)
 	})
 }
 
@@ -197,7 +197,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		e := newEngine(t, engine.Config{CacheBlocks: 40, EventGap: 4})
 		long := strings.Repeat("word ", 32*enginewire.BlockTokens)
-		r := &platform.GenerateRequest{Model: "m", Prompt: long + "one", MaxTokens: 1}
+		r := &external.GenerateRequest{Model: "m", Prompt: long + "one", MaxTokens: 1}
 		elapsed := func(prompt string) time.Duration {
 			begin := time.Now()
 			r.Prompt = prompt
@@ -255,7 +255,7 @@
 		run(t, decode, other)
 		require.Greater(t, time.Since(begin), 500*time.Millisecond, "virtual time of 50,000 tokens")
 		_, err = decode.ImportKV(t.Context(), []byte("{"))
-		require.ErrorIs(t, err, platform.ErrEngineRefused)
+		require.ErrorIs(t, err, external.ErrEngineRefused)
 	})
 }
 
--- a/standin/engine/generate.go
+++ b/standin/engine/generate.go
@@ -6,15 +6,15 @@
 	"io"
 	"slices"
 
-	"github.com/quetzallug/quetzallug/platform"
-	"github.com/quetzallug/quetzallug/platform/enginewire"
+	"github.com/quetzallug/quetzallug/external"
+	"github.com/quetzallug/quetzallug/external/enginewire"
 )
 
 // sequence is one generation. The engine's mutex guards it, except for the fields that are set
 // once.
 type sequence struct {
 	engine  *Engine
-	req     platform.GenerateRequest
+	req     external.GenerateRequest
 	key     uint64
 	arrival uint64
 	length  int
@@ -35,16 +35,16 @@
 	err       error
 }
 
-// Generate implements platform.Engine. MaxTokens bounds the whole answer, including the tokens
+// Generate implements external.Engine. MaxTokens bounds the whole answer, including the tokens
 // before Offset.
-func (e *Engine) Generate(ctx context.Context, r *platform.GenerateRequest) (platform.TokenStream, error) {
+func (e *Engine) Generate(ctx context.Context, r *external.GenerateRequest) (external.TokenStream, error) {
 	s := &sequence{engine: e, req: *r, key: answerKey(r), wake: make(chan struct{}, 1), done: ctx.Done()}
 	s.length, s.finish = answerLength(s.key, r.MaxTokens)
 	s.prompt = r.PromptTokens
 	if s.prompt <= 0 {
 		s.prompt = enginewire.CountWords(r.Prompt)
 	}
-	s.pieces = (s.prompt + r.MaxTokens + platform.PieceTokens - 1) / platform.PieceTokens
+	s.pieces = (s.prompt + r.MaxTokens + external.PieceTokens - 1) / external.PieceTokens
 	s.produced, s.delivered = r.Offset, r.Offset
 	if !e.cfg.Instant {
 		s.hashes = enginewire.AppendPrefixHashes(nil, r.Model, r.Adapter, r.Prompt, e.cfg.CacheBlocks)
@@ -53,7 +53,7 @@
 	defer e.mu.Unlock()
 	if reason := e.refusal(ctx, s); reason != "" {
 		e.record(Record{Kind: RequestRefused, RequestID: r.RequestID, Model: r.Model, Detail: reason})
-		return nil, fmt.Errorf("%w: %s", platform.ErrEngineRefused, reason)
+		return nil, fmt.Errorf("%w: %s", external.ErrEngineRefused, reason)
 	}
 	e.accept(s)
 	// The watch does not start before accept has set the sequence up, as it needs the mutex.
@@ -89,8 +89,8 @@
 	return ""
 }
 
-func hasModel(list []platform.ModelVersion, name string) bool {
-	return slices.ContainsFunc(list, func(m platform.ModelVersion) bool { return m.Name == name })
+func hasModel(list []external.ModelVersion, name string) bool {
+	return slices.ContainsFunc(list, func(m external.ModelVersion) bool { return m.Name == name })
 }
 
 func (e *Engine) accept(s *sequence) {
@@ -127,8 +127,8 @@
 	return slices.Insert(list, i, s)
 }
 
-// Next implements platform.TokenStream.
-func (s *sequence) Next() (platform.TokenChunk, error) {
+// Next implements external.TokenStream.
+func (s *sequence) Next() (external.TokenChunk, error) {
 	for {
 		chunk, ready, err := s.take()
 		if ready || err != nil {
@@ -143,7 +143,7 @@
 }
 
 // take returns the tokens that are ready.
-func (s *sequence) take() (chunk platform.TokenChunk, ready bool, err error) {
+func (s *sequence) take() (chunk external.TokenChunk, ready bool, err error) {
 	e := s.engine
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -162,7 +162,7 @@
 	if s.produced == s.delivered && !s.ended {
 		return chunk, false, nil
 	}
-	chunk = platform.TokenChunk{Offset: s.delivered, Tokens: s.produced - s.delivered}
+	chunk = external.TokenChunk{Offset: s.delivered, Tokens: s.produced - s.delivered}
 	if chunk.Tokens > 0 {
 		chunk.Text = tokens(s.key, s.delivered, s.produced)
 	}
@@ -174,13 +174,13 @@
 	return chunk, true, nil
 }
 
-// Close implements platform.TokenStream. It cancels a generation that has not finished.
+// Close implements external.TokenStream. It cancels a generation that has not finished.
 func (s *sequence) Close() error {
 	s.engine.cancel(s, "stream closed")
 	return nil
 }
 
-// Cancel implements platform.Engine. An unknown request is no error.
+// Cancel implements external.Engine. An unknown request is no error.
 func (e *Engine) Cancel(ctx context.Context, requestID string) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -195,7 +195,7 @@
 	return nil
 }
 
-var errCancelled = fmt.Errorf("%w: request cancelled", platform.ErrEngineFailed)
+var errCancelled = fmt.Errorf("%w: request cancelled", external.ErrEngineFailed)
 
 func (e *Engine) cancel(s *sequence, reason string) {
 	e.mu.Lock()
@@ -215,7 +215,7 @@
 func (e *Engine) cutAll(reason string) []*sequence {
 	all := e.inFlight()
 	for _, s := range all {
-		e.end(s, RequestCut, reason, fmt.Errorf("%w: %s", platform.ErrEngineFailed, reason))
+		e.end(s, RequestCut, reason, fmt.Errorf("%w: %s", external.ErrEngineFailed, reason))
 	}
 	return all
 }
--- a/standin/engine/journal.go
+++ b/standin/engine/journal.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/quetzallug/quetzallug/platform"
+	"github.com/quetzallug/quetzallug/external"
 )
 
 // Kind is the kind of a journal record.
@@ -39,7 +39,7 @@
 	Tokens    int                   `json:"tokens,omitempty"`
 	Fence     uint64                `json:"fence,omitempty"`
 	Number    uint64                `json:"number,omitempty"`
-	Config    platform.EngineConfig `json:"config,omitzero"`
+	Config    external.EngineConfig `json:"config,omitzero"`
 	Detail    string                `json:"detail,omitempty"`
 }
 
@@ -97,7 +97,7 @@
 	})
 }
 
-func (e *Engine) recordOrder(k Kind, o platform.EngineOrder, detail string) {
+func (e *Engine) recordOrder(k Kind, o external.EngineOrder, detail string) {
 	e.record(Record{Kind: k, Fence: o.Fence, Number: o.Number, Config: o.Config, Detail: detail})
 }
 
--- a/standin/engine/kv.go
+++ b/standin/engine/kv.go
@@ -5,7 +5,7 @@
 	"encoding/json"
 	"fmt"
 
-	"github.com/quetzallug/quetzallug/platform"
+	"github.com/quetzallug/quetzallug/external"
 )
 
 // kvBlob is the exported form of a request's KV cache.
@@ -53,7 +53,7 @@
 	return order
 }
 
-// ExportKV implements platform.Engine. It serves requests whose prefill is complete, running or
+// ExportKV implements external.Engine. It serves requests whose prefill is complete, running or
 // recently finished.
 func (e *Engine) ExportKV(ctx context.Context, requestID string) ([]byte, error) {
 	e.mu.Lock()
@@ -63,16 +63,16 @@
 	}
 	s, ok := e.kv.exports[requestID]
 	if !ok {
-		return nil, fmt.Errorf("%w: no KV cache of request %q", platform.ErrEngineRefused, requestID)
+		return nil, fmt.Errorf("%w: no KV cache of request %q", external.ErrEngineRefused, requestID)
 	}
 	return json.Marshal(kvBlob{Answer: s.key, Tokens: s.prompt + s.produced})
 }
 
-// ImportKV implements platform.Engine. Importing the same data again yields the same handle.
+// ImportKV implements external.Engine. Importing the same data again yields the same handle.
 func (e *Engine) ImportKV(ctx context.Context, data []byte) (string, error) {
 	var b kvBlob
 	if err := json.Unmarshal(data, &b); err != nil || b.Tokens <= 0 {
-		return "", fmt.Errorf("%w: KV cache data is not valid", platform.ErrEngineRefused)
+		return "", fmt.Errorf("%w: KV cache data is not valid", external.ErrEngineRefused)
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/standin/engine/order.go
+++ b/standin/engine/order.go
@@ -6,13 +6,13 @@
 	"reflect"
 	"time"
 
-	"github.com/quetzallug/quetzallug/platform"
+	"github.com/quetzallug/quetzallug/external"
 )
 
 type orderID struct{ fence, number uint64 }
 
 type runningOrder struct {
-	order platform.EngineOrder
+	order external.EngineOrder
 	timer *time.Timer
 	done  chan struct{}
 	err   error
@@ -25,8 +25,8 @@
 	e.loseOrders = n
 }
 
-// Apply implements platform.Engine. The order goes on if the caller's context ends.
-func (e *Engine) Apply(ctx context.Context, o platform.EngineOrder) error {
+// Apply implements external.Engine. The order goes on if the caller's context ends.
+func (e *Engine) Apply(ctx context.Context, o external.EngineOrder) error {
 	o.Config = cloneConfig(o.Config)
 	run, err := e.beginOrder(ctx, o)
 	if err != nil {
@@ -35,18 +35,18 @@
 	select {
 	case <-run.done:
 	case <-ctx.Done():
-		return fmt.Errorf("%w: order is still running: %w", platform.ErrEngineFailed, ctx.Err())
+		return fmt.Errorf("%w: order is still running: %w", external.ErrEngineFailed, ctx.Err())
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if run.err == nil && e.loseOrders > 0 {
 		e.loseOrders--
-		return fmt.Errorf("%w: response of order %d lost", platform.ErrEngineFailed, o.Number)
+		return fmt.Errorf("%w: response of order %d lost", external.ErrEngineFailed, o.Number)
 	}
 	return run.err
 }
 
-func (e *Engine) beginOrder(ctx context.Context, o platform.EngineOrder) (*runningOrder, error) {
+func (e *Engine) beginOrder(ctx context.Context, o external.EngineOrder) (*runningOrder, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if err := e.orderRefusal(ctx, o); err != nil {
@@ -66,12 +66,12 @@
 }
 
 // orderRefusal checks an order and records its fence number.
-func (e *Engine) orderRefusal(ctx context.Context, o platform.EngineOrder) error {
+func (e *Engine) orderRefusal(ctx context.Context, o external.EngineOrder) error {
 	if ctx.Err() != nil || e.down {
-		return fmt.Errorf("%w: engine is down or the context has ended", platform.ErrEngineRefused)
+		return fmt.Errorf("%w: engine is down or the context has ended", external.ErrEngineRefused)
 	}
 	if e.cfg.CheckFence && o.Fence < e.state.Fence {
-		return fmt.Errorf("%w: order has %d, engine has seen %d", platform.ErrStaleFence, o.Fence, e.state.Fence)
+		return fmt.Errorf("%w: order has %d, engine has seen %d", external.ErrStaleFence, o.Fence, e.state.Fence)
 	}
 	e.state.Fence = max(e.state.Fence, o.Fence)
 	if e.order == nil {
@@ -83,11 +83,11 @@
 			Detail: fmt.Sprintf("order %d of fence %d is running", e.order.order.Number, e.order.order.Fence),
 		})
 	}
-	return fmt.Errorf("%w: order %d is running", platform.ErrEngineRefused, e.order.order.Number)
+	return fmt.Errorf("%w: order %d is running", external.ErrEngineRefused, e.order.order.Number)
 }
 
 // observeOrder records the violations of an order that is about to run.
-func (e *Engine) observeOrder(o platform.EngineOrder) {
+func (e *Engine) observeOrder(o external.EngineOrder) {
 	if o.Fence < e.highestFence {
 		e.violate(Violation{
 			Kind: StaleOrderRan, Fence: o.Fence, Number: o.Number,
--- a/standin/engine/server.go
+++ b/standin/engine/server.go
@@ -5,9 +5,9 @@
 	"net/http"
 	"strconv"
 
+	"github.com/quetzallug/quetzallug/external"
+	"github.com/quetzallug/quetzallug/external/enginewire"
 	"github.com/quetzallug/quetzallug/internal/httpjson"
-	"github.com/quetzallug/quetzallug/platform"
-	"github.com/quetzallug/quetzallug/platform/enginewire"
 )
 
 // FaultRequest switches a fault over HTTP (POST /faults).
@@ -15,7 +15,7 @@
 	Crash   bool `json:"crash,omitempty"`
 	Restart bool `json:"restart,omitempty"`
 	// Config is the configuration after a restart.
-	Config           platform.EngineConfig `json:"config,omitzero"`
+	Config           external.EngineConfig `json:"config,omitzero"`
 	LoseOrderAnswers int                   `json:"lose_order_answers,omitempty"`
 }
 
@@ -33,13 +33,13 @@
 	httpjson.Handle(mux, "POST "+enginewire.PathCancel, func(ctx context.Context, r enginewire.Cancel) (struct{}, error) {
 		return struct{}{}, e.Cancel(ctx, r.RequestID)
 	}, e.fail)
-	httpjson.Handle(mux, "GET "+enginewire.PathState, func(ctx context.Context, _ struct{}) (platform.EngineState, error) {
+	httpjson.Handle(mux, "GET "+enginewire.PathState, func(ctx context.Context, _ struct{}) (external.EngineState, error) {
 		return e.State(ctx)
 	}, e.fail)
-	httpjson.Handle(mux, "POST "+enginewire.PathApply, func(ctx context.Context, o platform.EngineOrder) (struct{}, error) {
+	httpjson.Handle(mux, "POST "+enginewire.PathApply, func(ctx context.Context, o external.EngineOrder) (struct{}, error) {
 		return struct{}{}, e.Apply(ctx, o)
 	}, e.fail)
-	httpjson.Handle(mux, "GET "+enginewire.PathLoad, func(ctx context.Context, _ struct{}) (platform.EngineLoad, error) {
+	httpjson.Handle(mux, "GET "+enginewire.PathLoad, func(ctx context.Context, _ struct{}) (external.EngineLoad, error) {
 		return e.Load(ctx)
 	}, e.fail)
 	mux.HandleFunc("GET "+enginewire.PathEvents, e.serveEvents)
@@ -91,7 +91,7 @@
 }
 
 func (e *Engine) serveGenerate(w http.ResponseWriter, r *http.Request) {
-	var req platform.GenerateRequest
+	var req external.GenerateRequest
 	if !httpjson.Read(w, r, &req) {
 		return
 	}
--- a/standin/engine/step.go
+++ b/standin/engine/step.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"github.com/quetzallug/quetzallug/platform"
-	"github.com/quetzallug/quetzallug/platform/enginewire"
+	"github.com/quetzallug/quetzallug/external"
+	"github.com/quetzallug/quetzallug/external/enginewire"
 )
 
 // run is the step loop. The first step has been planned and takes d. The loop ends when there is
@@ -53,9 +53,9 @@
 
 func (e *Engine) prefillBudget() int {
 	switch e.state.Config.Role {
-	case platform.RolePrefill:
+	case external.RolePrefill:
 		return e.cfg.PrefillChunk * prefillRoleFactor
-	case platform.RoleDecode:
+	case external.RoleDecode:
 		return max(1, e.cfg.PrefillChunk/decodeRoleDivisor)
 	default:
 		return e.cfg.PrefillChunk
--- a/standin/engine/tokens.go
+++ b/standin/engine/tokens.go
@@ -5,8 +5,8 @@
 	"fmt"
 	"strings"
 
-	"github.com/quetzallug/quetzallug/platform"
-	"github.com/quetzallug/quetzallug/platform/enginewire"
+	"github.com/quetzallug/quetzallug/external"
+	"github.com/quetzallug/quetzallug/external/enginewire"
 )
 
 const (
@@ -32,7 +32,7 @@
 }()
 
 // answerKey identifies the answer to a model, adapter, prompt and seed.
-func answerKey(r *platform.GenerateRequest) uint64 {
+func answerKey(r *external.GenerateRequest) uint64 {
 	d := enginewire.NewAnswerDigest(r.Model, r.Adapter)
 	_, _ = d.WriteString(r.Prompt)
 	var seed [8]byte
@@ -78,7 +78,7 @@
 
 // Answer returns the whole answer that any engine gives to a request, its length in tokens and
 // its finish reason. Checkers compare delivered answers with it.
-func Answer(r *platform.GenerateRequest) (text string, length int, finish string) {
+func Answer(r *external.GenerateRequest) (text string, length int, finish string) {
 	key := answerKey(r)
 	length, finish = answerLength(key, r.MaxTokens)
 	return tokens(key, 0, length), length, finish
--- a/standin/fault/fault.go
+++ b/standin/fault/fault.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"github.com/quetzallug/quetzallug/platform"
+	"github.com/quetzallug/quetzallug/external"
 )
 
 // Call is one call that a process makes.
@@ -110,7 +110,7 @@
 // Do makes one call. lost is the error of a caller that cannot know whether the call had an effect.
 func (p *Process) Do(c Call, lost error, effect func() error) error {
 	if !p.Gate() {
-		return platform.ErrUnavailable
+		return external.ErrUnavailable
 	}
 	c.Process = p.Name
 	var a Action
@@ -121,7 +121,7 @@
 		a.Before()
 	}
 	if !p.Gate() {
-		return platform.ErrUnavailable
+		return external.ErrUnavailable
 	}
 	err := effect()
 	if a.Twice {
@@ -168,12 +168,12 @@
 		defer t.Stop()
 		select {
 		case <-ctx.Done():
-			return platform.ErrUnavailable
+			return external.ErrUnavailable
 		case <-t.C:
 		}
 	}
 	if down || ctx.Err() != nil {
-		return platform.ErrUnavailable
+		return external.ErrUnavailable
 	}
 	return nil
 }
--- a/standin/fault/kv.go
+++ b/standin/fault/kv.go
@@ -4,20 +4,20 @@
 	"context"
 	"time"
 
-	"github.com/quetzallug/quetzallug/platform"
+	"github.com/quetzallug/quetzallug/external"
 )
 
 // KV is a process's view of the key-value service.
 type KV struct {
 	Process *Process
 	Network *Network
-	Store   platform.KV
+	Store   external.KV
 }
 
-var _ platform.KV = (*KV)(nil)
+var _ external.KV = (*KV)(nil)
 
 func (k *KV) do(ctx context.Context, c Call, effect func() error) error {
-	return k.Process.Do(c, platform.ErrOutcomeUnknown, func() error {
+	return k.Process.Do(c, external.ErrOutcomeUnknown, func() error {
 		if err := k.Network.pass(ctx); err != nil {
 			return err
 		}
@@ -25,8 +25,8 @@
 	})
 }
 
-// Get implements platform.KV.
-func (k *KV) Get(ctx context.Context, key string) (e platform.Entry, err error) {
+// Get implements external.KV.
+func (k *KV) Get(ctx context.Context, key string) (e external.Entry, err error) {
 	err = k.do(ctx, Call{Op: "get", Key: key}, func() (err error) {
 		e, err = k.Store.Get(ctx, key)
 		return err
@@ -34,8 +34,8 @@
 	return e, err
 }
 
-// List implements platform.KV.
-func (k *KV) List(ctx context.Context, prefix string) (l []platform.Entry, rev uint64, err error) {
+// List implements external.KV.
+func (k *KV) List(ctx context.Context, prefix string) (l []external.Entry, rev uint64, err error) {
 	err = k.do(ctx, Call{Op: "list", Key: prefix}, func() (err error) {
 		l, rev, err = k.Store.List(ctx, prefix)
 		return err
@@ -43,8 +43,8 @@
 	return l, rev, err
 }
 
-// CompareAndSwap implements platform.KV.
-func (k *KV) CompareAndSwap(ctx context.Context, key string, expected uint64, value []byte, l platform.LeaseID) (v uint64, err error) {
+// CompareAndSwap implements external.KV.
+func (k *KV) CompareAndSwap(ctx context.Context, key string, expected uint64, value []byte, l external.LeaseID) (v uint64, err error) {
 	err = k.do(ctx, Call{Op: "cas", Key: key, Value: value}, func() (err error) {
 		v, err = k.Store.CompareAndSwap(ctx, key, expected, value, l)
 		return err
@@ -52,13 +52,13 @@
 	return v, err
 }
 
-// Delete implements platform.KV.
+// Delete implements external.KV.
 func (k *KV) Delete(ctx context.Context, key string, expected uint64) error {
 	return k.do(ctx, Call{Op: "delete", Key: key}, func() error { return k.Store.Delete(ctx, key, expected) })
 }
 
-// Watch implements platform.KV.
-func (k *KV) Watch(ctx context.Context, prefix string, after uint64) (ev []platform.Event, rev uint64, err error) {
+// Watch implements external.KV.
+func (k *KV) Watch(ctx context.Context, prefix string, after uint64) (ev []external.Event, rev uint64, err error) {
 	err = k.do(ctx, Call{Op: "watch", Key: prefix}, func() (err error) {
 		ev, rev, err = k.Store.Watch(ctx, prefix, after)
 		return err
@@ -66,8 +66,8 @@
 	return ev, rev, err
 }
 
-// GrantLease implements platform.KV.
-func (k *KV) GrantLease(ctx context.Context, ttl time.Duration) (id platform.LeaseID, err error) {
+// GrantLease implements external.KV.
+func (k *KV) GrantLease(ctx context.Context, ttl time.Duration) (id external.LeaseID, err error) {
 	err = k.do(ctx, Call{Op: "grant"}, func() (err error) {
 		id, err = k.Store.GrantLease(ctx, ttl)
 		return err
@@ -75,12 +75,12 @@
 	return id, err
 }
 
-// KeepAlive implements platform.KV.
-func (k *KV) KeepAlive(ctx context.Context, id platform.LeaseID) error {
+// KeepAlive implements external.KV.
+func (k *KV) KeepAlive(ctx context.Context, id external.LeaseID) error {
 	return k.do(ctx, Call{Op: "keepalive"}, func() error { return k.Store.KeepAlive(ctx, id) })
 }
 
-// RevokeLease implements platform.KV.
-func (k *KV) RevokeLease(ctx context.Context, id platform.LeaseID) error {
+// RevokeLease implements external.KV.
+func (k *KV) RevokeLease(ctx context.Context, id external.LeaseID) error {
 	return k.do(ctx, Call{Op: "revoke"}, func() error { return k.Store.RevokeLease(ctx, id) })
 }
--- a/standin/instances/instances.go
+++ b/standin/instances/instances.go
@@ -11,8 +11,8 @@
 	"sync"
 	"time"
 
-	"github.com/quetzallug/quetzallug/platform"
-	"github.com/quetzallug/quetzallug/platform/instancewire"
+	"github.com/quetzallug/quetzallug/external"
+	"github.com/quetzallug/quetzallug/external/instancewire"
 )
 
 // ErrDown means that the list cannot be read.
@@ -22,7 +22,7 @@
 type change struct {
 	due    time.Time
 	id     string
-	update *platform.Instance // nil removes the instance
+	update *external.Instance // nil removes the instance
 }
 
 // List is the instance list. All methods are safe for concurrent use. It has no goroutine:
@@ -31,10 +31,10 @@
 	mu      sync.Mutex
 	lag     time.Duration
 	down    bool
-	actual  map[string]platform.Instance
+	actual  map[string]external.Instance
 	expires map[string]time.Time // of instances registered with a time to live
 	pending []change
-	visible map[string]platform.Instance
+	visible map[string]external.Instance
 	version uint64
 
 	// epoch names this start. changed holds the version of the last change of each instance, gone
@@ -47,15 +47,15 @@
 // maxChanges bounds the memory of gone instances.
 const maxChanges = 1 << 14
 
-var _ platform.InstanceList = (*List)(nil)
+var _ external.InstanceList = (*List)(nil)
 
 // New returns an empty list on which a change shows after the given lag.
 func New(lag time.Duration) *List {
 	return &List{
 		lag:     lag,
-		actual:  map[string]platform.Instance{},
+		actual:  map[string]external.Instance{},
 		expires: map[string]time.Time{},
-		visible: map[string]platform.Instance{},
+		visible: map[string]external.Instance{},
 		epoch:   rand.Text(),
 		changed: map[string]uint64{},
 	}
@@ -76,7 +76,7 @@
 }
 
 // Set replaces the whole list.
-func (l *List) Set(all ...platform.Instance) {
+func (l *List) Set(all ...external.Instance) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.expire()
@@ -95,7 +95,7 @@
 
 // Register adds or replaces an instance. A time to live above 0 removes it unless it is
 // registered again in time. An empty state means live.
-func (l *List) Register(in platform.Instance, ttl time.Duration) {
+func (l *List) Register(in external.Instance, ttl time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.expire()
@@ -113,7 +113,7 @@
 	defer l.mu.Unlock()
 	l.expire()
 	if in, ok := l.actual[id]; ok {
-		in.State = platform.InstanceLeaving
+		in.State = external.InstanceLeaving
 		l.put(in)
 	}
 }
@@ -126,17 +126,17 @@
 	l.remove(id, time.Now())
 }
 
-// Instances implements platform.InstanceList.
-func (l *List) Instances(ctx context.Context, after uint64) (platform.InstanceSnapshot, error) {
+// Instances implements external.InstanceList.
+func (l *List) Instances(ctx context.Context, after uint64) (external.InstanceSnapshot, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if err := l.refresh(ctx); err != nil {
-		return platform.InstanceSnapshot{}, err
+		return external.InstanceSnapshot{}, err
 	}
 	if l.version <= after {
-		return platform.InstanceSnapshot{Version: after}, nil
+		return external.InstanceSnapshot{Version: after}, nil
 	}
-	return platform.InstanceSnapshot{Version: l.version, Instances: l.all()}, nil
+	return external.InstanceSnapshot{Version: l.version, Instances: l.all()}, nil
 }
 
 // Changes returns what has changed after a version of an epoch, or the whole list if the epoch is
@@ -178,13 +178,13 @@
 	return nil
 }
 
-func (l *List) all() []platform.Instance {
-	return slices.SortedFunc(maps.Values(l.visible), func(a, b platform.Instance) int { return cmp.Compare(a.ID, b.ID) })
+func (l *List) all() []external.Instance {
+	return slices.SortedFunc(maps.Values(l.visible), func(a, b external.Instance) int { return cmp.Compare(a.ID, b.ID) })
 }
 
-func (l *List) put(in platform.Instance) {
+func (l *List) put(in external.Instance) {
 	if in.State == "" {
-		in.State = platform.InstanceLive
+		in.State = external.InstanceLive
 	}
 	if l.actual[in.ID] == in {
 		return
--- a/standin/instances/server.go
+++ b/standin/instances/server.go
@@ -6,8 +6,8 @@
 	"strconv"
 	"time"
 
+	"github.com/quetzallug/quetzallug/external/instancewire"
 	"github.com/quetzallug/quetzallug/internal/httpjson"
-	"github.com/quetzallug/quetzallug/platform/instancewire"
 )
 
 // FaultRequest is the body of POST /faults.
--- a/standin/kv/faults.go
+++ b/standin/kv/faults.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"github.com/quetzallug/quetzallug/platform"
+	"github.com/quetzallug/quetzallug/external"
 )
 
 // FaultState is the set of faults in force.
@@ -45,11 +45,11 @@
 	s := f.Get()
 	if s.SlowMS > 0 {
 		if err := sleep(ctx, time.Duration(s.SlowMS)*time.Millisecond); err != nil {
-			return platform.ErrUnavailable
+			return external.ErrUnavailable
 		}
 	}
 	if s.Down || ctx.Err() != nil {
-		return platform.ErrUnavailable
+		return external.ErrUnavailable
 	}
 	return nil
 }
@@ -60,10 +60,10 @@
 	defer f.mu.Unlock()
 	if f.state.LoseAnswers > 0 {
 		f.state.LoseAnswers--
-		return platform.ErrOutcomeUnknown
+		return external.ErrOutcomeUnknown
 	}
 	if ctx.Err() != nil {
-		return platform.ErrOutcomeUnknown
+		return external.ErrOutcomeUnknown
 	}
 	return nil
 }
--- a/standin/kv/server.go
+++ b/standin/kv/server.go
@@ -6,9 +6,9 @@
 	"net/http"
 	"time"
 
+	"github.com/quetzallug/quetzallug/external"
+	"github.com/quetzallug/quetzallug/external/kvwire"
 	"github.com/quetzallug/quetzallug/internal/httpjson"
-	"github.com/quetzallug/quetzallug/platform"
-	"github.com/quetzallug/quetzallug/platform/kvwire"
 )
 
 // Handler serves the store over HTTP with JSON bodies.
@@ -16,7 +16,7 @@
 	mux := http.NewServeMux()
 	handle(mux, kvwire.PathGet, func(ctx context.Context, r kvwire.Request) (kvwire.Response, error) {
 		e, err := s.Get(ctx, r.Key)
-		return kvwire.Response{Entries: []platform.Entry{e}}, err
+		return kvwire.Response{Entries: []external.Entry{e}}, err
 	})
 	handle(mux, kvwire.PathList, func(ctx context.Context, r kvwire.Request) (kvwire.Response, error) {
 		entries, rev, err := s.List(ctx, r.Key)
@@ -58,7 +58,7 @@
 			return
 		}
 		resp, err := do(r.Context(), req)
-		if errors.Is(err, platform.ErrOutcomeUnknown) {
+		if errors.Is(err, external.ErrOutcomeUnknown) {
 			// The write took effect and its response is lost: drop the connection.
 			panic(http.ErrAbortHandler)
 		}
--- a/standin/kv/store.go
+++ b/standin/kv/store.go
@@ -11,7 +11,7 @@
 
 	"golang.org/x/time/rate"
 
-	"github.com/quetzallug/quetzallug/platform"
+	"github.com/quetzallug/quetzallug/external"
 )
 
 const (
@@ -42,7 +42,7 @@
 	version  uint64
 	revision uint64
 	value    []byte
-	lease    platform.LeaseID
+	lease    external.LeaseID
 }
 
 type leaseState struct {
@@ -57,9 +57,9 @@
 	mu       sync.Mutex
 	revision uint64
 	items    map[string]*item
-	leases   map[platform.LeaseID]*leaseState
-	next     platform.LeaseID
-	log      []platform.Event
+	leases   map[external.LeaseID]*leaseState
+	next     external.LeaseID
+	log      []external.Event
 	changed  chan struct{}
 	calls    Calls
 	writes   *rate.Limiter
@@ -67,14 +67,14 @@
 	wait     time.Duration
 }
 
-var _ platform.KV = (*Store)(nil)
+var _ external.KV = (*Store)(nil)
 
 // NewStore returns an empty store.
 func NewStore(l Limits) *Store {
 	return &Store{
 		faults:  &Faults{},
 		items:   map[string]*item{},
-		leases:  map[platform.LeaseID]*leaseState{},
+		leases:  map[external.LeaseID]*leaseState{},
 		changed: make(chan struct{}),
 		writes:  limiter(l.Writes),
 		reads:   limiter(l.Reads),
@@ -108,7 +108,7 @@
 	defer s.mu.Unlock()
 	if !s.reads.Allow() {
 		s.calls.Rejected++
-		return platform.ErrUnavailable
+		return external.ErrUnavailable
 	}
 	s.calls.Reads++
 	return nil
@@ -122,29 +122,29 @@
 	defer s.mu.Unlock()
 	if !s.writes.Allow() {
 		s.calls.Rejected++
-		return platform.ErrUnavailable
+		return external.ErrUnavailable
 	}
 	s.calls.Writes++
 	return nil
 }
 
-// Get implements platform.KV.
-func (s *Store) Get(ctx context.Context, key string) (platform.Entry, error) {
+// Get implements external.KV.
+func (s *Store) Get(ctx context.Context, key string) (external.Entry, error) {
 	if err := s.admitRead(ctx); err != nil {
-		return platform.Entry{}, err
+		return external.Entry{}, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expireLeases()
 	it, ok := s.items[key]
 	if !ok {
-		return platform.Entry{}, platform.ErrNotFound
+		return external.Entry{}, external.ErrNotFound
 	}
 	return it.entry(key), nil
 }
 
-// List implements platform.KV.
-func (s *Store) List(ctx context.Context, prefix string) ([]platform.Entry, uint64, error) {
+// List implements external.KV.
+func (s *Store) List(ctx context.Context, prefix string) ([]external.Entry, uint64, error) {
 	if err := s.admitRead(ctx); err != nil {
 		return nil, 0, err
 	}
@@ -154,21 +154,21 @@
 	return s.listLocked(prefix), s.revision, nil
 }
 
-func (s *Store) listLocked(prefix string) []platform.Entry {
-	var entries []platform.Entry
+func (s *Store) listLocked(prefix string) []external.Entry {
+	var entries []external.Entry
 	for k, it := range s.items {
 		if strings.HasPrefix(k, prefix) {
 			entries = append(entries, it.entry(k))
 		}
 	}
-	slices.SortFunc(entries, func(a, b platform.Entry) int { return strings.Compare(a.Key, b.Key) })
+	slices.SortFunc(entries, func(a, b external.Entry) int { return strings.Compare(a.Key, b.Key) })
 	return entries
 }
 
-// CompareAndSwap implements platform.KV.
-func (s *Store) CompareAndSwap(ctx context.Context, key string, expected uint64, value []byte, lease platform.LeaseID) (uint64, error) {
+// CompareAndSwap implements external.KV.
+func (s *Store) CompareAndSwap(ctx context.Context, key string, expected uint64, value []byte, lease external.LeaseID) (uint64, error) {
 	if len(value) > MaxValueBytes {
-		return 0, platform.ErrConflict
+		return 0, external.ErrConflict
 	}
 	if err := s.admitWrite(ctx); err != nil {
 		return 0, err
@@ -180,28 +180,28 @@
 	return version, s.faults.after(ctx)
 }
 
-func (s *Store) swap(key string, expected uint64, value []byte, lease platform.LeaseID) (uint64, error) {
+func (s *Store) swap(key string, expected uint64, value []byte, lease external.LeaseID) (uint64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expireLeases()
 	if lease != 0 && s.leases[lease] == nil {
-		return 0, platform.ErrLeaseExpired
+		return 0, external.ErrLeaseExpired
 	}
 	it := s.items[key]
 	if it == nil {
 		it = &item{}
 	}
 	if it.version != expected {
-		return 0, platform.ErrConflict
+		return 0, external.ErrConflict
 	}
 	s.revision++
 	n := &item{version: it.version + 1, revision: s.revision, value: slices.Clone(value), lease: lease}
 	s.items[key] = n
-	s.appendEvent(platform.Event{Entry: n.entry(key)})
+	s.appendEvent(external.Event{Entry: n.entry(key)})
 	return n.version, nil
 }
 
-// Delete implements platform.KV.
+// Delete implements external.KV.
 func (s *Store) Delete(ctx context.Context, key string, expected uint64) error {
 	if err := s.admitWrite(ctx); err != nil {
 		return err
@@ -211,15 +211,15 @@
 	it, ok := s.items[key]
 	if !ok || it.version != expected {
 		s.mu.Unlock()
-		return platform.ErrConflict
+		return external.ErrConflict
 	}
 	s.remove(key)
 	s.mu.Unlock()
 	return s.faults.after(ctx)
 }
 
-// Watch implements platform.KV.
-func (s *Store) Watch(ctx context.Context, prefix string, after uint64) ([]platform.Event, uint64, error) {
+// Watch implements external.KV.
+func (s *Store) Watch(ctx context.Context, prefix string, after uint64) ([]external.Event, uint64, error) {
 	if err := s.faults.before(ctx); err != nil {
 		return nil, after, err
 	}
@@ -236,7 +236,7 @@
 	defer deadline.Stop()
 	for {
 		if s.faults.isDown() {
-			return nil, after, platform.ErrUnavailable
+			return nil, after, external.ErrUnavailable
 		}
 		s.mu.Lock()
 		s.expireLeases()
@@ -270,15 +270,15 @@
 
 // eventsAfter returns the events under prefix after a revision. If the log no longer reaches
 // back to it, the present entries are returned as events.
-func (s *Store) eventsAfter(prefix string, after uint64) ([]platform.Event, uint64) {
+func (s *Store) eventsAfter(prefix string, after uint64) ([]external.Event, uint64) {
 	if after < s.revision && (len(s.log) == 0 || s.log[0].Revision > after+1) {
-		var events []platform.Event
+		var events []external.Event
 		for _, e := range s.listLocked(prefix) {
-			events = append(events, platform.Event{Entry: e})
+			events = append(events, external.Event{Entry: e})
 		}
 		return events, s.revision
 	}
-	var events []platform.Event
+	var events []external.Event
 	for _, e := range s.log {
 		if e.Revision > after && strings.HasPrefix(e.Key, prefix) {
 			events = append(events, e)
@@ -287,8 +287,8 @@
 	return events, s.revision
 }
 
-// GrantLease implements platform.KV.
-func (s *Store) GrantLease(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
+// GrantLease implements external.KV.
+func (s *Store) GrantLease(ctx context.Context, ttl time.Duration) (external.LeaseID, error) {
 	if err := s.admitWrite(ctx); err != nil {
 		return 0, err
 	}
@@ -300,8 +300,8 @@
 	return id, s.faults.after(ctx)
 }
 
-// KeepAlive implements platform.KV.
-func (s *Store) KeepAlive(ctx context.Context, id platform.LeaseID) error {
+// KeepAlive implements external.KV.
+func (s *Store) KeepAlive(ctx context.Context, id external.LeaseID) error {
 	if err := s.admitWrite(ctx); err != nil {
 		return err
 	}
@@ -313,13 +313,13 @@
 	}
 	s.mu.Unlock()
 	if !ok {
-		return platform.ErrLeaseExpired
+		return external.ErrLeaseExpired
 	}
 	return s.faults.after(ctx)
 }
 
-// RevokeLease implements platform.KV.
-func (s *Store) RevokeLease(ctx context.Context, id platform.LeaseID) error {
+// RevokeLease implements external.KV.
+func (s *Store) RevokeLease(ctx context.Context, id external.LeaseID) error {
 	if err := s.admitWrite(ctx); err != nil {
 		return err
 	}
@@ -346,7 +346,7 @@
 	return max(next, time.Millisecond)
 }
 
-func (s *Store) dropLease(id platform.LeaseID) {
+func (s *Store) dropLease(id external.LeaseID) {
 	delete(s.leases, id)
 	var keys []string
 	for k, it := range s.items {
@@ -363,10 +363,10 @@
 func (s *Store) remove(key string) {
 	s.revision++
 	delete(s.items, key)
-	s.appendEvent(platform.Event{Entry: platform.Entry{Key: key, Revision: s.revision}, Deleted: true})
+	s.appendEvent(external.Event{Entry: external.Entry{Key: key, Revision: s.revision}, Deleted: true})
 }
 
-func (s *Store) appendEvent(e platform.Event) {
+func (s *Store) appendEvent(e external.Event) {
 	s.log = append(s.log, e)
 	if len(s.log) > eventLogLength {
 		s.log = slices.Clone(s.log[len(s.log)-eventLogLength/2:])
@@ -375,6 +375,6 @@
 	s.changed = make(chan struct{})
 }
 
-func (it *item) entry(key string) platform.Entry {
-	return platform.Entry{Key: key, Version: it.version, Revision: it.revision, Value: slices.Clone(it.value)}
+func (it *item) entry(key string) external.Entry {
+	return external.Entry{Key: key, Version: it.version, Revision: it.revision, Value: slices.Clone(it.value)}
 }
--- a/standin/kv/store_test.go
+++ b/standin/kv/store_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/quetzallug/quetzallug/platform"
+	"github.com/quetzallug/quetzallug/external"
 	"github.com/quetzallug/quetzallug/standin/kv"
 )
 
@@ -16,12 +16,12 @@
 	s := kv.NewStore(kv.Limits{})
 	s.Faults().Set(kv.FaultState{LoseAnswers: 1})
 	_, err := s.CompareAndSwap(t.Context(), "a", 0, []byte("x"), 0)
-	require.ErrorIs(t, err, platform.ErrOutcomeUnknown)
+	require.ErrorIs(t, err, external.ErrOutcomeUnknown)
 	e, err := s.Get(t.Context(), "a")
 	require.NoError(t, err)
 	require.Equal(t, "x", string(e.Value))
 	_, err = s.CompareAndSwap(t.Context(), "a", 0, []byte("y"), 0)
-	require.ErrorIs(t, err, platform.ErrConflict)
+	require.ErrorIs(t, err, external.ErrConflict)
 }
 
 // Guards against keys that outlive their lease.
@@ -36,6 +36,6 @@
 		require.NoError(t, err)
 		require.Len(t, events, 1)
 		require.True(t, events[0].Deleted)
-		require.ErrorIs(t, s.KeepAlive(t.Context(), id), platform.ErrLeaseExpired)
+		require.ErrorIs(t, s.KeepAlive(t.Context(), id), external.ErrLeaseExpired)
 	})
 }
--- a/standin/weights/weights.go
+++ b/standin/weights/weights.go
@@ -12,9 +12,9 @@
 
 	"golang.org/x/time/rate"
 
+	"github.com/quetzallug/quetzallug/external"
+	"github.com/quetzallug/quetzallug/external/weightwire"
 	"github.com/quetzallug/quetzallug/internal/httpjson"
-	"github.com/quetzallug/quetzallug/platform"
-	"github.com/quetzallug/quetzallug/platform/weightwire"
 )
 
 // DefaultBytesPerSecond is the default rate.
@@ -32,7 +32,7 @@
 	granted map[string]int64
 }
 
-var _ platform.WeightStore = (*Store)(nil)
+var _ external.WeightStore = (*Store)(nil)
 
 // New returns a store with a rate in bytes per second; 0 means the default.
 func New(bytesPerSecond int64) *Store {
@@ -47,7 +47,7 @@
 	}
 }
 
-// Acquire implements platform.WeightStore.
+// Acquire implements external.WeightStore.
 func (s *Store) Acquire(ctx context.Context, model string, bytes int64) error {
 	if bytes < 0 {
 		return fmt.Errorf("weights of model %q: %d bytes requested", model, bytes)
--- a/test/e2e/e2e_test.go
+++ b/test/e2e/e2e_test.go
@@ -17,8 +17,8 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/quetzallug/quetzallug/external"
 	"github.com/quetzallug/quetzallug/internal/testcluster"
-	"github.com/quetzallug/quetzallug/platform"
 	"github.com/quetzallug/quetzallug/standin/engine"
 )
 
@@ -108,7 +108,7 @@
 
 func checkCompletion(entry string, i int) error {
 	prompt := fmt.Sprintf("caller %d asks for the next arrival at stop %d", i, i*3)
-	want, _, finish := engine.Answer(&platform.GenerateRequest{Model: model, Prompt: prompt, MaxTokens: 20, Seed: 7})
+	want, _, finish := engine.Answer(&external.GenerateRequest{Model: model, Prompt: prompt, MaxTokens: 20, Seed: 7})
 	resp, err := send(entry, i, http.MethodPost, "/v1/completions", completionBody(prompt, 20, true))
 	if err != nil {
 		return err
--- a/test/faults/cells_test.go
+++ b/test/faults/cells_test.go
@@ -5,8 +5,8 @@
 	"errors"
 	"time"
 
+	"github.com/quetzallug/quetzallug/external"
 	"github.com/quetzallug/quetzallug/order"
-	"github.com/quetzallug/quetzallug/platform"
 	"github.com/quetzallug/quetzallug/standin/backend"
 	"github.com/quetzallug/quetzallug/standin/engine"
 	"github.com/quetzallug/quetzallug/standin/instances"
@@ -118,9 +118,9 @@
 		return err
 	}
 	w.pause(down)
-	back := platform.EngineConfig{Role: platform.RoleMixed}
+	back := external.EngineConfig{Role: external.RoleMixed}
 	if w.random.IntN(2) == 0 {
-		back.Models = []platform.ModelVersion{{Name: model, Version: "wrong"}}
+		back.Models = []external.ModelVersion{{Name: model, Version: "wrong"}}
 	}
 	return at.EngineFaults(ctx, engine.FaultRequest{Restart: true, Config: back})
 }
--- a/test/faults/harness_test.go
+++ b/test/faults/harness_test.go
@@ -15,9 +15,9 @@
 
 	"github.com/quetzallug/quetzallug/document"
 	"github.com/quetzallug/quetzallug/document/registry"
+	"github.com/quetzallug/quetzallug/external"
 	"github.com/quetzallug/quetzallug/internal/testcluster"
 	"github.com/quetzallug/quetzallug/order"
-	"github.com/quetzallug/quetzallug/platform"
 )
 
 const (
@@ -41,7 +41,7 @@
 // harness is the running cluster with its load.
 type harness struct {
 	cluster   *testcluster.Cluster
-	kv        platform.KV
+	kv        external.KV
 	random    *rand.Rand
 	load      *callers
 	revisions *revisions
@@ -271,20 +271,20 @@
 }
 
 // wanted returns the model of the accepted document.
-func (w *harness) wanted(ctx context.Context) (platform.ModelVersion, error) {
+func (w *harness) wanted(ctx context.Context) (external.ModelVersion, error) {
 	r, err := registry.Get(ctx, w.kv, modelService)
 	if err != nil {
-		return platform.ModelVersion{}, err
+		return external.ModelVersion{}, err
 	}
 	s, err := document.Parse(r.Body)
 	if err != nil {
-		return platform.ModelVersion{}, err
+		return external.ModelVersion{}, err
 	}
-	return platform.ModelVersion{Name: s.Models[0].Name, Version: s.Models[0].Version}, nil
+	return external.ModelVersion{Name: s.Models[0].Name, Version: s.Models[0].Version}, nil
 }
 
 // behind says what a worker lacks to take work.
-func (w *harness) behind(ctx context.Context, at *worker, want platform.ModelVersion) string {
+func (w *harness) behind(ctx context.Context, at *worker, want external.ModelVersion) string {
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
 	p, err := at.Probe(ctx, w.revisions.clients)
--- a/test/faults/load_test.go
+++ b/test/faults/load_test.go
@@ -15,8 +15,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/quetzallug/quetzallug/external"
 	"github.com/quetzallug/quetzallug/internal/testcluster"
-	"github.com/quetzallug/quetzallug/platform"
 	"github.com/quetzallug/quetzallug/standin/backend"
 	"github.com/quetzallug/quetzallug/standin/engine"
 )
@@ -187,7 +187,7 @@
 func (l *callers) model(r *rand.Rand, caller int, kind string, maxTokens int) {
 	token := l.token(kind, caller)
 	prompt := "request " + token + strings.Repeat(" stop and line", 1+r.IntN(100))
-	q := &platform.GenerateRequest{Model: model, Prompt: prompt, MaxTokens: maxTokens, Seed: r.Uint64N(1 << 40)}
+	q := &external.GenerateRequest{Model: model, Prompt: prompt, MaxTokens: maxTokens, Seed: r.Uint64N(1 << 40)}
 	body, _ := json.Marshal(map[string]any{"model": model, "prompt": prompt, "max_tokens": maxTokens, "stream": true, "seed": q.Seed})
 	e := l.balance(r, nil)
 	rec := record{kind: kind, token: token, entry: e.ID, started: time.Now()}
@@ -375,7 +375,7 @@
 func newDepartures(ctx context.Context) func(path string) string {
 	reference := backend.New(backend.Config{ServiceTime: -1, JournalLimit: 1})
 	return func(path string) string {
-		resp, err := reference.Do(ctx, &platform.PlainRequest{Method: http.MethodGet, Path: path})
+		resp, err := reference.Do(ctx, &external.PlainRequest{Method: http.MethodGet, Path: path})
 		if err != nil {
 			return err.Error()
 		}
--- a/test/path/caller_test.go
+++ b/test/path/caller_test.go
@@ -11,8 +11,8 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/quetzallug/quetzallug/external"
 	v1 "github.com/quetzallug/quetzallug/gen/quetzallug/v1"
-	"github.com/quetzallug/quetzallug/platform"
 	"github.com/quetzallug/quetzallug/standin/backend"
 	"github.com/quetzallug/quetzallug/standin/engine"
 )
@@ -329,6 +329,6 @@
 }
 
 func (o *observation) want() string {
-	text, _, _ := engine.Answer(&platform.GenerateRequest{Model: model, Prompt: o.prompt(), MaxTokens: answerTokens, Seed: uint64(o.n)})
+	text, _, _ := engine.Answer(&external.GenerateRequest{Model: model, Prompt: o.prompt(), MaxTokens: answerTokens, Seed: uint64(o.n)})
 	return text
 }
--- a/test/path/drain_test.go
+++ b/test/path/drain_test.go
@@ -8,10 +8,10 @@
 	"testing"
 	"time"
 
+	"github.com/quetzallug/quetzallug/external"
 	v1 "github.com/quetzallug/quetzallug/gen/quetzallug/v1"
 	"github.com/quetzallug/quetzallug/internal/faultmatrix"
 	"github.com/quetzallug/quetzallug/internal/pause"
-	"github.com/quetzallug/quetzallug/platform"
 	"github.com/quetzallug/quetzallug/standin/engine"
 )
 
@@ -100,7 +100,7 @@
 	defer p.sc.EndDrain()
 	defer w.endDrain(p)
 	if p.sc.Wait(ctx) == nil && w.net.awake(ctx, p.host) == nil {
-		_ = p.engine.Apply(ctx, platform.EngineOrder{Fence: 1, Number: uint64(p.slot + 1), Config: initial})
+		_ = p.engine.Apply(ctx, external.EngineOrder{Fence: 1, Number: uint64(p.slot + 1), Config: initial})
 	}
 }
 
@@ -108,15 +108,15 @@
 // list and drains, as the daemon does.
 func (w *world) drainLeaving(p *workerProc, begun func()) {
 	in := p.inst
-	in.State = platform.InstanceLeaving
+	in.State = external.InstanceLeaving
 	w.publish(in)
 	w.noteDrain(p, time.Now().Add(leavingBound))
 	begun()
 	for left := false; !left && p.host.ctx.Err() == nil; {
 		pause.For(p.host.ctx, leavingPoll)
 		s, err := w.list.Instances(p.host.ctx, 0)
-		left = err == nil && slices.ContainsFunc(s.Instances, func(in platform.Instance) bool {
-			return in.ID == p.inst.ID && in.State == platform.InstanceLeaving
+		left = err == nil && slices.ContainsFunc(s.Instances, func(in external.Instance) bool {
+			return in.ID == p.inst.ID && in.State == external.InstanceLeaving
 		})
 	}
 	p.sc.Leave()
--- a/test/path/hosts_test.go
+++ b/test/path/hosts_test.go
@@ -10,8 +10,8 @@
 	"connectrpc.com/connect"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/quetzallug/quetzallug/external"
 	v1 "github.com/quetzallug/quetzallug/gen/quetzallug/v1"
-	"github.com/quetzallug/quetzallug/platform"
 	"github.com/quetzallug/quetzallug/sidecar"
 	"github.com/quetzallug/quetzallug/standin/backend"
 	"github.com/quetzallug/quetzallug/standin/engine"
@@ -19,10 +19,10 @@
 
 // kv returns the key-value service as the process sees it: a killed process has no effect, a
 // frozen one stands still.
-func (p *process) kv() platform.KV { return &hostKV{p.w.store, p} }
+func (p *process) kv() external.KV { return &hostKV{p.w.store, p} }
 
 type hostKV struct {
-	platform.KV
+	external.KV
 	p *process
 }
 
@@ -30,23 +30,23 @@
 func call[T any](ctx context.Context, p *process, f func(ctx context.Context) (T, error)) (T, error) {
 	var zero T
 	if err := p.w.net.awake(ctx, p.host); err != nil {
-		return zero, platform.ErrUnavailable
+		return zero, external.ErrUnavailable
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer context.AfterFunc(p.host.ctx, cancel)() //nolint:contextcheck // the process, not its caller, decides
 	v, err := f(ctx)
 	if !p.w.net.stand(p.host) {
-		return zero, platform.ErrOutcomeUnknown
+		return zero, external.ErrOutcomeUnknown
 	}
 	return v, err
 }
 
-func (k *hostKV) Get(ctx context.Context, key string) (platform.Entry, error) {
-	return call(ctx, k.p, func(ctx context.Context) (platform.Entry, error) { return k.KV.Get(ctx, key) })
+func (k *hostKV) Get(ctx context.Context, key string) (external.Entry, error) {
+	return call(ctx, k.p, func(ctx context.Context) (external.Entry, error) { return k.KV.Get(ctx, key) })
 }
 
-func (k *hostKV) CompareAndSwap(ctx context.Context, key string, expected uint64, value []byte, l platform.LeaseID) (uint64, error) {
+func (k *hostKV) CompareAndSwap(ctx context.Context, key string, expected uint64, value []byte, l external.LeaseID) (uint64, error) {
 	return call(ctx, k.p, func(ctx context.Context) (uint64, error) { return k.KV.CompareAndSwap(ctx, key, expected, value, l) })
 }
 
@@ -55,7 +55,7 @@
 	return err
 }
 
-func (k *hostKV) List(ctx context.Context, prefix string) (all []platform.Entry, rev uint64, err error) {
+func (k *hostKV) List(ctx context.Context, prefix string) (all []external.Entry, rev uint64, err error) {
 	rev, err = call(ctx, k.p, func(ctx context.Context) (uint64, error) {
 		all, rev, err = k.KV.List(ctx, prefix)
 		return rev, err
@@ -63,7 +63,7 @@
 	return all, rev, err
 }
 
-func (k *hostKV) Watch(ctx context.Context, prefix string, after uint64) (all []platform.Event, rev uint64, err error) {
+func (k *hostKV) Watch(ctx context.Context, prefix string, after uint64) (all []external.Event, rev uint64, err error) {
 	rev, err = call(ctx, k.p, func(ctx context.Context) (uint64, error) {
 		all, rev, err = k.KV.Watch(ctx, prefix, after)
 		return rev, err
@@ -77,7 +77,7 @@
 	p *workerProc
 }
 
-func (e *hostEngine) Generate(ctx context.Context, r *platform.GenerateRequest) (platform.TokenStream, error) {
+func (e *hostEngine) Generate(ctx context.Context, r *external.GenerateRequest) (external.TokenStream, error) {
 	if r.Offset > 0 {
 		e.p.w.hook(event{step: "prefill again", worker: e.p, request: r.RequestID})
 	}
@@ -85,7 +85,7 @@
 		e.p.w.hook(event{step: "decode", worker: e.p, request: r.RequestID})
 	}
 	if err := e.p.w.net.awake(ctx, e.p.host); err != nil {
-		return nil, fmt.Errorf("%w: %w", platform.ErrEngineFailed, err)
+		return nil, fmt.Errorf("%w: %w", external.ErrEngineFailed, err)
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	stop := context.AfterFunc(e.p.host.ctx, cancel) //nolint:contextcheck // the process, not its caller, decides
@@ -107,15 +107,15 @@
 }
 
 type hostStream struct {
-	platform.TokenStream
+	external.TokenStream
 	p    *workerProc
 	stop func()
 }
 
-func (s *hostStream) Next() (platform.TokenChunk, error) {
+func (s *hostStream) Next() (external.TokenChunk, error) {
 	c, err := s.TokenStream.Next()
 	if !s.p.w.net.stand(s.p.host) {
-		return platform.TokenChunk{}, platform.ErrEngineFailed
+		return external.TokenChunk{}, external.ErrEngineFailed
 	}
 	return c, err
 }
@@ -130,9 +130,9 @@
 	p *workerProc
 }
 
-func (b *hostBackend) Do(ctx context.Context, r *platform.PlainRequest) (*platform.PlainResponse, error) {
+func (b *hostBackend) Do(ctx context.Context, r *external.PlainRequest) (*external.PlainResponse, error) {
 	b.p.w.hook(event{step: "run", worker: b.p, request: r.RequestID})
-	return call(ctx, b.p.process, func(ctx context.Context) (*platform.PlainResponse, error) { return b.Server.Do(ctx, r) })
+	return call(ctx, b.p.process, func(ctx context.Context) (*external.PlainResponse, error) { return b.Server.Do(ctx, r) })
 }
 
 // workerMode holds the faults of a sidecar's messages that are in force.
--- a/test/path/world_test.go
+++ b/test/path/world_test.go
@@ -19,13 +19,13 @@
 	"github.com/quetzallug/quetzallug/dissemination"
 	"github.com/quetzallug/quetzallug/document/registry"
 	"github.com/quetzallug/quetzallug/entry"
+	"github.com/quetzallug/quetzallug/external"
 	v1 "github.com/quetzallug/quetzallug/gen/quetzallug/v1"
 	"github.com/quetzallug/quetzallug/gen/quetzallug/v1/quetzallugv1connect"
 	"github.com/quetzallug/quetzallug/internal/pause"
 	"github.com/quetzallug/quetzallug/internal/rpc"
 	"github.com/quetzallug/quetzallug/membership"
 	"github.com/quetzallug/quetzallug/once"
-	"github.com/quetzallug/quetzallug/platform"
 	"github.com/quetzallug/quetzallug/retry"
 	"github.com/quetzallug/quetzallug/sidecar"
 	"github.com/quetzallug/quetzallug/standin/backend"
@@ -75,7 +75,7 @@
 func body(service string, queue int) []byte { return fmt.Appendf(nil, documents[service], queue) }
 
 // initial is the configuration with which engines start.
-var initial = platform.EngineConfig{Role: platform.RoleMixed, Models: []platform.ModelVersion{{Name: model, Version: "1"}}}
+var initial = external.EngineConfig{Role: external.RoleMixed, Models: []external.ModelVersion{{Name: model, Version: "1"}}}
 
 // world is one deployment.
 type world struct {
@@ -96,7 +96,7 @@
 
 	mu      sync.Mutex
 	starts  int
-	insts   map[string]platform.Instance
+	insts   map[string]external.Instance
 	entries []*entryProc
 	workers []*workerProc
 	all     []*process
@@ -128,7 +128,7 @@
 type process struct {
 	w       *world
 	host    *host
-	inst    platform.Instance
+	inst    external.Instance
 	inc     string
 	docs    *dissemination.Store
 	agent   *dissemination.Agent
@@ -165,7 +165,7 @@
 	log.SetOutput(io.Discard)
 	w := &world{
 		t: t, net: newNetwork(), store: kv.NewStore(kv.Limits{}), list: instances.New(200 * time.Millisecond),
-		log: log, onStep: func(event) {}, accepted: map[string]arrival{}, accepts: map[uint64][]int{}, delivered: map[int][]*v1.ExecuteRequest{}, unbound: map[string]bool{}, insts: map[string]platform.Instance{},
+		log: log, onStep: func(event) {}, accepted: map[string]arrival{}, accepts: map[uint64][]int{}, delivered: map[int][]*v1.ExecuteRequest{}, unbound: map[string]bool{}, insts: map[string]external.Instance{},
 	}
 	callerHost := &host{name: "caller", ctx: context.Background()}
 	w.caller = &http.Client{Timeout: callerTimeout, Transport: &http.Transport{
@@ -232,14 +232,14 @@
 	h.ctx, h.cancel = context.WithCancel(context.Background())
 	p := &process{
 		w: w, host: h, inc: fmt.Sprintf("%04d", n), docs: dissemination.NewStore(),
-		inst: platform.Instance{ID: id, Role: role, Service: service, DataCentre: dataCentre, Address: addr, State: platform.InstanceLive},
+		inst: external.Instance{ID: id, Role: role, Service: service, DataCentre: dataCentre, Address: addr, State: external.InstanceLive},
 	}
 	p.clients = rpc.NewClients(rpc.ClientConfig{Dial: func(ctx context.Context, _, addr string) (net.Conn, error) {
 		return w.net.dial(ctx, h, addr)
 	}})
 	p.agent = dissemination.NewAgent(dissemination.Config{
 		Self: p.inst, Store: p.docs, KV: p.kv(), Seed: uint64(n),
-		Dial: func(in platform.Instance) dissemination.Fetcher {
+		Dial: func(in external.Instance) dissemination.Fetcher {
 			return &entry.DocumentFetcher{Clients: p.clients, Cluster: cluster, Address: in.Address}
 		},
 	})
@@ -293,11 +293,11 @@
 }
 
 // publish puts a process into the instance list and tells the agents.
-func (w *world) publish(in platform.Instance) {
+func (w *world) publish(in external.Instance) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.insts[in.ID] = in
-	var all []platform.Instance
+	var all []external.Instance
 	for _, in := range w.insts {
 		all = append(all, in)
 	}
@@ -309,7 +309,7 @@
 
 func (w *world) startEntry(i int) {
 	peerAddr, callerAddr := fmt.Sprintf("10.0.0.%d:1", i), fmt.Sprintf("10.0.0.%d:2", i)
-	p := &entryProc{process: w.newProcess(fmt.Sprint("entry-", i), platform.RoleEntry, "", peerAddr), addr: callerAddr}
+	p := &entryProc{process: w.newProcess(fmt.Sprint("entry-", i), external.RoleEntry, "", peerAddr), addr: callerAddr}
 	var err error
 	set := membership.DefaultSettings()
 	set.ProbeTick = probeTick
@@ -318,7 +318,7 @@
 	p.fleet = entry.NewFleet(cluster, dataCentre, p.view, p.clients, uint64(i))
 	p.commit, err = once.NewCommitter(p.kv(), once.DefaultSettings(), w.log)
 	require.NoError(w.t, err)
-	router := once.NewRouter(p.inst.ID, func() []platform.Instance { return p.view.Snapshot().Entries() },
+	router := once.NewRouter(p.inst.ID, func() []external.Instance { return p.view.Snapshot().Entries() },
 		&entry.ClaimForwarder{Clients: p.clients, Cluster: cluster}, p.commit)
 	cfg := entry.Config{
 		Cluster: cluster, Instance: p.inst.ID, DataCentre: dataCentre, Incarnation: p.inc,
@@ -357,9 +357,9 @@
 		service = api
 	}
 	addr := fmt.Sprintf("10.0.1.%d:1", i)
-	p := &workerProc{process: w.newProcess(fmt.Sprint("worker-", i), platform.RoleSidecar, service, addr), slot: i, engine: old.engine, plain: old.plain}
-	var eng platform.Engine
-	var plain platform.Backend
+	p := &workerProc{process: w.newProcess(fmt.Sprint("worker-", i), external.RoleSidecar, service, addr), slot: i, engine: old.engine, plain: old.plain}
+	var eng external.Engine
+	var plain external.Backend
 	if p.engine != nil {
 		eng = &hostEngine{p.engine, p}
 	} else {
