--- a/cmd/quetzallugd/main.go
+++ b/cmd/quetzallugd/main.go
@@ -1,4 +1,5 @@
-// Command quetzallugd is the daemon. Its roles are entry, which serves callers, sidecar,
+// Command quetzallugd is the daemon. Its roles are gateway, which serves callers of an
+// installation through an adapter, entry, which serves callers by its own interface, sidecar,
 // which runs beside one backend server, and dev, which runs an example in one process.
 package main
 
@@ -25,7 +26,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(entryCommand(), sidecarCommand(), devCommand(), settingsCommand())
+	root.AddCommand(gatewayCommand(), entryCommand(), sidecarCommand(), devCommand(), settingsCommand())
 	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "quetzallugd:", err)
 		os.Exit(1)
--- a/external/platform.go
+++ b/external/external.go
@@ -19,6 +19,8 @@
 	ErrUnavailable = errors.New("key-value service unavailable")
 	// ErrOutcomeUnknown means that a write was sent and may have taken effect.
 	ErrOutcomeUnknown = errors.New("write outcome unknown")
+	// ErrCompacted means that the history after the given revision is no longer available.
+	ErrCompacted = errors.New("history compacted")
 	// ErrLeaseExpired means that the lease no longer exists.
 	ErrLeaseExpired = errors.New("lease expired")
 )
--- /dev/null
+++ b/gateway/choose.go
@@ -0,0 +1,277 @@
+package gateway
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/quetzallug/quetzallug/external"
+)
+
+const (
+	// readWeight weighs the time that a backend server spends on reading against the time that this
+	// request waits. Above 1, a request rather waits a little than makes another backend server read
+	// what one has read already.
+	readWeight = 2
+	// awayPenalty keeps a prompt that nobody has read on its home while others are no less busy.
+	awayPenalty = 3 * time.Millisecond
+	// handover is the expected time to move a prompt that was read and to start the answer.
+	handover = 4 * time.Millisecond
+	// perRequest is the expected delay by one more request that generates on the same backend server.
+	perRequest = 300 * time.Microsecond
+	// crossing is added for another data centre: the bytes between data centres are scarce.
+	crossing = 3 * time.Millisecond
+	// failurePenalty is added for a backend server that fails all requests, and its share for one
+	// that fails some.
+	failurePenalty = 2 * time.Second
+	// shortPrompt is the most unread prompt tokens for which a second backend server is not worth
+	// its handover.
+	shortPrompt = 512
+)
+
+// Reasons of choices.
+const (
+	reasonNone   = "no_server"
+	reasonLoad   = "least_load"
+	reasonPair   = "read_elsewhere"
+	reasonSingle = "one_server"
+)
+
+// choice is where one request goes.
+type choice struct {
+	// reader reads the prompt for server; nil if server does both.
+	reader *Server
+	server *Server
+	// unread are the prompt tokens that reader, or server without one, has to read.
+	unread float64
+	// first is the expected time to the first event.
+	first  time.Duration
+	reason string
+	// considered is the number of backend servers that were compared.
+	considered int
+}
+
+// pace is what has been learned of the speed of a service's engines.
+type pace struct {
+	mu sync.Mutex
+	// perToken is the time to read one prompt token by role.
+	perToken map[external.Role]float64
+	// unread is the mean of unread tokens per request.
+	unread float64
+}
+
+const (
+	// initialPerToken is the time per prompt token before anything was observed: 100 tokens a
+	// millisecond, of the order of an eight-accelerator engine.
+	initialPerToken = 1e-5
+	initialUnread   = 1000
+	learnRate       = 0.05
+	// minLearnTokens is the least work from which a speed is learned; fixed costs dominate below.
+	minLearnTokens = 512
+	// maxPace bounds what a single observation can teach, as a factor.
+	maxPace = 4
+)
+
+func newPace() *pace {
+	return &pace{perToken: map[external.Role]float64{}, unread: initialUnread}
+}
+
+func (p *pace) values() (perToken func(external.Role) float64, unread float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	prefill, decode := p.role(external.RolePrefill), p.role(external.RoleDecode)
+	return func(r external.Role) float64 {
+		if r == external.RolePrefill {
+			return prefill
+		}
+		return decode
+	}, p.unread
+}
+
+func (p *pace) role(r external.Role) float64 {
+	if v, ok := p.perToken[r]; ok {
+		return v
+	}
+	return initialPerToken
+}
+
+// observe learns from a prompt that was read behind a queue.
+func (p *pace) observe(r external.Role, tokens, ahead float64, elapsed time.Duration) {
+	if r != external.RolePrefill {
+		r = external.RoleDecode
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.unread += learnRate * (tokens - p.unread)
+	if tokens < minLearnTokens {
+		return
+	}
+	old := p.role(r)
+	seen := elapsed.Seconds() / (tokens + ahead)
+	p.perToken[r] = old + learnRate*(min(max(seen, old/maxPace), old*maxPace)-old)
+}
+
+// candidates returns the servers to compare: those that are usable and were not tried, else those
+// that were not tried.
+func candidates(servers []*Server, tried []*live, now time.Time) ([]*Server, []view) {
+	all := make([]*Server, 0, len(servers))
+	views := make([]view, 0, len(servers))
+	for _, s := range servers {
+		if slices.Contains(tried, s.live) {
+			continue
+		}
+		all, views = append(all, s), append(views, s.view(now))
+	}
+	n := 0
+	for i, v := range views {
+		if v.usable {
+			all[n], views[n] = all[i], v
+			n++
+		}
+	}
+	if n == 0 {
+		return all, views
+	}
+	return all[:n], views[:n]
+}
+
+// choosePlain returns the server with the least load for its size.
+func choosePlain(servers []*Server, views []view, dataCentre string) choice {
+	best, cost := -1, math.Inf(1)
+	for i, s := range servers {
+		c := (float64(views[i].inFlight+views[i].others) + 0.5) / float64(max(s.Slots, 1))
+		c += views[i].failing * failurePenalty.Seconds()
+		if s.DataCentre != dataCentre {
+			c += 0.05
+		}
+		c += 0.01 * rand.Float64()
+		if c < cost {
+			best, cost = i, c
+		}
+	}
+	if best < 0 {
+		return choice{reason: reasonNone}
+	}
+	return choice{server: servers[best], reason: reasonLoad, considered: len(servers)}
+}
+
+// prompt is what a choice needs to know of a request with a prompt.
+type prompt struct {
+	call       *Call
+	keys       []uint64
+	dataCentre string
+}
+
+// home is the key under which prompts that share parts find the same backend server: the prompt up
+// to the part before its own.
+func (p *prompt) home() uint64 {
+	if n := len(p.keys); n > 1 {
+		return p.keys[n-2]
+	} else if n == 1 {
+		return p.keys[0]
+	}
+	return rand.Uint64()
+}
+
+// choosePrompt compares reading on each server that can read with the time until the first event.
+func choosePrompt(servers []*Server, views []view, cached []float64, p *prompt, perToken func(external.Role) float64, meanUnread float64) choice {
+	decoder := bestDecoder(servers, views, p)
+	if decoder < 0 {
+		return choice{reason: reasonNone}
+	}
+	home := homeOf(servers, p.home(), perToken)
+	best, cost := choice{reason: reasonNone}, math.Inf(1)
+	for i, s := range servers {
+		v := views[i]
+		speed := perToken(s.Role)
+		unread := max(1, float64(p.call.PromptTokens)-cached[i])
+		wait := (v.pending + float64(v.others)*meanUnread) * speed
+		read := unread * speed
+		c := choice{server: s, unread: unread, reason: reasonSingle}
+		first := wait + read
+		extra := v.failing * failurePenalty.Seconds()
+		if s.Role == external.RolePrefill {
+			if unread < shortPrompt && float64(p.call.PromptTokens) < 2*shortPrompt {
+				continue
+			}
+			d := decoderFor(servers, views, p, s, decoder)
+			c.reader, c.server, c.reason = s, servers[d], reasonPair
+			first += handover.Seconds() + decodeDelay(views[d])
+			extra += views[d].failing * failurePenalty.Seconds()
+		} else {
+			first += decodeDelay(v)
+		}
+		if s.DataCentre != p.dataCentre {
+			extra += crossing.Seconds() / 3
+		}
+		if i != home {
+			extra += awayPenalty.Seconds()
+		}
+		if total := first + (readWeight-1)*read + extra; total < cost {
+			c.first = time.Duration(first * float64(time.Second))
+			best, cost = c, total
+		}
+	}
+	best.considered = len(servers)
+	return best
+}
+
+func decodeDelay(v view) float64 {
+	return float64(v.inFlight+v.others) * perRequest.Seconds()
+}
+
+// bestDecoder returns the server on which an answer is generated fastest, or -1.
+func bestDecoder(servers []*Server, views []view, p *prompt) int {
+	best, cost := -1, math.Inf(1)
+	for i, s := range servers {
+		if s.Role == external.RolePrefill {
+			continue
+		}
+		if c := decoderCost(s, views[i], p.dataCentre); c < cost {
+			best, cost = i, c
+		}
+	}
+	return best
+}
+
+func decoderCost(s *Server, v view, dataCentre string) float64 {
+	c := decodeDelay(v) + v.pending*initialPerToken/10 + v.failing*failurePenalty.Seconds()
+	if s.DataCentre != dataCentre {
+		c += crossing.Seconds()
+	}
+	return c
+}
+
+// decoderFor prefers a server in the reader's data centre, because a prompt moves between data
+// centres at twice the cost.
+func decoderFor(servers []*Server, views []view, p *prompt, reader *Server, fallback int) int {
+	best, cost := fallback, math.Inf(1)
+	for i, s := range servers {
+		if s.Role == external.RolePrefill {
+			continue
+		}
+		c := decoderCost(s, views[i], reader.DataCentre)
+		if s.DataCentre != p.dataCentre {
+			c += crossing.Seconds() / 3
+		}
+		if c < cost {
+			best, cost = i, c
+		}
+	}
+	return best
+}
+
+// homeOf is weighted rendezvous hashing: each server is the home of a share of the prefixes that
+// follows the speed at which its role reads.
+func homeOf(servers []*Server, key uint64, perToken func(external.Role) float64) int {
+	best, top := -1, math.Inf(-1)
+	for i, s := range servers {
+		u := (float64(mix(s.key()^key)>>11) + 0.5) / (1 << 53)
+		if score := -1 / (math.Log(u) * perToken(s.Role)); score > top {
+			best, top = i, score
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/gateway/feed.go
@@ -0,0 +1,209 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/quetzallug/quetzallug/external"
+	"github.com/quetzallug/quetzallug/route"
+)
+
+// Source decodes what the operator and the backend servers write to the store.
+type Source interface {
+	external.KV
+	// ConfigKey is the key of the operator's configuration.
+	ConfigKey() string
+	// ServersPrefix begins the keys of registrations.
+	ServersPrefix() string
+	Table(value []byte) (*route.Table, error)
+	// Registration returns an error for an entry that names no backend server to use.
+	Registration(key string, value []byte) (Registration, error)
+	// RegistrationID returns the backend server that a key names.
+	RegistrationID(key string) string
+}
+
+const (
+	// watchPause gathers changes of registrations, which come with each beat of each backend server,
+	// into one call. It is a small part of the seconds that a leaving backend server keeps serving.
+	watchPause = 200 * time.Millisecond
+	// retryPause is the least time between two calls while the store fails. The pause doubles up to
+	// maxRetryPause.
+	retryPause    = 50 * time.Millisecond
+	maxRetryPause = 400 * time.Millisecond
+	// expireInterval is the time between looks for lapsed registrations and idle connections.
+	expireInterval = 250 * time.Millisecond
+)
+
+// Feed keeps the route table and the roster up to date from the store.
+type Feed struct {
+	source Source
+	tables *route.Holder
+	roster *Roster
+	log    logrus.FieldLogger
+}
+
+// NewFeed returns a feed.
+func NewFeed(s Source, t *route.Holder, r *Roster, log logrus.FieldLogger) *Feed {
+	return &Feed{source: s, tables: t, roster: r, log: log}
+}
+
+// Run follows the store until the context ends.
+func (f *Feed) Run(ctx context.Context) {
+	var g errgroup.Group
+	g.Go(func() error {
+		f.follow(ctx, &follower{prefix: f.source.ConfigKey(), list: f.listConfig, event: f.configEvent})
+		return nil
+	})
+	g.Go(func() error {
+		f.follow(ctx, &follower{prefix: f.source.ServersPrefix(), list: f.listServers, event: f.serverEvent, pause: watchPause})
+		return nil
+	})
+	g.Go(func() error {
+		f.expire(ctx)
+		return nil
+	})
+	_ = g.Wait()
+}
+
+// follower is what one prefix of the store is followed with.
+type follower struct {
+	prefix string
+	list   func([]external.Entry)
+	event  func(external.Event)
+	pause  time.Duration
+}
+
+// follow lists a prefix and then watches it. A watch that fails is followed by a list: a watch may
+// be cut or its history be gone while the store is well. Only a list that fails disturbs the roster.
+func (f *Feed) follow(ctx context.Context, w *follower) {
+	log := f.log.WithField("prefix", w.prefix)
+	pause, lost := retryPause, false
+	for ctx.Err() == nil {
+		entries, revision, err := f.source.List(ctx, w.prefix)
+		if err != nil {
+			f.roster.Disturbed(time.Now())
+			if !lost {
+				log.WithError(err).Warn("store lost")
+			}
+			lost = true
+			sleep(ctx, pause/2+rand.N(pause))
+			pause = min(2*pause, maxRetryPause)
+			continue
+		}
+		if lost {
+			log.WithField("revision", revision).Info("store regained")
+		}
+		lost, pause = false, retryPause
+		w.list(entries)
+		f.watch(ctx, w, revision, log)
+	}
+}
+
+func (f *Feed) watch(ctx context.Context, w *follower, revision uint64, log logrus.FieldLogger) {
+	for ctx.Err() == nil {
+		events, next, err := f.source.Watch(ctx, w.prefix, revision)
+		switch {
+		case errors.Is(err, external.ErrCompacted):
+			log.WithField("revision", revision).Info("history compacted; list again")
+			return
+		case err != nil:
+			if ctx.Err() == nil {
+				log.WithError(err).Info("watch ended; list again")
+			}
+			return
+		}
+		for _, e := range events {
+			w.event(e)
+		}
+		revision = next
+		if len(events) > 0 && w.pause > 0 {
+			sleep(ctx, w.pause)
+		}
+	}
+}
+
+func (f *Feed) listConfig(entries []external.Entry) {
+	for _, e := range entries {
+		f.configEvent(external.Event{Entry: e})
+	}
+}
+
+func (f *Feed) configEvent(e external.Event) {
+	if e.Key != f.source.ConfigKey() {
+		return
+	}
+	log := f.log.WithField("revision", e.Revision)
+	if e.Deleted {
+		log.Warn("configuration deleted; the last one stays in force")
+		return
+	}
+	t, err := f.source.Table(e.Value)
+	if err != nil {
+		log.WithError(err).Error("configuration unreadable; the last one stays in force")
+		return
+	}
+	if f.tables.Offer(t) {
+		log.WithFields(logrus.Fields{"config": t.Version, "routes": t.Len(), "services": len(t.Services)}).Info("configuration in force")
+	}
+}
+
+func (f *Feed) listServers(entries []external.Entry) {
+	regs := make([]Registration, 0, len(entries))
+	for _, e := range entries {
+		if reg, ok := f.registration(e); ok {
+			regs = append(regs, reg)
+		}
+	}
+	f.roster.Replace(regs, time.Now())
+	f.log.WithFields(logrus.Fields{"registered": len(regs), "entries": len(entries)}).Info("backend servers listed")
+}
+
+func (f *Feed) registration(e external.Entry) (Registration, bool) {
+	reg, err := f.source.Registration(e.Key, e.Value)
+	if err != nil {
+		f.log.WithError(err).WithField("key", e.Key).Warn("registration names no backend server")
+	}
+	return reg, err == nil
+}
+
+func (f *Feed) serverEvent(e external.Event) {
+	id := f.source.RegistrationID(e.Key)
+	if !e.Deleted {
+		if reg, ok := f.registration(e.Entry); ok {
+			if f.roster.Put(reg) {
+				f.log.WithFields(logrus.Fields{
+					"server": id, "service": reg.Service, "address": reg.Address, "data_centre": reg.DataCentre,
+					"role": reg.Role, "draining": reg.Draining, "born": reg.Born, "revision": e.Revision,
+				}).Info("backend server registered")
+			}
+			return
+		}
+	}
+	dropped := f.roster.Remove(id, time.Now())
+	f.log.WithFields(logrus.Fields{"server": id, "dropped": dropped, "revision": e.Revision}).Info("registration gone")
+}
+
+func (f *Feed) expire(ctx context.Context) {
+	for sleep(ctx, expireInterval) {
+		for _, id := range f.roster.Expire(time.Now()) {
+			f.log.WithField("server", id).Info("lapsed registration did not return")
+		}
+	}
+}
+
+// sleep tells whether the context is still in force after the pause.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- /dev/null
+++ b/gateway/forward.go
@@ -0,0 +1,520 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/quetzallug/quetzallug/route"
+	"github.com/quetzallug/quetzallug/upstream"
+)
+
+const (
+	// maxSends bounds the backend servers that one request is offered to, refusals included.
+	maxSends = 4
+	// maxDials bounds the backend servers to which no connection could be made.
+	maxDials = 5
+	// leastTime is the least time left in which a request is worth sending.
+	leastTime = 10 * time.Millisecond
+	// maxAnswer bounds an answer that is read whole before it is passed on.
+	maxAnswer = 16 << 20
+	// minRetryAfter and maxRetryAfter bound what a refused caller is told.
+	minRetryAfter = 100 * time.Millisecond
+	maxRetryAfter = time.Second
+	// releaseTimeout bounds the call that frees the memory of a prompt which was read in vain.
+	releaseTimeout = time.Second
+	// writeSlack is how long after the deadline of a request its caller may still take to read.
+	writeSlack = 500 * time.Millisecond
+)
+
+// Outcomes of requests.
+const (
+	outcomeAnswered = "answered"
+	outcomeFailed   = "failed"  // the backend server's own failure, passed on
+	outcomeRefused  = "refused" // did not run
+	outcomeBroken   = "broken"  // may have run, no whole answer
+	outcomeTimeout  = "timeout" // may have run, no answer in time
+	outcomeGone     = "caller_gone"
+	outcomeInvalid  = "invalid"
+)
+
+// result is how one attempt ended.
+type result int
+
+const (
+	finished result = iota // the caller has its answer, or is gone
+	notSent                // the backend server got nothing
+	notRun                 // the backend server refused
+	unknown                // may have run
+	failed                 // ran and failed
+)
+
+// request is one caller's request in progress.
+type request struct {
+	g       *Gateway
+	w       http.ResponseWriter
+	r       *http.Request
+	ctx     context.Context
+	started time.Time
+	// deadline is the earlier of the caller's and the route's.
+	deadline time.Time
+	route    *route.Route
+	service  string
+	call     Call
+	keys     []uint64
+	body     []byte
+
+	tried []*live
+	sends int
+	dials int
+	runs  int
+	// failure is the backend server's own failure, passed on if nothing better comes.
+	failure *answer
+	// began is true once the caller has got the header of the answer.
+	began     bool
+	lastEvent string
+	events    int
+	first     time.Duration
+	last      choice
+	cause     string
+	version   uint64
+}
+
+// answer is a whole answer of a backend server.
+type answer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// ServeHTTP implements http.Handler.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	q := &request{g: g, w: w, r: r, started: time.Now()}
+	table := g.tables.Table()
+	if table == nil {
+		q.refuse("no_configuration", maxRetryAfter)
+		return
+	}
+	q.version = table.Version
+	q.route = table.Match(r.Host, r.URL.Path)
+	if q.route == nil {
+		q.reply(http.StatusNotFound, outcomeInvalid, "no_route")
+		return
+	}
+	if !q.readBody(table.Limits.MaxBodyBytes) {
+		return
+	}
+	q.call = g.codec.Call(r)
+	q.service = q.route.Service(q.call.ID)
+	q.deadline = q.started.Add(q.route.Timeout)
+	if q.call.Remaining > 0 && q.call.Remaining < q.route.Timeout {
+		q.deadline = q.started.Add(q.call.Remaining)
+	}
+	if q.route.Prompt {
+		q.keys = chain(q.call.Parts)
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
+	defer cancel()
+	q.ctx = ctx
+	_ = http.NewResponseController(w).SetWriteDeadline(q.deadline.Add(writeSlack))
+	g.budget(q.service).Fresh(q.started)
+	q.serve()
+}
+
+// defaultMaxBody bounds a body if the configuration names no limit.
+const defaultMaxBody = 8 << 20
+
+func (q *request) readBody(limit int64) bool {
+	if limit <= 0 {
+		limit = defaultMaxBody
+	}
+	if q.r.ContentLength > limit {
+		q.reply(http.StatusRequestEntityTooLarge, outcomeInvalid, "body_too_large")
+		return false
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(q.w, q.r.Body, limit))
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		q.reply(http.StatusRequestEntityTooLarge, outcomeInvalid, "body_too_large")
+		return false
+	case err != nil:
+		q.reply(http.StatusBadRequest, outcomeInvalid, "body_unreadable")
+		return false
+	}
+	q.body = body
+	return true
+}
+
+// serve sends the request until it is answered or must be given up.
+func (q *request) serve() {
+	for {
+		now := time.Now()
+		if q.r.Context().Err() != nil {
+			q.done(outcomeGone, "")
+			return
+		}
+		if q.deadline.Sub(now) < leastTime {
+			q.giveUp("deadline")
+			return
+		}
+		c := q.g.choose(q, now)
+		q.last = c
+		if c.server == nil {
+			q.giveUp(c.reason)
+			return
+		}
+		if q.sends == 0 && q.tooLate(&c, now) {
+			q.refuse("overload", q.comeBack(&c))
+			return
+		}
+		if q.sends > 0 && !q.mayRepeat(now) {
+			q.giveUp(q.cause)
+			return
+		}
+		switch res := q.attempt(&c, now); res {
+		case finished:
+			return
+		case notSent:
+			if q.dials++; q.dials >= maxDials {
+				q.giveUp("unreachable")
+				return
+			}
+		case notRun:
+			q.sends++
+		case unknown, failed:
+			q.sends++
+			q.runs++
+			if !q.route.Repeatable {
+				q.giveUp(q.cause)
+				return
+			}
+		}
+	}
+}
+
+// mayRepeat tells whether the request may be offered once more, and spends the budget for it.
+func (q *request) mayRepeat(now time.Time) bool {
+	if q.sends >= maxSends || q.runs >= q.route.MaxAttempts || (q.runs > 0 && !q.route.Repeatable) {
+		return false
+	}
+	if !q.g.budget(q.service).Take(now) {
+		q.cause += ",budget"
+		return false
+	}
+	return true
+}
+
+// choose picks the backend servers for the next attempt.
+func (g *Gateway) choose(q *request, now time.Time) choice {
+	servers, views := candidates(g.roster.Servers(q.service), q.tried, now)
+	if !q.route.Prompt || len(q.call.Parts) == 0 {
+		return choosePlain(servers, views, g.cfg.DataCentre)
+	}
+	ids := make([]uint64, len(servers))
+	for i, s := range servers {
+		ids[i] = s.key()
+	}
+	perToken, unread := g.pace(q.service).values()
+	cached := g.prefixes.cached(q.keys, q.call.Parts, ids, now)
+	return choosePrompt(servers, views, cached, &prompt{call: &q.call, keys: q.keys, dataCentre: g.cfg.DataCentre}, perToken, unread)
+}
+
+// tooLate tells whether a request that was not offered yet should be refused, because its answer
+// would begin so late that serving it takes time from requests which can still be on time.
+func (q *request) tooLate(c *choice, now time.Time) bool {
+	if !q.route.Prompt || q.route.Target <= 0 {
+		return false
+	}
+	return c.first > q.limit() || c.first > q.deadline.Sub(now)
+}
+
+// lateFactor is the expected time to the first event, as a multiple of the target, above which a
+// request is refused.
+const lateFactor = 2.0
+
+func (q *request) limit() time.Duration {
+	return time.Duration(lateFactor * float64(q.route.Target))
+}
+
+// comeBack is when the expected queue has shrunk to half of the target.
+func (q *request) comeBack(c *choice) time.Duration {
+	return min(max(c.first-q.route.Target/2, minRetryAfter), maxRetryAfter)
+}
+
+// attempt sends the request to the chosen backend servers.
+func (q *request) attempt(c *choice, now time.Time) result {
+	s := &Send{Server: c.server, Priority: q.route.Priority, After: q.after()}
+	if c.reader != nil {
+		source, res, ok := q.prefill(c)
+		if !ok {
+			return res
+		}
+		s.Source = source
+	}
+	q.tried = append(q.tried, c.server.live)
+	unread := c.unread
+	if c.reader != nil {
+		unread = 0
+	}
+	ahead := c.server.view(now).pending
+	sentAt := time.Now()
+	c.server.sent(unread, sentAt)
+	q.g.prefixes.note(q.keys, c.server.key(), sentAt)
+	o := &offer{q: q, s: c.server, send: s, unread: unread, ahead: ahead, sentAt: sentAt}
+	res := o.run()
+	o.readDone()
+	c.server.ended()
+	q.g.metrics.Attempt(q.service, res.String())
+	if s.Source != "" && !o.accepted {
+		q.release(c.reader, s.Source)
+	}
+	return res
+}
+
+func (q *request) after() string {
+	if q.lastEvent != "" {
+		return q.lastEvent
+	}
+	return q.call.After
+}
+
+// offer is one request to one backend server.
+type offer struct {
+	q      *request
+	s      *Server
+	send   *Send
+	unread float64
+	ahead  float64
+	sentAt time.Time
+	// accepted is true once the backend server has answered with success.
+	accepted bool
+	counted  bool
+}
+
+// readDone counts the prompt as read by the backend server, once.
+func (o *offer) readDone() {
+	if !o.counted {
+		o.counted = true
+		o.s.read(o.unread)
+	}
+}
+
+func (o *offer) run() result {
+	resp, mark, res := o.exchange()
+	if resp == nil {
+		return res
+	}
+	defer resp.Close(o.q.g.pool)
+	switch {
+	case mark.NotRun || mark.Elsewhere:
+		return o.refused(resp, mark)
+	case resp.StatusCode/100 == 2:
+		if !mark.Signed || resp.Header.Get("Content-Encoding") != "" {
+			return o.broken("not_a_servers_answer")
+		}
+		o.accepted = true
+		if o.q.route.Stream {
+			return o.relay(resp)
+		}
+		return o.whole(resp)
+	default:
+		return o.failure(resp, mark)
+	}
+}
+
+// exchange sends the request and waits for the header of its answer.
+func (o *offer) exchange() (*upstream.Response, Mark, result) {
+	q := o.q
+	o.send.Remaining = time.Until(q.deadline)
+	codec := q.g.codec
+	resp, err := q.g.pool.Do(q.ctx, o.s.Address, &upstream.Request{
+		Method: q.r.Method, Target: q.r.RequestURI, Host: q.r.Host,
+		Header: codec.Header(q.r.Header, o.send), Body: q.body,
+	}, q.belongs)
+	now := time.Now()
+	switch {
+	case err == nil:
+		m := codec.Mark(resp.StatusCode, resp.Header)
+		o.s.heard(m.Load, now)
+		return resp, m, finished
+	case q.r.Context().Err() != nil:
+		q.done(outcomeGone, "")
+		return nil, Mark{}, finished
+	case errors.Is(err, upstream.ErrNotSent):
+		o.s.unreachable(now)
+		q.cause = "unreachable"
+		if q.ctx.Err() != nil {
+			return nil, Mark{}, notRun
+		}
+		return nil, Mark{}, notSent
+	case q.ctx.Err() != nil:
+		o.s.result(0.5, now)
+		q.cause = "deadline"
+		return nil, Mark{}, unknown
+	default:
+		return nil, Mark{}, o.broken(err.Error())
+	}
+}
+
+// belongs tells whether an answer is to this request. A refusal may come without an ID; any other
+// answer without one is taken only if nothing else was sent on the connection.
+func (q *request) belongs(resp *http.Response, fresh bool) bool {
+	m := q.g.codec.Mark(resp.StatusCode, resp.Header)
+	return m.ID == q.call.ID || (m.ID == "" && (fresh || m.NotRun || m.Elsewhere))
+}
+
+func (o *offer) broken(cause string) result {
+	o.s.result(1, time.Now())
+	o.q.cause = cause
+	return unknown
+}
+
+func (o *offer) refused(resp *upstream.Response, m Mark) result {
+	_, _ = io.Copy(io.Discard, io.LimitReader(resp, maxDiscard))
+	if m.Elsewhere {
+		o.s.unreachable(time.Now())
+		o.q.cause = "another_server_at_address"
+		return notRun
+	}
+	o.q.cause = "server_full"
+	return notRun
+}
+
+// maxDiscard bounds the body of a refusal that is read so that its connection can be kept.
+const maxDiscard = 64 << 10
+
+// whole passes on an answer after all of it was received.
+func (o *offer) whole(resp *upstream.Response) result {
+	body, err := io.ReadAll(io.LimitReader(resp, maxAnswer+1))
+	switch {
+	case o.q.r.Context().Err() != nil:
+		o.q.done(outcomeGone, "")
+		return finished
+	case err != nil || len(body) > maxAnswer:
+		return o.broken("answer_not_whole")
+	}
+	o.s.result(0, time.Now())
+	o.q.first = time.Since(o.q.started)
+	o.q.write(&answer{resp.StatusCode, resp.Header, body})
+	o.q.done(outcomeAnswered, "")
+	return finished
+}
+
+// failureShare is the weight of a backend server's own failure: it may be the request's fault.
+const failureShare = 0.5
+
+func (o *offer) failure(resp *upstream.Response, m Mark) result {
+	body, err := io.ReadAll(io.LimitReader(resp, maxAnswer+1))
+	switch {
+	case o.q.r.Context().Err() != nil:
+		o.q.done(outcomeGone, "")
+		return finished
+	case err != nil || len(body) > maxAnswer || !m.Signed:
+		return o.broken(fmt.Sprintf("status_%d_not_whole", resp.StatusCode))
+	}
+	a := &answer{resp.StatusCode, resp.Header, body}
+	if resp.StatusCode < http.StatusInternalServerError {
+		o.s.result(0, time.Now())
+		o.q.write(a)
+		o.q.done(outcomeFailed, strconv.Itoa(a.status))
+		return finished
+	}
+	o.s.result(failureShare, time.Now())
+	o.q.failure = a
+	o.q.cause = "server_failed"
+	return failed
+}
+
+// giveUp ends a request that was not answered.
+func (q *request) giveUp(cause string) {
+	switch {
+	case q.began:
+		q.done(outcomeBroken, cause)
+		// The connection is broken off, so that what was sent does not look complete.
+		panic(http.ErrAbortHandler)
+	case q.failure != nil:
+		q.write(q.failure)
+		q.done(outcomeFailed, cause)
+	case q.runs == 0:
+		q.refuse(cause, minRetryAfter)
+	case !time.Now().Before(q.deadline.Add(-leastTime)):
+		q.reply(http.StatusGatewayTimeout, outcomeTimeout, cause)
+	default:
+		q.reply(http.StatusBadGateway, outcomeBroken, cause)
+	}
+}
+
+// refuse promises that the request did not run.
+func (q *request) refuse(cause string, after time.Duration) {
+	q.g.codec.Refusal(q.w.Header(), after)
+	q.reply(http.StatusServiceUnavailable, outcomeRefused, cause)
+}
+
+func (q *request) reply(status int, outcome, cause string) {
+	http.Error(q.w, cause, status)
+	q.done(outcome, cause)
+}
+
+// write passes on a whole answer unchanged.
+func (q *request) write(a *answer) {
+	q.begin(a.status, a.header, len(a.body))
+	_, _ = q.w.Write(a.body)
+}
+
+// begin sends the header of an answer. length is negative if it is not known.
+func (q *request) begin(status int, received http.Header, length int) {
+	q.began = true
+	h := q.w.Header()
+	for name, values := range q.g.codec.Answer(received) {
+		h[name] = values
+	}
+	if _, ok := h["Content-Type"]; !ok {
+		h["Content-Type"] = nil // keeps net/http from guessing one
+	}
+	if length >= 0 {
+		h.Set("Content-Length", strconv.Itoa(length))
+	}
+	q.w.WriteHeader(status)
+}
+
+// done counts and logs the end of a request.
+func (q *request) done(outcome, cause string) {
+	elapsed := time.Since(q.started)
+	name := ""
+	if q.route != nil {
+		name = q.route.Name
+	}
+	q.g.metrics.Request(q.service, outcome, elapsed)
+	if q.first > 0 {
+		q.g.metrics.FirstEvent(q.service, q.first)
+	}
+	f := logrus.Fields{
+		"request": q.call.ID, "route": name, "service": q.service, "config": q.version, "outcome": outcome,
+		"elapsed_ms": elapsed.Milliseconds(), "first_ms": q.first.Milliseconds(), "sends": q.sends, "runs": q.runs,
+		"expected_ms": q.last.first.Milliseconds(), "unread": int(q.last.unread), "choice": q.last.reason, "considered": q.last.considered,
+	}
+	if q.last.server != nil {
+		f["server"] = q.last.server.ID
+	}
+	if q.last.reader != nil {
+		f["reader"] = q.last.reader.ID
+	}
+	if cause != "" {
+		f["cause"] = cause
+	}
+	if q.events > 0 {
+		f["events"] = q.events
+	}
+	q.g.log.WithFields(f).Info("request")
+}
+
+func (r result) String() string {
+	return [...]string{"answered", "not_sent", "not_run", "unknown", "failed"}[r]
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,162 @@
+// Package gateway serves callers whose requests pass through unchanged to backend servers that an
+// operator's route table names. It decides which backend server gets a request, what is refused,
+// what is sent again, and how an answer is relayed. How an installation spells all this on the wire
+// is left to a Codec.
+package gateway
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/quetzallug/quetzallug/retry"
+	"github.com/quetzallug/quetzallug/route"
+	"github.com/quetzallug/quetzallug/upstream"
+)
+
+// Part is one part of a prompt. Equal IDs are equal text.
+type Part struct {
+	ID     uint64
+	Tokens int
+}
+
+// Call is what a caller declares about its request.
+type Call struct {
+	// ID names one attempt of one caller.
+	ID string
+	// Remaining is how long the caller waits; zero if it did not say.
+	Remaining    time.Duration
+	PromptTokens int
+	OutputTokens int
+	// Parts make up the prompt in order. The last one is the request's own.
+	Parts []Part
+	// After is the last event that the caller has, if it resumes a stream.
+	After string
+}
+
+// Send is what a request to a backend server carries besides what the caller sent.
+type Send struct {
+	Server    *Server
+	Remaining time.Duration
+	Priority  int
+	// Prefill asks for the prompt to be read only.
+	Prefill bool
+	// Source names the backend server and the handle of a prompt that was read there.
+	Source string
+	// After resumes a stream after this event.
+	After string
+}
+
+// Load is the load that a backend server tells with an answer.
+type Load struct {
+	Running, Waiting, Slots int
+}
+
+// Mark is what an answer says about itself.
+type Mark struct {
+	// ID is the request that the answer belongs to; empty if it does not say.
+	ID string
+	// Signed answers were made by a backend server that worked on the request.
+	Signed bool
+	// NotRun promises that the request did not run.
+	NotRun bool
+	// Elsewhere means that another backend server has the address.
+	Elsewhere bool
+	Load      *Load
+}
+
+// Codec spells requests and answers as the installation does.
+type Codec interface {
+	// Call reads what a caller declares.
+	Call(r *http.Request) Call
+	// Header returns the header of a request to a backend server.
+	Header(received http.Header, s *Send) http.Header
+	// Answer returns the header of an answer to the caller.
+	Answer(received http.Header) http.Header
+	// Mark reads what an answer says about itself.
+	Mark(status int, h http.Header) Mark
+	// Handle reads the handle of a prompt that was read.
+	Handle(body []byte) (string, error)
+	// Release returns the request that frees a handle.
+	Release(handle string) (method, target string)
+	// Refusal sets the header that tells a caller when to come back.
+	Refusal(h http.Header, after time.Duration)
+}
+
+// Config sets a Gateway.
+type Config struct {
+	// DataCentre is that of this process.
+	DataCentre string
+	// RetryWindow, RetryShare and RetrySlack bound the requests that are sent again to one service,
+	// as a share of the requests for it in a sliding window.
+	RetryWindow time.Duration
+	RetryShare  float64
+	RetrySlack  float64
+}
+
+// Gateway serves callers. It is safe for concurrent use.
+// Lock order: Gateway.mu, then live.mu of one backend server; prefixes.mu is held alone.
+type Gateway struct {
+	cfg      Config
+	codec    Codec
+	tables   *route.Holder
+	roster   *Roster
+	pool     *upstream.Pool
+	prefixes *prefixes
+	metrics  Metrics
+	log      logrus.FieldLogger
+
+	mu      sync.Mutex
+	budgets map[string]*retry.Window
+	paces   map[string]*pace
+}
+
+// Metrics counts what happens to requests.
+type Metrics interface {
+	Request(service, outcome string, elapsed time.Duration)
+	FirstEvent(service string, d time.Duration)
+	Attempt(service, outcome string)
+}
+
+// New returns a gateway.
+func New(cfg Config, codec Codec, tables *route.Holder, roster *Roster, pool *upstream.Pool, m Metrics, log logrus.FieldLogger) *Gateway {
+	return &Gateway{
+		cfg: cfg, codec: codec, tables: tables, roster: roster, pool: pool, prefixes: newPrefixes(),
+		metrics: m, log: log, budgets: make(map[string]*retry.Window), paces: make(map[string]*pace),
+	}
+}
+
+// Ready tells whether requests can be served, or why not.
+func (g *Gateway) Ready() (bool, string) {
+	switch {
+	case g.tables.Table() == nil:
+		return false, "no configuration yet"
+	case g.roster.Len() == 0:
+		return false, "no backend servers yet"
+	}
+	return true, ""
+}
+
+func (g *Gateway) budget(service string) *retry.Window {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	b := g.budgets[service]
+	if b == nil {
+		b = retry.NewWindow(g.cfg.RetryWindow, g.cfg.RetryShare, g.cfg.RetrySlack)
+		g.budgets[service] = b
+	}
+	return b
+}
+
+func (g *Gateway) pace(service string) *pace {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	p := g.paces[service]
+	if p == nil {
+		p = newPace()
+		g.paces[service] = p
+	}
+	return p
+}
--- /dev/null
+++ b/gateway/prefill.go
@@ -0,0 +1,100 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/quetzallug/quetzallug/upstream"
+)
+
+// maxHandleAnswer bounds the answer that carries a handle.
+const maxHandleAnswer = 64 << 10
+
+// prefill has the prompt read by another backend server and returns where the result can be fetched.
+// Reading runs nothing, so that it may be repeated even for requests that must not be.
+//
+// ok is false if the attempt ends here with the result.
+func (q *request) prefill(c *choice) (source string, res result, ok bool) {
+	p := c.reader
+	ahead := p.view(time.Now()).pending
+	sentAt := time.Now()
+	p.sent(c.unread, sentAt)
+	defer p.ended()
+	defer p.read(c.unread)
+	q.g.prefixes.note(q.keys, p.key(), sentAt)
+	send := &Send{Server: p, Remaining: time.Until(q.deadline), Priority: q.route.Priority, Prefill: true}
+	resp, err := q.g.pool.Do(q.ctx, p.Address, &upstream.Request{
+		Method: q.r.Method, Target: q.r.RequestURI, Host: q.r.Host,
+		Header: q.g.codec.Header(q.r.Header, send), Body: q.body,
+	}, q.belongs)
+	if err != nil {
+		return "", q.prefillFailed(p, err), false
+	}
+	defer resp.Close(q.g.pool)
+	body, err := io.ReadAll(io.LimitReader(resp, maxHandleAnswer))
+	now := time.Now()
+	m := q.g.codec.Mark(resp.StatusCode, resp.Header)
+	p.heard(m.Load, now)
+	if q.r.Context().Err() != nil {
+		q.done(outcomeGone, "")
+		return "", finished, false
+	}
+	if m.NotRun || m.Elsewhere || err != nil || resp.StatusCode != http.StatusOK {
+		q.tried = append(q.tried, p.live)
+		q.cause = "prompt_refused"
+		if m.Elsewhere {
+			p.unreachable(now)
+		}
+		return "", notRun, false
+	}
+	handle, err := q.g.codec.Handle(body)
+	if err != nil {
+		p.result(1, now)
+		q.tried = append(q.tried, p.live)
+		q.cause = "handle_unreadable"
+		return "", notRun, false
+	}
+	p.result(0, now)
+	q.g.pace(q.service).observe(p.Role, c.unread, ahead, now.Sub(sentAt))
+	return p.Address + "/" + handle, finished, true
+}
+
+func (q *request) prefillFailed(p *Server, err error) result {
+	now := time.Now()
+	q.tried = append(q.tried, p.live)
+	switch {
+	case q.r.Context().Err() != nil:
+		q.done(outcomeGone, "")
+		return finished
+	case errors.Is(err, upstream.ErrNotSent):
+		p.unreachable(now)
+		q.cause = "reader_unreachable"
+		return notSent
+	default:
+		p.result(1, now)
+		q.cause = "reader_broken"
+		return notRun
+	}
+}
+
+// release frees the memory of a prompt that was read and not used.
+func (q *request) release(p *Server, source string) {
+	handle := source[len(p.Address)+1:]
+	method, target := q.g.codec.Release(handle)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(q.ctx), releaseTimeout)
+		defer cancel()
+		resp, err := q.g.pool.Do(ctx, p.Address, &upstream.Request{
+			Method: method, Target: target, Host: p.Address, Header: http.Header{},
+		}, func(*http.Response, bool) bool { return true })
+		if err != nil {
+			q.g.log.WithError(err).WithField("server", p.ID).Warn("free a prompt read in vain")
+			return
+		}
+		_, _ = io.Copy(io.Discard, io.LimitReader(resp, maxDiscard))
+		resp.Close(q.g.pool)
+	}()
+}
--- /dev/null
+++ b/gateway/server.go
@@ -0,0 +1,295 @@
+package gateway
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/quetzallug/quetzallug/external"
+)
+
+// Registration is what the installation says about one start of a backend server.
+type Registration struct {
+	ID         string
+	Service    string
+	Address    string
+	DataCentre string
+	Slots      int
+	Role       external.Role
+	Draining   bool
+	// Born tells the starts of a backend server apart that keeps its ID; zero if unknown.
+	Born int64
+}
+
+// Server is a registered backend server with what this process knows of its load and health.
+type Server struct {
+	Registration
+	live *live
+}
+
+// live is shared by all registrations of one start of a backend server.
+type live struct {
+	mu       sync.Mutex
+	inFlight int
+	// pending are the prompt tokens that were sent and not yet read.
+	pending float64
+	// others are the requests of other entries, as of othersAt.
+	others   int
+	othersAt time.Time
+	// waitingSince is when the backend server was last heard or, if later, got its first request.
+	waitingSince time.Time
+	// failing is a moving average of failures, from 0 to 1.
+	failing   float64
+	failingAt time.Time
+	// ejected is the time until which the backend server gets no requests while others can.
+	ejected time.Time
+	row     int
+}
+
+const (
+	// silence is how long a backend server with requests may send nothing at all before others are
+	// preferred. The slowest target of the known installations is 200 ms.
+	silence = 600 * time.Millisecond
+	// othersAge is the age at which a report about other entries' requests counts for nothing.
+	othersAge = 2 * time.Second
+	// failureWeight is the weight of one result in the average of failures.
+	failureWeight = 0.15
+	// failureMemory is the time in which the average falls by itself to 1/e.
+	failureMemory = 4 * time.Second
+	// ejectAfter is the number of failures in a row after which a backend server is left alone for
+	// ejectBase, doubled with each further failure up to ejectMax.
+	ejectAfter = 3
+	ejectBase  = 300 * time.Millisecond
+	ejectMax   = 3 * time.Second
+)
+
+// sent counts a request on its way.
+func (s *Server) sent(tokens float64, now time.Time) {
+	l := s.live
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.inFlight == 0 {
+		l.waitingSince = now
+	}
+	l.inFlight++
+	l.pending += tokens
+}
+
+// read counts prompt tokens as read.
+func (s *Server) read(tokens float64) {
+	s.live.mu.Lock()
+	defer s.live.mu.Unlock()
+	s.live.pending = max(0, s.live.pending-tokens)
+}
+
+// heard notes that the backend server sent something, with its own load if it told it.
+func (s *Server) heard(load *Load, now time.Time) {
+	l := s.live
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.waitingSince = now
+	if load != nil {
+		l.others, l.othersAt = max(0, load.Running+load.Waiting-l.inFlight), now
+	}
+}
+
+// ended counts a request as ended.
+func (s *Server) ended() {
+	s.live.mu.Lock()
+	defer s.live.mu.Unlock()
+	s.live.inFlight--
+}
+
+// result takes the outcome of a request. weight is 0 for a success and up to 1 for a failure.
+func (s *Server) result(weight float64, now time.Time) {
+	l := s.live
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.failing = l.failure(now)*(1-failureWeight) + weight*failureWeight
+	l.failingAt = now
+	if weight < 1 {
+		l.row = 0
+		return
+	}
+	if l.row++; l.row >= ejectAfter {
+		l.ejected = now.Add(min(ejectMax, ejectBase<<min(l.row-ejectAfter, 4)))
+	}
+}
+
+// unreachable ejects the backend server at once: no connection could be made to it, or another one
+// has its address.
+func (s *Server) unreachable(now time.Time) {
+	l := s.live
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.row = max(l.row+1, ejectAfter)
+	l.ejected = now.Add(min(ejectMax, ejectBase<<min(l.row-ejectAfter, 4)))
+}
+
+func (l *live) failure(now time.Time) float64 {
+	age := now.Sub(l.failingAt)
+	if age <= 0 {
+		return l.failing
+	}
+	return l.failing / (1 + age.Seconds()/failureMemory.Seconds())
+}
+
+// view is a consistent copy of what a choice needs.
+type view struct {
+	inFlight int
+	others   int
+	pending  float64
+	failing  float64
+	usable   bool
+}
+
+func (s *Server) view(now time.Time) view {
+	l := s.live
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	v := view{inFlight: l.inFlight, pending: l.pending, failing: l.failure(now), usable: true}
+	if now.Sub(l.othersAt) < othersAge {
+		v.others = l.others
+	}
+	quiet := l.inFlight > 0 && now.Sub(l.waitingSince) > silence
+	v.usable = !quiet && !now.Before(l.ejected)
+	return v
+}
+
+// Roster keeps the registered backend servers by service. It is safe for concurrent use.
+//
+// A registration that disappears while the store is disturbed, or shortly after, may have lapsed
+// although its backend server lives. It is kept until the grace after the last disturbance has
+// passed. One that disappears in calm is removed at once.
+type Roster struct {
+	grace time.Duration
+
+	mu        sync.Mutex
+	servers   map[string]*Server
+	lapsed    map[string]bool
+	disturbed time.Time
+	services  atomic.Pointer[map[string][]*Server]
+}
+
+// lapseGrace is how long after a disturbance of the store a lapsed registration is kept. Backend
+// servers that live are registered again within about two seconds.
+const lapseGrace = 2500 * time.Millisecond
+
+// NewRoster returns an empty roster.
+func NewRoster() *Roster {
+	r := &Roster{grace: lapseGrace, servers: make(map[string]*Server), lapsed: make(map[string]bool)}
+	r.services.Store(&map[string][]*Server{})
+	return r
+}
+
+// Servers returns the backend servers of a service. The slice must not be changed.
+func (r *Roster) Servers(service string) []*Server { return (*r.services.Load())[service] }
+
+// Len returns the number of registered backend servers.
+func (r *Roster) Len() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.servers)
+}
+
+// Disturbed notes that a call to the store failed.
+func (r *Roster) Disturbed(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.disturbed = now
+}
+
+// Put adds or changes a registration. It tells whether anything changed.
+func (r *Roster) Put(reg Registration) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	changed := r.put(reg)
+	if changed {
+		r.publish()
+	}
+	return changed
+}
+
+func (r *Roster) put(reg Registration) bool {
+	old := r.servers[reg.ID]
+	delete(r.lapsed, reg.ID)
+	if old != nil && old.Registration == reg {
+		return false
+	}
+	s := &Server{Registration: reg, live: &live{}}
+	if old != nil && old.Address == reg.Address && old.Born == reg.Born && old.Service == reg.Service {
+		s.live = old.live
+	}
+	r.servers[reg.ID] = s
+	return true
+}
+
+// Remove takes a registration away. It tells whether the backend server was dropped at once.
+func (r *Roster) Remove(id string, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	dropped := r.remove(id, now)
+	if dropped {
+		r.publish()
+	}
+	return dropped
+}
+
+func (r *Roster) remove(id string, now time.Time) bool {
+	s := r.servers[id]
+	if s == nil {
+		return false
+	}
+	if !s.Draining && now.Sub(r.disturbed) < r.grace {
+		r.lapsed[id] = true
+		return false
+	}
+	delete(r.servers, id)
+	delete(r.lapsed, id)
+	return true
+}
+
+// Replace takes the whole list of registrations.
+func (r *Roster) Replace(regs []Registration, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	listed := make(map[string]bool, len(regs))
+	for _, reg := range regs {
+		listed[reg.ID] = true
+		r.put(reg)
+	}
+	for id := range r.servers {
+		if !listed[id] {
+			r.remove(id, now)
+		}
+	}
+	r.publish()
+}
+
+// Expire drops lapsed registrations whose grace has passed and returns their IDs.
+func (r *Roster) Expire(now time.Time) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.lapsed) == 0 || now.Sub(r.disturbed) < r.grace {
+		return nil
+	}
+	var gone []string
+	for id := range r.lapsed {
+		gone = append(gone, id)
+		delete(r.servers, id)
+	}
+	clear(r.lapsed)
+	r.publish()
+	return gone
+}
+
+// publish makes a new snapshot. Draining backend servers get no new work and are left out.
+func (r *Roster) publish() {
+	m := make(map[string][]*Server)
+	for _, s := range r.servers {
+		if !s.Draining {
+			m[s.Service] = append(m[s.Service], s)
+		}
+	}
+	r.services.Store(&m)
+}
--- /dev/null
+++ b/internal/logging/async_test.go
@@ -0,0 +1,43 @@
+package logging
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against a request that waits because nobody reads the log.
+func TestAsyncNeverBlocksOnAFullPipe(t *testing.T) {
+	r, w := io.Pipe()
+	a := NewAsync(w)
+	const lines = 3 * asyncLines
+	for range lines {
+		_, err := a.Write([]byte("line\n"))
+		require.NoError(t, err)
+	}
+	require.Positive(t, a.Dropped())
+	read := make(chan string)
+	go func() {
+		b, _ := io.ReadAll(r)
+		read <- string(b)
+	}()
+	require.NoError(t, a.Close())
+	require.NoError(t, w.Close())
+	text := <-read
+	require.Contains(t, text, "log lines left out")
+	require.EqualValues(t, lines, int64(strings.Count(text, "line\n"))+a.Dropped())
+}
+
+// Guards against lines that are lost at a stop.
+func TestAsyncWritesAllLinesAtClose(t *testing.T) {
+	var out bytes.Buffer
+	a := NewAsync(&out)
+	for range 100 {
+		_, _ = a.Write([]byte("line\n"))
+	}
+	require.NoError(t, a.Close())
+	require.Equal(t, 100, strings.Count(out.String(), "line\n"))
+}
--- /dev/null
+++ b/internal/settings/gateway.go
@@ -0,0 +1,85 @@
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/spf13/cobra"
+	"github.com/spf13/pflag"
+
+	"github.com/quetzallug/quetzallug/internal/logging"
+)
+
+// Gateway are the settings of a gateway.
+type Gateway struct {
+	Instance       string        `mapstructure:"instance"`
+	DataCentre     string        `mapstructure:"data-centre"`
+	Listen         string        `mapstructure:"listen"`
+	ReadyListen    string        `mapstructure:"ready-listen"`
+	MetricsListen  string        `mapstructure:"metrics-listen"`
+	Adapter        string        `mapstructure:"adapter"`
+	AdapterAddress string        `mapstructure:"adapter-address"`
+	RetryShare     float64       `mapstructure:"retry-share"`
+	RetrySlack     float64       `mapstructure:"retry-slack"`
+	RetryWindow    time.Duration `mapstructure:"retry-window"`
+	MemoryMiB      int           `mapstructure:"memory"`
+	LogLevel       string        `mapstructure:"log-level"`
+	LogFormat      string        `mapstructure:"log-format"`
+	LameDuck       time.Duration `mapstructure:"lame-duck"`
+	DrainTimeout   time.Duration `mapstructure:"drain-timeout"`
+}
+
+// AddGateway adds the flags of a gateway.
+func AddGateway(f *pflag.FlagSet) {
+	f.String("instance", "", "name of this instance")
+	f.String("data-centre", "", "data centre of this instance")
+	f.String("listen", "127.0.0.1:8080", "IP address and port for callers")
+	f.String("ready-listen", "127.0.0.1:8081", "IP address and port of the readiness check")
+	f.String("metrics-listen", "", "IP address and port of the metrics; empty for none")
+	f.String("adapter", "adapter.platform", "module that translates between the installation and quetzallug")
+	f.String("adapter-address", "127.0.0.1:7000", "IP address and port of the installation's store")
+	f.Float64("retry-share", 0.1, "requests sent again, as a share of the requests for the same service")
+	f.Float64("retry-slack", 1, "requests sent again in a window beside that share")
+	f.Duration("retry-window", 10*time.Second, "length of the sliding window of the retry budget")
+	f.Int("memory", 96, "memory in MiB above which the garbage collector works harder")
+	f.String("log-level", "info", "least level logged: debug, info, warning or error")
+	f.String("log-format", logging.FormatJSON, "format of log lines: text or json")
+	f.Duration("lame-duck", 2500*time.Millisecond, "time between failing the readiness check and closing the listener at a stop")
+	f.Duration("drain-timeout", 5*time.Second, "bound on a graceful shutdown after that")
+}
+
+// ReadGateway reads and checks the settings of a gateway.
+func ReadGateway(cmd *cobra.Command) (*Gateway, error) {
+	var s Gateway
+	if err := read(cmd, &s); err != nil {
+		return nil, err
+	}
+	return &s, s.Validate()
+}
+
+// Validate returns all errors at once.
+func (s *Gateway) Validate() error {
+	_, logErr := logging.New(nil, s.LogLevel, s.LogFormat)
+	errs := []error{
+		required("instance", s.Instance), required("data-centre", s.DataCentre), required("adapter", s.Adapter),
+		address("listen", s.Listen), address("ready-listen", s.ReadyListen), address("adapter-address", s.AdapterAddress),
+		positive("retry-window", s.RetryWindow), positive("drain-timeout", s.DrainTimeout), atLeast("memory", s.MemoryMiB, 16), logErr,
+	}
+	if s.MetricsListen != "" {
+		errs = append(errs, address("metrics-listen", s.MetricsListen))
+	}
+	if s.RetryShare < 0 || s.RetryShare > 1 {
+		errs = append(errs, fmt.Errorf("setting retry-share: found %g, allowed are 0 to 1", s.RetryShare))
+	}
+	if s.RetrySlack < 0 {
+		errs = append(errs, fmt.Errorf("setting retry-slack: found %g, allowed are 0 and more", s.RetrySlack))
+	}
+	if s.LameDuck < 0 {
+		errs = append(errs, fmt.Errorf("setting lame-duck: found %s, allowed are 0s and more", s.LameDuck))
+	}
+	return errors.Join(errs...)
+}
+
+// Values returns the settings by name, with durations as text.
+func (s *Gateway) Values() map[string]any { return values(s) }
