Order engines into prefill roles while holding one lease; keep long prompts off decode engines

Cause: callers wait for prompts to be read, and 7 of 11 engines start as decode engines, which read at half the speed in small chunks.

--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -15,6 +15,9 @@
 	// request waits. Above 1, a request rather waits a little than makes another backend server read
 	// what one has read already.
 	readWeight = 2
+	// decodeReadWeight is the weight on an engine that generates answers, whose steps get longer for
+	// all of them while it reads.
+	decodeReadWeight = 5
 	// awayPenalty keeps a prompt that nobody has read on its home while others are no less busy.
 	awayPenalty = 3 * time.Millisecond
 	// handover is the expected time to move a prompt that was read and to start the answer.
@@ -209,6 +212,9 @@
 		if i != home {
 			extra += awayPenalty.Seconds()
 		}
+		if s.Role == external.RoleDecode {
+			extra += (decodeReadWeight - readWeight) * read
+		}
 		if total := first + (readWeight-1)*read + extra; total < cost {
 			c.first = time.Duration(first * float64(time.Second))
 			best, cost = c, total
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -232,7 +232,11 @@
 	if !q.route.Prompt || q.route.Target <= 0 {
 		return false
 	}
-	return c.first > q.limit() || c.first > q.deadline.Sub(now)
+	if c.first > q.deadline.Sub(now) {
+		return true
+	}
+	// Refusing a request with little to read would free next to nothing.
+	return c.unread >= shortPrompt && c.first > q.limit()
 }
 
 // lateFactor is the expected time to the first event, as a multiple of the target, above which a
@@ -383,6 +387,7 @@
 		o.q.cause = "another_server_at_address"
 		return notRun
 	}
+	o.s.refused(time.Now())
 	o.q.cause = "server_full"
 	return notRun
 }
--- a/gateway/prefill.go
+++ b/gateway/prefill.go
@@ -47,6 +47,8 @@
 		q.cause = "prompt_refused"
 		if m.Elsewhere {
 			p.unreachable(now)
+		} else {
+			p.refused(now)
 		}
 		return "", notRun, false
 	}
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -44,6 +44,9 @@
 	// ejected is the time until which the backend server gets no requests while others can.
 	ejected time.Time
 	row     int
+	// refusals in a row, and the time until which they keep new requests away.
+	refusals int
+	full     time.Time
 }
 
 const (
@@ -107,6 +110,7 @@
 	defer l.mu.Unlock()
 	l.failing = l.failure(now)*(1-failureWeight) + weight*failureWeight
 	l.failingAt = now
+	l.refusals = 0
 	if weight < 1 {
 		l.row = 0
 		return
@@ -126,6 +130,30 @@
 	l.ejected = now.Add(min(ejectMax, ejectBase<<min(l.row-ejectAfter, 4)))
 }
 
+const (
+	// fullBase is how long a backend server that refused a request gets no others while there are
+	// some; it doubles with each refusal in a row up to fullMax. Longer refusals come from engines
+	// that change their role, which takes seconds.
+	fullBase = 50 * time.Millisecond
+	fullMax  = 800 * time.Millisecond
+)
+
+// refused notes that the backend server took no request.
+func (s *Server) refused(now time.Time) {
+	l := s.live
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.full = now.Add(min(fullMax, fullBase<<min(l.refusals, 5)))
+	l.refusals++
+}
+
+// changing keeps requests away until the backend server is back.
+func (s *Server) changing(until time.Time) {
+	s.live.mu.Lock()
+	defer s.live.mu.Unlock()
+	s.live.full = until
+}
+
 func (l *live) failure(now time.Time) float64 {
 	age := now.Sub(l.failingAt)
 	if age <= 0 {
@@ -152,7 +180,7 @@
 		v.others = l.others
 	}
 	quiet := l.inFlight > 0 && now.Sub(l.waitingSince) > silence
-	v.usable = !quiet && !now.Before(l.ejected)
+	v.usable = !quiet && !now.Before(l.ejected) && !now.Before(l.full)
 	return v
 }
 
--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/quetzallug/quetzallug/internal/settings"
 	"github.com/quetzallug/quetzallug/internal/telemetry"
 	"github.com/quetzallug/quetzallug/kernel"
+	"github.com/quetzallug/quetzallug/lease"
 	"github.com/quetzallug/quetzallug/route"
 	"github.com/quetzallug/quetzallug/upstream"
 )
@@ -43,6 +44,7 @@
 type Adapter interface {
 	gateway.Source
 	gateway.Codec
+	gateway.Orders
 }
 
 // Gateway returns the daemon's gateway role.
@@ -58,7 +60,7 @@
 			telemetry.New, telemetry.NewGateway, newAdapter, newGateway, newFeed, gateway.NewRoster,
 			func() *route.Holder { return &route.Holder{} }, newUpstream,
 		),
-		fx.Invoke(runFeed, ignoreHangup, serveGateway),
+		fx.Invoke(runFeed, runRoles, ignoreHangup, serveGateway),
 	)
 }
 
@@ -90,6 +92,32 @@
 
 func runFeed(lc fx.Lifecycle, f *gateway.Feed) { background(lc, f.Run) }
 
+// leaseMarginShare is the part of a lease's time to live that is kept as its safety margin.
+const leaseMarginShare = 7
+
+// runRoles competes for the right to give orders and plans the roles of engines while it is held.
+func runRoles(lc fx.Lifecycle, s *settings.Gateway, a Adapter, t *route.Holder, r *gateway.Roster, p *upstream.Pool, log logrus.FieldLogger) error {
+	if s.LeaseTTL == 0 {
+		log.Info("no orders to engines: lease-ttl is 0s")
+		return nil
+	}
+	leases, err := lease.NewManager(a, lease.Config{
+		Holder: s.Instance, Pools: []string{gateway.RolesPool}, TTL: s.LeaseTTL, SafetyMargin: s.LeaseTTL / leaseMarginShare,
+		MaxPools: 1, PollSpacing: leasePoll, Log: log,
+	})
+	if err != nil {
+		return err
+	}
+	background(lc, leases.Run)
+	// A holder that lost its lease without notice may give orders until the TTL is over.
+	roles := gateway.NewRoles(s.Instance, s.LeaseTTL+s.OrderGuard, a, leases, t, r, p, log)
+	background(lc, roles.Run)
+	return nil
+}
+
+// leasePoll is the mean time between two polls of an instance for a free lease.
+const leasePoll = 2 * time.Second
+
 // ignoreHangup notes SIGHUP. The settings are flags and environment variables, which a running
 // process cannot read again.
 func ignoreHangup(lc fx.Lifecycle, log logrus.FieldLogger) {
@@ -125,10 +153,10 @@
 	// Hooks stop in reverse order: callers are drained before the readiness check ends.
 	for _, addr := range []string{s.MetricsListen, s.ReadyListen} {
 		if addr != "" {
-			serveHTTP(lc, sd, log, checks, addr, func(context.Context) {})
+			serveHTTP(lc, sd, log, checks, addr, s.DrainTimeout, func(context.Context) {})
 		}
 	}
-	serveHTTP(lc, sd, log, callers, s.Listen, func(ctx context.Context) {
+	serveHTTP(lc, sd, log, callers, s.Listen, s.DrainTimeout, func(ctx context.Context) {
 		h.stopping.Store(true)
 		log.WithField("for", s.LameDuck.String()).Info("stopping: the readiness check fails, requests are still served")
 		pause.For(ctx, s.LameDuck)
@@ -136,7 +164,7 @@
 }
 
 // serveHTTP serves from start to stop. beforeStop runs while requests are still accepted.
-func serveHTTP(lc fx.Lifecycle, sd fx.Shutdowner, log logrus.FieldLogger, h http.Handler, addr string, beforeStop func(context.Context)) {
+func serveHTTP(lc fx.Lifecycle, sd fx.Shutdowner, log logrus.FieldLogger, h http.Handler, addr string, timeout time.Duration, beforeStop func(context.Context)) {
 	srv := &http.Server{
 		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: nil,
@@ -158,7 +186,13 @@
 		},
 		OnStop: func(ctx context.Context) error {
 			beforeStop(ctx)
-			return srv.Shutdown(ctx)
+			drain, cancel := context.WithTimeout(ctx, timeout)
+			defer cancel()
+			if err := srv.Shutdown(drain); err != nil {
+				log.WithError(err).Warn("requests broken off at the end of the drain timeout")
+				return srv.Close()
+			}
+			return nil
 		},
 	})
 }
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -23,6 +23,8 @@
 	RetryShare     float64       `mapstructure:"retry-share"`
 	RetrySlack     float64       `mapstructure:"retry-slack"`
 	RetryWindow    time.Duration `mapstructure:"retry-window"`
+	LeaseTTL       time.Duration `mapstructure:"lease-ttl"`
+	OrderGuard     time.Duration `mapstructure:"order-guard"`
 	MemoryMiB      int           `mapstructure:"memory"`
 	LogLevel       string        `mapstructure:"log-level"`
 	LogFormat      string        `mapstructure:"log-format"`
@@ -42,6 +44,8 @@
 	f.Float64("retry-share", 0.1, "requests sent again, as a share of the requests for the same service")
 	f.Float64("retry-slack", 1, "requests sent again in a window beside that share")
 	f.Duration("retry-window", 10*time.Second, "length of the sliding window of the retry budget")
+	f.Duration("lease-ttl", 3500*time.Millisecond, "time to live of the lease for orders to engines; 0s gives no orders")
+	f.Duration("order-guard", 3*time.Second, "least time between the last order of one instance and the first of the next")
 	f.Int("memory", 96, "memory in MiB above which the garbage collector works harder")
 	f.String("log-level", "info", "least level logged: debug, info, warning or error")
 	f.String("log-format", logging.FormatJSON, "format of log lines: text or json")
@@ -66,6 +70,12 @@
 		address("listen", s.Listen), address("ready-listen", s.ReadyListen), address("adapter-address", s.AdapterAddress),
 		positive("retry-window", s.RetryWindow), positive("drain-timeout", s.DrainTimeout), atLeast("memory", s.MemoryMiB, 16), logErr,
 	}
+	if s.LeaseTTL != 0 && s.LeaseTTL < time.Second {
+		errs = append(errs, fmt.Errorf("setting lease-ttl: found %s, allowed are 0s and durations from 1s", s.LeaseTTL))
+	}
+	if s.OrderGuard < 0 {
+		errs = append(errs, fmt.Errorf("setting order-guard: found %s, allowed are 0s and more", s.OrderGuard))
+	}
 	if s.MetricsListen != "" {
 		errs = append(errs, address("metrics-listen", s.MetricsListen))
 	}
