Go on with a prompt that was read when its decode engine refuses; count repeated readings

Now the handle is offered to another decode engine, and each reading after the first pays. Roles follow the load of decode engines up to 60 % of their places, at least 27 % of engines decode.

--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -24,6 +24,10 @@
 	handover = 4 * time.Millisecond
 	// perRequest is the expected delay by one more request that generates on the same backend server.
 	perRequest = 300 * time.Microsecond
+	// fullShare is the share of an engine's places from which requests are expected to wait, and
+	// perPlace the expected wait for each request beyond.
+	fullShare = 0.85
+	perPlace  = 30 * time.Millisecond
 	// crossing is added for another data centre: the bytes between data centres are scarce.
 	crossing = 3 * time.Millisecond
 	// failurePenalty is added for a backend server that fails all requests, and its share for one
@@ -40,6 +44,7 @@
 	reasonLoad   = "least_load"
 	reasonPair   = "read_elsewhere"
 	reasonSingle = "one_server"
+	reasonRead   = "read_before"
 )
 
 // choice is where one request goes.
@@ -201,10 +206,10 @@
 			}
 			d := decoderFor(servers, views, p, s, decoder)
 			c.reader, c.server, c.reason = s, servers[d], reasonPair
-			first += handover.Seconds() + decodeDelay(views[d])
+			first += handover.Seconds() + decodeDelay(servers[d], views[d])
 			extra += views[d].failing * failurePenalty.Seconds()
 		} else {
-			first += decodeDelay(v)
+			first += decodeDelay(s, v)
 		}
 		if s.DataCentre != p.dataCentre {
 			extra += crossing.Seconds() / 3
@@ -224,8 +229,28 @@
 	return best
 }
 
-func decodeDelay(v view) float64 {
-	return float64(v.inFlight+v.others) * perRequest.Seconds()
+// chooseDecoder picks the server that goes on with a prompt which the reader has read.
+func chooseDecoder(servers []*Server, views []view, reader *Server) choice {
+	best, cost := -1, math.Inf(1)
+	for i, s := range servers {
+		if s.Role == external.RolePrefill {
+			continue
+		}
+		if c := decoderCost(s, views[i], reader.DataCentre); c < cost {
+			best, cost = i, c
+		}
+	}
+	if best < 0 {
+		return choice{reason: reasonNone}
+	}
+	return choice{server: servers[best], reason: reasonRead, considered: len(servers)}
+}
+
+// decodeDelay is how much later the first event comes because of others that generate. Beyond most
+// of the places, requests wait for others to end.
+func decodeDelay(s *Server, v view) float64 {
+	n := float64(v.inFlight + v.others)
+	return n*perRequest.Seconds() + max(0, n-fullShare*float64(s.Slots))*perPlace.Seconds()
 }
 
 // bestDecoder returns the server on which an answer is generated fastest, or -1.
@@ -243,7 +268,7 @@
 }
 
 func decoderCost(s *Server, v view, dataCentre string) float64 {
-	c := decodeDelay(v) + v.pending*initialPerToken/10 + v.failing*failurePenalty.Seconds()
+	c := decodeDelay(s, v) + v.pending*initialPerToken/10 + v.failing*failurePenalty.Seconds()
 	if s.DataCentre != dataCentre {
 		c += crossing.Seconds()
 	}
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -72,6 +72,11 @@
 
 	tried []*live
 	sends int
+	// reads are the readings of the prompt that were asked of other backend servers.
+	reads int
+	// source is a prompt that was read and not fetched yet, at reader.
+	source string
+	reader *Server
 	dials int
 	runs  int
 	// failure is the backend server's own failure, passed on if nothing better comes.
@@ -164,6 +169,10 @@
 			q.giveUp("deadline")
 			return
 		}
+		if q.sends > 0 && !q.mayRepeat() {
+			q.giveUp(q.cause)
+			return
+		}
 		c := q.g.choose(q, now)
 		q.last = c
 		if c.server == nil {
@@ -174,8 +183,8 @@
 			q.refuse("overload", q.comeBack(&c))
 			return
 		}
-		if q.sends > 0 && !q.mayRepeat(now) {
-			q.giveUp(q.cause)
+		if !q.pay(&c, now) {
+			q.giveUp(q.cause + ",budget")
 			return
 		}
 		switch res := q.attempt(&c, now); res {
@@ -199,16 +208,19 @@
 	}
 }
 
-// mayRepeat tells whether the request may be offered once more, and spends the budget for it.
-func (q *request) mayRepeat(now time.Time) bool {
-	if q.sends >= maxSends || q.runs >= q.route.MaxAttempts || (q.runs > 0 && !q.route.Repeatable) {
-		return false
-	}
-	if !q.g.budget(q.service).Take(now) {
-		q.cause += ",budget"
+// mayRepeat tells whether the request may be offered once more.
+func (q *request) mayRepeat() bool {
+	return q.sends < maxSends && q.runs < q.route.MaxAttempts && (q.runs == 0 || q.route.Repeatable)
+}
+
+// pay spends the retry budget on what the next attempt sends beyond the first run and the first
+// reading of the prompt.
+func (q *request) pay(c *choice, now time.Time) bool {
+	b := q.g.budget(q.service)
+	if c.reader != nil && q.reads > 0 && !b.Take(now) {
 		return false
 	}
-	return true
+	return q.sends == 0 || b.Take(now)
 }
 
 // choose picks the backend servers for the next attempt.
@@ -222,6 +234,9 @@
 		ids[i] = s.key()
 	}
 	perToken, unread := g.pace(q.service).values()
+	if q.source != "" {
+		return chooseDecoder(servers, views, q.reader)
+	}
 	cached := g.prefixes.cached(q.keys, q.call.Parts, ids, now)
 	return choosePrompt(servers, views, cached, &prompt{call: &q.call, keys: q.keys, dataCentre: g.cfg.DataCentre}, perToken, unread)
 }
@@ -256,15 +271,17 @@
 func (q *request) attempt(c *choice, now time.Time) result {
 	s := &Send{Server: c.server, Priority: q.route.Priority, After: q.after()}
 	if c.reader != nil {
+		q.reads++
 		source, res, ok := q.prefill(c)
 		if !ok {
 			return res
 		}
-		s.Source = source
+		q.source, q.reader = source, c.reader
 	}
+	s.Source = q.source
 	q.tried = append(q.tried, c.server.live)
 	unread := c.unread
-	if c.reader != nil {
+	if s.Source != "" {
 		unread = 0
 	}
 	ahead := c.server.view(now).pending
@@ -276,8 +293,11 @@
 	o.readDone()
 	c.server.ended()
 	q.g.metrics.Attempt(q.service, res.String())
-	if s.Source != "" && !o.accepted {
-		q.release(c.reader, s.Source)
+	if res != notRun && res != notSent {
+		if s.Source != "" && !o.accepted {
+			q.release()
+		}
+		q.source = ""
 	}
 	return res
 }
@@ -518,6 +538,7 @@
 		f["events"] = q.events
 	}
 	q.g.log.WithFields(f).Info("request")
+	q.release()
 }
 
 func (r result) String() string {
--- a/gateway/prefill.go
+++ b/gateway/prefill.go
@@ -83,8 +83,12 @@
 }
 
 // release frees the memory of a prompt that was read and not used.
-func (q *request) release(p *Server, source string) {
-	handle := source[len(p.Address)+1:]
+func (q *request) release() {
+	if q.source == "" {
+		return
+	}
+	p, handle := q.reader, q.source[len(q.reader.Address)+1:]
+	q.source = ""
 	method, target := q.g.codec.Release(handle)
 	go func() {
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(q.ctx), releaseTimeout)
--- a/gateway/roles.go
+++ b/gateway/roles.go
@@ -65,10 +65,10 @@
 	// settleTime is how long the list of engines must be unchanged before roles are compared with it.
 	settleTime = 1500 * time.Millisecond
 	// persistTime is how long a wanted change must stay wanted under load.
-	persistTime = 3 * time.Second
+	persistTime = time.Second
 	// dwellTime is how long the split stays as it is after a change in the other direction. A role
 	// change takes an engine away for seconds.
-	dwellTime = 20 * time.Second
+	dwellTime = 8 * time.Second
 	// showTime is how long after a change the engine's new role may take to show in the list.
 	showTime = 5 * time.Second
 	// orderTimeout bounds one call to an engine. It is below the time for which the authority of a
@@ -79,11 +79,11 @@
 	unknownTime = 15 * time.Second
 	// decodeShare is the least share of engines that generate answers. Below it, moving prompts to
 	// them becomes the bottleneck.
-	decodeShare = 0.3
+	decodeShare = 0.27
 	// decodeFill is the share of their places up to which decode engines are meant to be used.
-	decodeFill = 0.5
+	decodeFill = 0.6
 	// changeShare bounds the engines that change at the same time under load.
-	changeShare = 0.12
+	changeShare = 0.3
 )
 
 // Roles plans the roles of engines and gives orders while it holds the authority.
