Agree on the homes of prefixes between entries; plan decode engines for bursts of chats

Now rendezvous hashing over the prefill engines gives the same two homes everywhere and they are credited 0.75 and 0.35 of the shared parts. Decode engines are now meant to be used to 45 %, and the expected wait for a place is bounded, because the long prompts are the urgent ones.

--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -18,8 +18,6 @@
 	// decodeReadWeight is the weight on an engine that generates answers, whose steps get longer for
 	// all of them while it reads.
 	decodeReadWeight = 5
-	// awayPenalty keeps a prompt that nobody has read on its home while others are no less busy.
-	awayPenalty = 3 * time.Millisecond
 	// handover is the expected time to move a prompt that was read and to start the answer.
 	handover = 4 * time.Millisecond
 	// perRequest is the expected delay by one more request that generates on the same backend server.
@@ -28,6 +26,9 @@
 	// perPlace the expected wait for each request beyond.
 	fullShare = 0.85
 	perPlace  = 30 * time.Millisecond
+	// maxPlaceWait bounds that wait: requests with long prompts are the urgent ones, which engines
+	// admit first.
+	maxPlaceWait = 100 * time.Millisecond
 	// crossing is added for another data centre: the bytes between data centres are scarce.
 	crossing = 3 * time.Millisecond
 	// failurePenalty is added for a backend server that fails all requests, and its share for one
@@ -189,7 +190,7 @@
 	if decoder < 0 {
 		return choice{reason: reasonNone}
 	}
-	home := homeOf(servers, p.home(), perToken)
+	creditHomes(servers, cached, p)
 	best, cost := choice{reason: reasonNone}, math.Inf(1)
 	for i, s := range servers {
 		v := views[i]
@@ -214,9 +215,6 @@
 		if s.DataCentre != p.dataCentre {
 			extra += crossing.Seconds() / 3
 		}
-		if i != home {
-			extra += awayPenalty.Seconds()
-		}
 		if s.Role == external.RoleDecode {
 			extra += (decodeReadWeight - readWeight) * read
 		}
@@ -250,7 +248,8 @@
 // of the places, requests wait for others to end.
 func decodeDelay(s *Server, v view) float64 {
 	n := float64(v.inFlight + v.others)
-	return n*perRequest.Seconds() + max(0, n-fullShare*float64(s.Slots))*perPlace.Seconds()
+	wait := max(0, n-fullShare*float64(s.Slots)) * perPlace.Seconds()
+	return n*perRequest.Seconds() + min(wait, maxPlaceWait.Seconds())
 }
 
 // bestDecoder returns the server on which an answer is generated fastest, or -1.
@@ -294,15 +293,41 @@
 	return best
 }
 
-// homeOf is weighted rendezvous hashing: each server is the home of a share of the prefixes that
-// follows the speed at which its role reads.
-func homeOf(servers []*Server, key uint64, perToken func(external.Role) float64) int {
-	best, top := -1, math.Inf(-1)
+// creditHomes raises what is expected to be kept on the homes of the prompt's shared parts. Each entry
+// knows only the prompts that it sent itself; the homes are the same for all of them.
+func creditHomes(servers []*Server, cached []float64, p *prompt) {
+	shared := 0
+	for _, part := range p.call.Parts[:max(0, len(p.call.Parts)-1)] {
+		shared += part.Tokens
+	}
+	for rank, i := range homes(servers, p.home()) {
+		if i >= 0 {
+			cached[i] = max(cached[i], homeCredit[rank]*float64(shared))
+		}
+	}
+}
+
+// homeCredit is the part of the shared tokens that is expected on the first and the second home.
+var homeCredit = [...]float64{0.75, 0.35}
+
+// homes is rendezvous hashing over the servers that read prompts best: the prefill engines, or all if
+// there are none. Entries agree on it because it depends on nothing that one of them learned.
+func homes(servers []*Server, key uint64) [len(homeCredit)]int {
+	first, second := -1, -1
+	var top, next uint64
+	prefill := slices.ContainsFunc(servers, func(s *Server) bool { return s.Role == external.RolePrefill })
 	for i, s := range servers {
-		u := (float64(mix(s.key()^key)>>11) + 0.5) / (1 << 53)
-		if score := -1 / (math.Log(u) * perToken(s.Role)); score > top {
-			best, top = i, score
+		if prefill && s.Role != external.RolePrefill {
+			continue
+		}
+		score := mix(s.key() ^ key)
+		switch {
+		case first < 0 || score > top:
+			second, next = first, top
+			first, top = i, score
+		case second < 0 || score > next:
+			second, next = i, score
 		}
 	}
-	return best
+	return [...]int{first, second}
 }
--- a/gateway/roles.go
+++ b/gateway/roles.go
@@ -81,7 +81,7 @@
 	// them becomes the bottleneck.
 	decodeShare = 0.27
 	// decodeFill is the share of their places up to which decode engines are meant to be used.
-	decodeFill = 0.6
+	decodeFill = 0.45
 	// changeShare bounds the engines that change at the same time under load.
 	changeShare = 0.3
 )
