--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -77,8 +77,8 @@
 	// source is a prompt that was read and not fetched yet, at reader.
 	source string
 	reader *Server
-	dials int
-	runs  int
+	dials  int
+	runs   int
 	// failure is the backend server's own failure, passed on if nothing better comes.
 	failure *answer
 	// began is true once the caller has got the header of the answer.
--- /dev/null
+++ b/gateway/gateway_test.go
@@ -0,0 +1,207 @@
+package gateway
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/quetzallug/quetzallug/external"
+)
+
+var start = time.Unix(1000, 0)
+
+func newServer(id string, role external.Role) *Server {
+	return &Server{Registration: Registration{ID: id, Service: "s", Address: id + ":1", DataCentre: "z", Slots: 10, Role: role}, live: &live{}}
+}
+
+func views(servers []*Server) []view {
+	out := make([]view, len(servers))
+	for i, s := range servers {
+		out[i] = s.view(start)
+	}
+	return out
+}
+
+func promptOf(parts ...Part) *prompt {
+	tokens := 0
+	for _, p := range parts {
+		tokens += p.Tokens
+	}
+	return &prompt{call: &Call{PromptTokens: tokens, Parts: parts}, keys: chain(parts), dataCentre: "z"}
+}
+
+func perToken(r external.Role) float64 {
+	if r == external.RolePrefill {
+		return 4e-6
+	}
+	return 8e-6
+}
+
+// Guards against a fleet in which each entry sends a prefix to another engine.
+func TestEntriesAgreeOnHomes(t *testing.T) {
+	servers := []*Server{newServer("a", external.RolePrefill), newServer("b", external.RolePrefill), newServer("c", external.RolePrefill), newServer("d", external.RoleDecode)}
+	reversed := []*Server{servers[3], servers[2], servers[1], servers[0]}
+	count := map[string]int{}
+	for i := range 300 {
+		h := homes(servers, mix(uint64(i)))
+		r := homes(reversed, mix(uint64(i)))
+		require.Equal(t, servers[h[0]].ID, reversed[r[0]].ID)
+		require.Equal(t, servers[h[1]].ID, reversed[r[1]].ID)
+		require.NotEqual(t, h[0], h[1])
+		count[servers[h[0]].ID]++
+	}
+	require.Len(t, count, 3, "long prompts have their homes on prefill engines")
+	for id, n := range count {
+		require.Greater(t, n, 60, id)
+	}
+}
+
+// Guards against requests that wait behind a busy home while another engine is free.
+func TestBusyHomesYield(t *testing.T) {
+	servers := []*Server{newServer("a", external.RolePrefill), newServer("b", external.RolePrefill), newServer("d", external.RoleDecode)}
+	p := promptOf(Part{1, 2500}, Part{2, 3500}, Part{3, 3000})
+	c := choosePrompt(servers, views(servers), make([]float64, 3), p, perToken, 3000)
+	require.NotNil(t, c.reader)
+	home := c.reader
+	require.Equal(t, "d", c.server.ID)
+	home.sent(40_000, start)
+	c = choosePrompt(servers, views(servers), make([]float64, 3), p, perToken, 3000)
+	require.NotEqual(t, home.ID, c.reader.ID)
+}
+
+// Guards against short prompts that pay for a move between engines.
+func TestShortPromptsStayOnOneEngine(t *testing.T) {
+	servers := []*Server{newServer("a", external.RolePrefill), newServer("d", external.RoleDecode), newServer("e", external.RoleDecode)}
+	servers[1].sent(0, start)
+	c := choosePrompt(servers, views(servers), make([]float64, 3), promptOf(Part{1, 80}, Part{2, 140}), perToken, 3000)
+	require.Nil(t, c.reader)
+	require.Equal(t, "e", c.server.ID)
+}
+
+// Guards against requests to engines that cannot generate.
+func TestNoDecodeEngineIsNoServer(t *testing.T) {
+	servers := []*Server{newServer("a", external.RolePrefill)}
+	require.Nil(t, choosePrompt(servers, views(servers), make([]float64, 1), promptOf(Part{1, 5000}, Part{2, 10}), perToken, 3000).server)
+}
+
+// Guards against a backend server that fails requests although its health is good, and keeps its share.
+func TestFailingServersGetFewer(t *testing.T) {
+	servers := []*Server{newServer("a", external.RoleMixed), newServer("b", external.RoleMixed)}
+	for range 5 {
+		servers[0].result(1, start)
+	}
+	left, _ := candidates(servers, nil, start)
+	require.Len(t, left, 1)
+	require.Equal(t, "b", left[0].ID)
+	left, _ = candidates(servers, nil, start.Add(ejectMax))
+	require.Len(t, left, 2)
+	require.Equal(t, "b", choosePlain(left, []view{left[0].view(start), left[1].view(start)}, "z").server.ID)
+	// If none is well, the failing ones are better than nothing.
+	left, _ = candidates(servers[:1], nil, start)
+	require.Len(t, left, 1)
+}
+
+// Guards against a silent backend server that collects requests until they time out.
+func TestSilentServersGetNothingMore(t *testing.T) {
+	servers := []*Server{newServer("a", external.RoleMixed), newServer("b", external.RoleMixed)}
+	servers[0].sent(0, start)
+	left, _ := candidates(servers, nil, start.Add(silence+time.Millisecond))
+	require.Len(t, left, 1)
+	require.Equal(t, "b", left[0].ID)
+	servers[0].heard(nil, start.Add(silence))
+	left, _ = candidates(servers, nil, start.Add(silence+time.Millisecond))
+	require.Len(t, left, 2)
+}
+
+// Guards against prefixes that count as kept although a part before them is not.
+func TestCachedCountsOnlyLeadingParts(t *testing.T) {
+	p := newPrefixes()
+	parts := []Part{{1, 100}, {2, 200}, {3, 300}}
+	keys := chain(parts)
+	p.note(keys[:2], 7, start)
+	p.note(keys[1:2], 8, start)
+	require.Equal(t, []float64{300, 0, 0}, p.cached(keys, parts, []uint64{7, 8, 9}, start.Add(time.Second)))
+	require.Equal(t, []float64{0}, p.cached(keys, parts, []uint64{7}, start.Add(prefixMemory+time.Second)))
+}
+
+// Guards against a table of prefixes that grows with the requests.
+func TestPrefixesAreBounded(t *testing.T) {
+	p := newPrefixes()
+	for i := range 5 * prefixEntries {
+		p.note([]uint64{mix(uint64(i))}, 1, start)
+	}
+	require.LessOrEqual(t, len(p.now)+len(p.old), 2*prefixEntries+1)
+}
+
+// Guards against engines that change back and forth, and against a plan that leaves none to generate.
+func TestRolePlan(t *testing.T) {
+	engines := func(prefill, decode int) []*Server {
+		var out []*Server
+		for i := range prefill {
+			out = append(out, newServer(fmt.Sprintf("p%d", i), external.RolePrefill))
+		}
+		for i := range decode {
+			out = append(out, newServer(fmt.Sprintf("d%d", i), external.RoleDecode))
+		}
+		return out
+	}
+	st := func() *roleState { return &roleState{ordered: map[*live]ordered{}} }
+	plan := func(s *roleState, servers []*Server, at time.Time) int { return s.changes(newSplit(servers, s, at), at) }
+
+	t.Run("idle fleet is split at once", func(t *testing.T) {
+		require.Equal(t, 5, plan(st(), engines(3, 8), start))
+		require.Equal(t, 0, plan(st(), engines(8, 3), start))
+	})
+	t.Run("too few engines stay as they are", func(t *testing.T) {
+		require.Zero(t, plan(st(), engines(0, 2), start))
+	})
+	t.Run("orders that do not show yet count", func(t *testing.T) {
+		s, servers := st(), engines(3, 8)
+		for _, e := range servers[3:8] {
+			s.ordered[e.live] = ordered{role: external.RolePrefill, until: start.Add(time.Second)}
+		}
+		require.Zero(t, plan(s, servers, start))
+		require.Equal(t, 5, plan(s, servers, start.Add(2*time.Second)))
+	})
+	t.Run("load must last and changes are few at a time", func(t *testing.T) {
+		s, servers := st(), engines(8, 3)
+		for range 25 {
+			for _, e := range servers[8:] {
+				e.sent(0, start)
+			}
+		}
+		require.Zero(t, plan(s, servers, start))
+		n := plan(s, servers, start.Add(persistTime))
+		require.Negative(t, n)
+		require.GreaterOrEqual(t, n, -int(changeShare*float64(len(servers))))
+	})
+	t.Run("no change in the other direction within the dwell time", func(t *testing.T) {
+		s, servers := st(), engines(3, 8)
+		servers[0].sent(0, start)
+		s.direction, s.changedAt = -1, start
+		require.Zero(t, plan(s, servers, start.Add(persistTime)))
+		require.Zero(t, plan(s, servers, start.Add(dwellTime-time.Second)))
+		require.Positive(t, plan(s, servers, start.Add(dwellTime+time.Second)))
+	})
+}
+
+// Guards against events that are joined, cut or lost on their way through.
+func TestEvents(t *testing.T) {
+	in := &events{br: bufio.NewReaderSize(strings.NewReader("id: 1\ndata: a\n\nweight: 3\nid: 2\r\ndata: "+strings.Repeat("b", 9000)+"\r\n\r\ndata: rest"), 16)}
+	e, id, err := in.next()
+	require.NoError(t, err)
+	require.Equal(t, "id: 1\ndata: a\n\n", string(e))
+	require.Equal(t, "1", id)
+	e, id, err = in.next()
+	require.NoError(t, err)
+	require.Len(t, e, len("weight: 3\nid: 2\r\ndata: \r\n\r\n")+9000)
+	require.Equal(t, "2", id)
+	e, _, err = in.next()
+	require.ErrorIs(t, err, io.EOF)
+	require.Equal(t, "data: rest", string(e))
+}
--- a/test/path/net_test.go
+++ b/internal/memnet/memnet.go
@@ -1,6 +1,6 @@
-// Package path proves the request path under faults in virtual time: entries, sidecars, standin
-// engines and backend servers run in one synctest bubble, connected by a network in memory.
-package path
+// Package memnet is a network in memory for tests in virtual time. It connects hosts with a delay, and
+// can cut, freeze and kill them.
+package memnet
 
 import (
 	"context"
@@ -24,32 +24,34 @@
 	errNetReset = errors.New("connection reset")
 )
 
-// host is one process as the network sees it. A frozen host's connections and backend calls stand
+// Host is one process as the network sees it. A frozen host's connections and backend calls stand
 // still; its timers go on, because all hosts share one address space.
-type host struct {
-	name   string
-	ctx    context.Context // ends when the process is killed
-	cancel context.CancelFunc
+type Host struct {
+	Name string
+	// Ctx ends when the process is killed by Cancel.
+	Ctx    context.Context
+	Cancel context.CancelFunc
 }
 
-// network connects hosts by address.
-type network struct {
+// Network connects hosts by address.
+type Network struct {
 	mu        sync.Mutex
 	changed   chan struct{}
 	listeners map[string]*listener
-	frozen    map[*host]bool
+	frozen    map[*Host]bool
 	cuts      map[[2]string]bool
 	links     map[*link]bool
 }
 
-func newNetwork() *network {
-	return &network{
-		changed: make(chan struct{}), listeners: map[string]*listener{}, frozen: map[*host]bool{},
+// New returns an empty network.
+func New() *Network {
+	return &Network{
+		changed: make(chan struct{}), listeners: map[string]*listener{}, frozen: map[*Host]bool{},
 		cuts: map[[2]string]bool{}, links: map[*link]bool{},
 	}
 }
 
-func (n *network) change(f func()) {
+func (n *Network) change(f func()) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	f()
@@ -57,16 +59,17 @@
 	n.changed = make(chan struct{})
 }
 
-// cut holds everything that one host sends to another one until it is healed.
-func (n *network) cut(from, to string, on bool) {
+// Cut holds everything that one host sends to another one until it is healed.
+func (n *Network) Cut(from, to string, on bool) {
 	n.change(func() { n.cuts[[2]string{from, to}] = on })
 }
 
-func (n *network) freeze(h *host, on bool) { n.change(func() { n.frozen[h] = on }) }
+// Freeze makes a host stand still, or lets it go on.
+func (n *Network) Freeze(h *Host, on bool) { n.change(func() { n.frozen[h] = on }) }
 
-// kill closes the host's connections and listeners.
-func (n *network) kill(h *host) {
-	h.cancel()
+// Kill closes the host's connections and listeners.
+func (n *Network) Kill(h *Host) {
+	h.Cancel()
 	n.mu.Lock()
 	var ends []*link
 	for l := range n.links {
@@ -89,8 +92,13 @@
 	}
 }
 
+// Heal ends all cuts and freezes.
+func (n *Network) Heal() {
+	n.change(func() { n.frozen, n.cuts = map[*Host]bool{}, map[[2]string]bool{} })
+}
+
 // hold waits while the direction is blocked. It returns false if done ends first.
-func (n *network) hold(blocked func() bool, done <-chan struct{}) bool {
+func (n *Network) hold(blocked func() bool, done <-chan struct{}) bool {
 	for {
 		n.mu.Lock()
 		b, changed := blocked(), n.changed
@@ -106,14 +114,14 @@
 	}
 }
 
-// stand waits while a host is frozen, and returns false if it is killed.
-func (n *network) stand(h *host) bool {
-	return n.hold(func() bool { return n.frozen[h] }, h.ctx.Done()) && h.ctx.Err() == nil
+// Stand waits while a host is frozen, and returns false if it is killed.
+func (n *Network) Stand(h *Host) bool {
+	return n.hold(func() bool { return n.frozen[h] }, h.Ctx.Done()) && h.Ctx.Err() == nil
 }
 
-// awake is stand for a call with a context.
-func (n *network) awake(ctx context.Context, h *host) error {
-	if !n.stand(h) {
+// Awake is Stand for a call with a context.
+func (n *Network) Awake(ctx context.Context, h *Host) error {
+	if !n.Stand(h) {
 		return errNetReset
 	}
 	return ctx.Err()
@@ -121,18 +129,18 @@
 
 func dialError(err error) error { return &net.OpError{Op: "dial", Net: "tcp", Err: err} }
 
-// dial connects a host to an address. A frozen peer accepts, as its kernel would.
-func (n *network) dial(ctx context.Context, from *host, addr string) (net.Conn, error) {
+// Dial connects a host to an address. A frozen peer accepts, as its kernel would.
+func (n *Network) Dial(ctx context.Context, from *Host, addr string) (net.Conn, error) {
 	n.mu.Lock()
 	l := n.listeners[addr]
 	n.mu.Unlock()
-	if l == nil || from.ctx.Err() != nil {
+	if l == nil || from.Ctx.Err() != nil {
 		return nil, dialError(errRefused)
 	}
 	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
 	defer cancel()
 	blocked := func() bool {
-		return n.cuts[[2]string{from.name, l.host.name}] || n.cuts[[2]string{l.host.name, from.name}]
+		return n.cuts[[2]string{from.Name, l.host.Name}] || n.cuts[[2]string{l.host.Name, from.Name}]
 	}
 	if !n.hold(blocked, ctx.Done()) {
 		return nil, dialError(os.ErrDeadlineExceeded)
@@ -170,8 +178,8 @@
 
 // link is one connection: two pipes with a pump per direction between them.
 type link struct {
-	net      *network
-	from, to *host
+	net      *Network
+	from, to *Host
 	ends     [2]net.Conn
 	once     sync.Once
 	done     chan struct{}
@@ -194,7 +202,7 @@
 }
 
 // pump moves data in one direction, delays it and holds it while the direction is blocked.
-func (k *link) pump(in, out net.Conn, from, to *host) {
+func (k *link) pump(in, out net.Conn, from, to *Host) {
 	queue := make(chan packet, linkBuffer)
 	go func() {
 		defer close(queue)
@@ -214,7 +222,7 @@
 		}
 	}()
 	blocked := func() bool {
-		return k.net.frozen[from] || k.net.frozen[to] || k.net.cuts[[2]string{from.name, to.name}]
+		return k.net.frozen[from] || k.net.frozen[to] || k.net.cuts[[2]string{from.Name, to.Name}]
 	}
 	for p := range queue {
 		time.Sleep(time.Until(p.due))
@@ -235,15 +243,16 @@
 }
 
 type listener struct {
-	net    *network
-	host   *host
+	net    *Network
+	host   *Host
 	addr   string
 	conns  chan net.Conn
 	once   sync.Once
 	closed chan struct{}
 }
 
-func (n *network) listen(h *host, addr string) *listener {
+// Listen accepts connections for a host.
+func (n *Network) Listen(h *Host, addr string) net.Listener {
 	l := &listener{net: n, host: h, addr: addr, conns: make(chan net.Conn), closed: make(chan struct{})}
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/test/path/drain_test.go
+++ b/test/path/drain_test.go
@@ -91,7 +91,7 @@
 
 // drainForOrder drains an engine and applies an order, as the executor of orders does.
 func (w *world) drainForOrder(p *workerProc, begun func()) {
-	ctx, cancel := context.WithTimeout(p.host.ctx, drainTimeout)
+	ctx, cancel := context.WithTimeout(p.host.Ctx, drainTimeout)
 	defer cancel()
 	_ = p.sc.BeginDrain(ctx)
 	w.noteDrain(p, time.Now())
@@ -99,7 +99,7 @@
 	w.sendLate(p)
 	defer p.sc.EndDrain()
 	defer w.endDrain(p)
-	if p.sc.Wait(ctx) == nil && w.net.awake(ctx, p.host) == nil {
+	if p.sc.Wait(ctx) == nil && w.net.Awake(ctx, p.host) == nil {
 		_ = p.engine.Apply(ctx, external.EngineOrder{Fence: 1, Number: uint64(p.slot + 1), Config: initial})
 	}
 }
@@ -112,9 +112,9 @@
 	w.publish(in)
 	w.noteDrain(p, time.Now().Add(leavingBound))
 	begun()
-	for left := false; !left && p.host.ctx.Err() == nil; {
-		pause.For(p.host.ctx, leavingPoll)
-		s, err := w.list.Instances(p.host.ctx, 0)
+	for left := false; !left && p.host.Ctx.Err() == nil; {
+		pause.For(p.host.Ctx, leavingPoll)
+		s, err := w.list.Instances(p.host.Ctx, 0)
 		left = err == nil && slices.ContainsFunc(s.Instances, func(in external.Instance) bool {
 			return in.ID == p.inst.ID && in.State == external.InstanceLeaving
 		})
@@ -133,18 +133,18 @@
 		Repeatable: true, Request: &v1.ExecuteRequest_Model{Model: &v1.ModelRequest{Model: model, Prompt: "late", PromptTokens: 1, MaxTokens: 1}},
 	}
 	w.noteAccepted(p, r)
-	p.done.Go(func() { _ = p.sc.Execute(p.host.ctx, r, discard{}) })
+	p.done.Go(func() { _ = p.sc.Execute(p.host.Ctx, r, discard{}) })
 }
 
 // stopSidecar is the rest of a sidecar's graceful shutdown. Another process takes its slot later.
 func (w *world) stopSidecar(p *workerProc) {
 	defer w.endDrain(p)
-	pause.For(p.host.ctx, max(lameDuck, leavingBound+time.Second))
-	ctx, cancel := context.WithTimeout(p.host.ctx, drainTimeout)
+	pause.For(p.host.Ctx, max(lameDuck, leavingBound+time.Second))
+	ctx, cancel := context.WithTimeout(p.host.Ctx, drainTimeout)
 	defer cancel()
 	_ = p.sc.Wait(ctx)
 	_ = p.servers[0].Shutdown(ctx)
-	if p.host.ctx.Err() == nil {
+	if p.host.Ctx.Err() == nil {
 		p.kill()
 		w.startWorker(p.slot)
 	}
@@ -154,12 +154,12 @@
 func (w *world) stopEntry(p *entryProc) {
 	p.caller.SetKeepAlivesEnabled(false)
 	w.setBalanced(p, false)
-	pause.For(p.host.ctx, lameDuck)
-	ctx, cancel := context.WithTimeout(p.host.ctx, drainTimeout)
+	pause.For(p.host.Ctx, lameDuck)
+	ctx, cancel := context.WithTimeout(p.host.Ctx, drainTimeout)
 	defer cancel()
 	_ = p.caller.Shutdown(ctx)
 	_ = p.commit.Close(ctx)
-	if p.host.ctx.Err() == nil {
+	if p.host.Ctx.Err() == nil {
 		p.kill()
 		w.startEntry(0)
 	}
--- a/test/path/faults_test.go
+++ b/test/path/faults_test.go
@@ -83,15 +83,15 @@
 		if on == hitsEntry {
 			h = en.host
 		}
-		w.net.freeze(h, true)
-		w.later(pauseTime, func() { w.net.freeze(h, false) })
+		w.net.Freeze(h, true)
+		w.later(pauseTime, func() { w.net.Freeze(h, false) })
 	case cutTo, cutFrom:
 		from, to := en.inst.ID, wk.inst.ID
 		if fault == cutFrom {
 			from, to = to, from
 		}
-		w.net.cut(from, to, true)
-		w.later(cutTime, func() { w.net.cut(from, to, false) })
+		w.net.Cut(from, to, true)
+		w.later(cutTime, func() { w.net.Cut(from, to, false) })
 	case kvDown:
 		w.store.Faults().Set(kv.FaultState{Down: true})
 		w.later(outageTime, func() { w.store.Faults().Set(kv.FaultState{}) })
@@ -136,7 +136,7 @@
 			next, requests := w.workers[p.slot], w.delivered[p.slot]
 			w.mu.Unlock()
 			for _, r := range requests {
-				_ = next.sc.Execute(next.host.ctx, r, discard{})
+				_ = next.sc.Execute(next.host.Ctx, r, discard{})
 			}
 		})
 	}
--- a/test/path/hosts_test.go
+++ b/test/path/hosts_test.go
@@ -29,14 +29,14 @@
 // call runs one call that the process makes.
 func call[T any](ctx context.Context, p *process, f func(ctx context.Context) (T, error)) (T, error) {
 	var zero T
-	if err := p.w.net.awake(ctx, p.host); err != nil {
+	if err := p.w.net.Awake(ctx, p.host); err != nil {
 		return zero, external.ErrUnavailable
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	defer context.AfterFunc(p.host.ctx, cancel)() //nolint:contextcheck // the process, not its caller, decides
+	defer context.AfterFunc(p.host.Ctx, cancel)() //nolint:contextcheck // the process, not its caller, decides
 	v, err := f(ctx)
-	if !p.w.net.stand(p.host) {
+	if !p.w.net.Stand(p.host) {
 		return zero, external.ErrOutcomeUnknown
 	}
 	return v, err
@@ -84,11 +84,11 @@
 	if r.KVHandle != "" {
 		e.p.w.hook(event{step: "decode", worker: e.p, request: r.RequestID})
 	}
-	if err := e.p.w.net.awake(ctx, e.p.host); err != nil {
+	if err := e.p.w.net.Awake(ctx, e.p.host); err != nil {
 		return nil, fmt.Errorf("%w: %w", external.ErrEngineFailed, err)
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	stop := context.AfterFunc(e.p.host.ctx, cancel) //nolint:contextcheck // the process, not its caller, decides
+	stop := context.AfterFunc(e.p.host.Ctx, cancel) //nolint:contextcheck // the process, not its caller, decides
 	s, err := e.Engine.Generate(ctx, r)
 	if err != nil {
 		stop()
@@ -100,7 +100,7 @@
 
 func (e *hostEngine) ImportKV(ctx context.Context, data []byte) (string, error) {
 	e.p.w.hook(event{step: "import", worker: e.p})
-	if err := e.p.w.net.awake(ctx, e.p.host); err != nil {
+	if err := e.p.w.net.Awake(ctx, e.p.host); err != nil {
 		return "", err
 	}
 	return e.Engine.ImportKV(ctx, data)
@@ -114,7 +114,7 @@
 
 func (s *hostStream) Next() (external.TokenChunk, error) {
 	c, err := s.TokenStream.Next()
-	if !s.p.w.net.stand(s.p.host) {
+	if !s.p.w.net.Stand(s.p.host) {
 		return external.TokenChunk{}, external.ErrEngineFailed
 	}
 	return c, err
@@ -160,7 +160,7 @@
 	}
 	if s.p.mode.duplicateRequest.Load() {
 		// The first copy runs, the second one is answered.
-		s.p.done.Go(func() { _ = s.p.sc.Execute(s.p.host.ctx, proto.CloneOf(r.Msg), discard{}) })
+		s.p.done.Go(func() { _ = s.p.sc.Execute(s.p.host.Ctx, proto.CloneOf(r.Msg), discard{}) })
 		time.Sleep(time.Millisecond)
 	}
 	return s.p.sc.Execute(ctx, r.Msg, &sender{out: out, p: s.p})
@@ -169,7 +169,7 @@
 func (s *worker) Prefill(ctx context.Context, r *connect.Request[v1.PrefillRequest], out *connect.ServerStream[v1.PrefillChunk]) error {
 	s.p.w.hook(event{step: "fetch", worker: s.p, request: r.Msg.GetAttempt().GetRequestId()})
 	if s.p.mode.duplicateRequest.Load() {
-		s.p.done.Go(func() { _ = s.p.sc.Prefill(s.p.host.ctx, proto.CloneOf(r.Msg.GetAttempt()), discardChunks{}) })
+		s.p.done.Go(func() { _ = s.p.sc.Prefill(s.p.host.Ctx, proto.CloneOf(r.Msg.GetAttempt()), discardChunks{}) })
 		time.Sleep(time.Millisecond)
 	}
 	if s.p.mode.loseAnswers.Load() {
--- a/test/path/world_test.go
+++ b/test/path/world_test.go
@@ -1,3 +1,5 @@
+// Package path proves the request path under faults in virtual time: entries, sidecars, standin
+// engines and backend servers run in one synctest bubble, connected by a network in memory.
 package path
 
 import (
@@ -13,6 +15,8 @@
 	"testing"
 	"time"
 
+	"github.com/quetzallug/quetzallug/internal/memnet"
+
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
@@ -80,7 +84,7 @@
 // world is one deployment.
 type world struct {
 	t     *testing.T
-	net   *network
+	net   *memnet.Network
 	store *kv.Store
 	list  *instances.List
 	log   logrus.FieldLogger
@@ -127,7 +131,7 @@
 // process is what entries and sidecars have in common.
 type process struct {
 	w       *world
-	host    *host
+	host    *memnet.Host
 	inst    external.Instance
 	inc     string
 	docs    *dissemination.Store
@@ -164,14 +168,14 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	w := &world{
-		t: t, net: newNetwork(), store: kv.NewStore(kv.Limits{}), list: instances.New(200 * time.Millisecond),
+		t: t, net: memnet.New(), store: kv.NewStore(kv.Limits{}), list: instances.New(200 * time.Millisecond),
 		log: log, onStep: func(event) {}, accepted: map[string]arrival{}, accepts: map[uint64][]int{}, delivered: map[int][]*v1.ExecuteRequest{}, unbound: map[string]bool{}, insts: map[string]external.Instance{},
 	}
-	callerHost := &host{name: "caller", ctx: context.Background()}
+	callerHost := &memnet.Host{Name: "caller", Ctx: context.Background()}
 	w.caller = &http.Client{Timeout: callerTimeout, Transport: &http.Transport{
 		DisableKeepAlives: true,
 		DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) {
-			return w.net.dial(ctx, callerHost, addr)
+			return w.net.Dial(ctx, callerHost, addr)
 		},
 	}}
 	for s := range documents {
@@ -208,7 +212,7 @@
 // stop ends all processes, so that the bubble has no goroutines left.
 func (w *world) stop() {
 	w.store.Faults().Set(kv.FaultState{})
-	w.net.change(func() { w.net.frozen, w.net.cuts = map[*host]bool{}, map[[2]string]bool{} })
+	w.net.Heal()
 	for _, p := range w.all {
 		p.kill()
 	}
@@ -228,14 +232,14 @@
 	w.starts++
 	n := w.starts
 	w.mu.Unlock()
-	h := &host{name: id}
-	h.ctx, h.cancel = context.WithCancel(context.Background())
+	h := &memnet.Host{Name: id}
+	h.Ctx, h.Cancel = context.WithCancel(context.Background())
 	p := &process{
 		w: w, host: h, inc: fmt.Sprintf("%04d", n), docs: dissemination.NewStore(),
 		inst: external.Instance{ID: id, Role: role, Service: service, DataCentre: dataCentre, Address: addr, State: external.InstanceLive},
 	}
 	p.clients = rpc.NewClients(rpc.ClientConfig{Dial: func(ctx context.Context, _, addr string) (net.Conn, error) {
-		return w.net.dial(ctx, h, addr)
+		return w.net.Dial(ctx, h, addr)
 	}})
 	p.agent = dissemination.NewAgent(dissemination.Config{
 		Self: p.inst, Store: p.docs, KV: p.kv(), Seed: uint64(n),
@@ -251,7 +255,7 @@
 	return p
 }
 
-func (p *process) background(f func(context.Context)) { p.done.Go(func() { f(p.host.ctx) }) }
+func (p *process) background(f func(context.Context)) { p.done.Go(func() { f(p.host.Ctx) }) }
 
 func (p *process) documents() *entry.DocumentsInForce {
 	return &entry.DocumentsInForce{Store: p.docs, Agent: p.agent}
@@ -279,13 +283,13 @@
 }
 
 func (p *process) serve(srv *http.Server, addr string) {
-	l := p.w.net.listen(p.host, addr)
+	l := p.w.net.Listen(p.host, addr)
 	p.servers = append(p.servers, srv)
 	p.done.Go(func() { _ = srv.Serve(l) })
 }
 
 func (p *process) kill() {
-	p.w.net.kill(p.host)
+	p.w.net.Kill(p.host)
 	for _, s := range p.servers {
 		_ = s.Close()
 	}
@@ -402,9 +406,9 @@
 	self := e.worker
 	switch {
 	case e.entry != nil:
-		w.net.stand(e.entry.host)
+		w.net.Stand(e.entry.host)
 	case self != nil:
-		w.net.stand(self.host)
+		w.net.Stand(self.host)
 	}
 }
 
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -79,7 +79,7 @@
 
 // Pool keeps connections to backend servers. It is safe for concurrent use.
 type Pool struct {
-	dialer net.Dialer
+	dial Dial
 
 	mu   sync.Mutex
 	idle map[string][]*conn
@@ -97,20 +97,24 @@
 	writing chan error
 }
 
+// Dial opens a connection.
+type Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+
 // NewPool returns an empty pool.
 func NewPool() *Pool {
-	return &Pool{
-		dialer: net.Dialer{
-			Timeout: dialTimeout,
-			KeepAliveConfig: net.KeepAliveConfig{
-				Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveProbes,
-			},
-			Control: setUserTimeout,
+	dialer := &net.Dialer{
+		Timeout: dialTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveProbes,
 		},
-		idle: make(map[string][]*conn),
+		Control: setUserTimeout,
 	}
+	return NewPoolWithDial(dialer.DialContext)
 }
 
+// NewPoolWithDial returns an empty pool whose connections are opened by dial.
+func NewPoolWithDial(dial Dial) *Pool { return &Pool{dial: dial, idle: make(map[string][]*conn)} }
+
 // Opened returns the number of connections made so far.
 func (p *Pool) Opened() int64 {
 	p.mu.Lock()
@@ -203,7 +207,7 @@
 	if c := p.take(addr, time.Now()); c != nil {
 		return c, nil
 	}
-	nc, err := p.dialer.DialContext(ctx, "tcp", addr)
+	nc, err := p.dial(ctx, "tcp", addr)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
