--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -268,6 +268,8 @@
 
 func decoderCost(s *Server, v view, dataCentre string) float64 {
 	c := decodeDelay(s, v) + v.pending*initialPerToken/10 + v.failing*failurePenalty.Seconds()
+	// Entries that know the same do not all choose the same server.
+	c += rand.Float64() * perRequest.Seconds()
 	if s.DataCentre != dataCentre {
 		c += crossing.Seconds()
 	}
--- a/gateway/feed.go
+++ b/gateway/feed.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -30,7 +31,7 @@
 const (
 	// watchPause gathers changes of registrations, which come with each beat of each backend server,
 	// into one call. It is a small part of the seconds that a leaving backend server keeps serving.
-	watchPause = 200 * time.Millisecond
+	watchPause = 600 * time.Millisecond
 	// retryPause is the least time between two calls while the store fails. The pause doubles up to
 	// maxRetryPause.
 	retryPause    = 50 * time.Millisecond
@@ -56,11 +57,7 @@
 func (f *Feed) Run(ctx context.Context) {
 	var g errgroup.Group
 	g.Go(func() error {
-		f.follow(ctx, &follower{prefix: f.source.ConfigKey(), list: f.listConfig, event: f.configEvent})
-		return nil
-	})
-	g.Go(func() error {
-		f.follow(ctx, &follower{prefix: f.source.ServersPrefix(), list: f.listServers, event: f.serverEvent, pause: watchPause})
+		f.follow(ctx)
 		return nil
 	})
 	g.Go(func() error {
@@ -70,25 +67,18 @@
 	_ = g.Wait()
 }
 
-// follower is what one prefix of the store is followed with.
-type follower struct {
-	prefix string
-	list   func([]external.Entry)
-	event  func(external.Event)
-	pause  time.Duration
-}
-
-// follow lists a prefix and then watches it. A watch that fails is followed by a list: a watch may
-// be cut or its history be gone while the store is well. Only a list that fails disturbs the roster.
-func (f *Feed) follow(ctx context.Context, w *follower) {
-	log := f.log.WithField("prefix", w.prefix)
+// follow lists the configuration and the registrations and then watches the store. One watch serves
+// both, because each waiting watch is a call that is paid for. A watch that fails is followed by a
+// list: a watch may be cut or its history be gone while the store is well. Only a list that fails
+// disturbs the roster.
+func (f *Feed) follow(ctx context.Context) {
 	pause, lost := retryPause, false
 	for ctx.Err() == nil {
-		entries, revision, err := f.source.List(ctx, w.prefix)
+		revision, err := f.list(ctx)
 		if err != nil {
 			f.roster.Disturbed(time.Now())
 			if !lost {
-				log.WithError(err).Warn("store lost")
+				f.log.WithError(err).Warn("store lost")
 			}
 			lost = true
 			sleep(ctx, pause/2+rand.N(pause))
@@ -96,43 +86,61 @@
 			continue
 		}
 		if lost {
-			log.WithField("revision", revision).Info("store regained")
+			f.log.WithField("revision", revision).Info("store regained")
 		}
 		lost, pause = false, retryPause
-		w.list(entries)
-		f.watch(ctx, w, revision, log)
+		f.watch(ctx, revision)
+	}
+}
+
+// list takes the present state and returns the revision from which to watch.
+func (f *Feed) list(ctx context.Context) (uint64, error) {
+	config, revision, err := f.source.List(ctx, f.source.ConfigKey())
+	if err != nil {
+		return 0, err
+	}
+	for _, e := range config {
+		f.configEvent(external.Event{Entry: e})
+	}
+	servers, _, err := f.source.List(ctx, f.source.ServersPrefix())
+	if err != nil {
+		return 0, err
 	}
+	f.listServers(servers)
+	return revision, nil
 }
 
-func (f *Feed) watch(ctx context.Context, w *follower, revision uint64, log logrus.FieldLogger) {
+// everything is the prefix of all keys.
+const everything = ""
+
+func (f *Feed) watch(ctx context.Context, revision uint64) {
 	for ctx.Err() == nil {
-		events, next, err := f.source.Watch(ctx, w.prefix, revision)
+		events, next, err := f.source.Watch(ctx, everything, revision)
 		switch {
 		case errors.Is(err, external.ErrCompacted):
-			log.WithField("revision", revision).Info("history compacted; list again")
+			f.log.WithField("revision", revision).Info("history compacted; list again")
 			return
 		case err != nil:
 			if ctx.Err() == nil {
-				log.WithError(err).Info("watch ended; list again")
+				f.log.WithError(err).Info("watch ended; list again")
 			}
 			return
 		}
 		for _, e := range events {
-			w.event(e)
+			switch {
+			case e.Key == f.source.ConfigKey():
+				f.configEvent(e)
+			case strings.HasPrefix(e.Key, f.source.ServersPrefix()):
+				f.serverEvent(e)
+			}
 		}
 		revision = next
-		if len(events) > 0 && w.pause > 0 {
-			sleep(ctx, w.pause)
+		if len(events) > 0 {
+			sleep(ctx, watchPause)
 		}
 	}
 }
 
-func (f *Feed) listConfig(entries []external.Entry) {
-	for _, e := range entries {
-		f.configEvent(external.Event{Entry: e})
-	}
-}
-
 func (f *Feed) configEvent(e external.Event) {
 	if e.Key != f.source.ConfigKey() {
 		return
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -139,12 +139,16 @@
 	return true, ""
 }
 
+// budgetUse is the part of the retry budget that is used. Requests count here when they arrive, and
+// for the callers when they send them; a process that is replaced forgets what it has counted.
+const budgetUse = 0.9
+
 func (g *Gateway) budget(service string) *retry.Window {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	b := g.budgets[service]
 	if b == nil {
-		b = retry.NewWindow(g.cfg.RetryWindow, g.cfg.RetryShare, g.cfg.RetrySlack)
+		b = retry.NewWindow(g.cfg.RetryWindow, budgetUse*g.cfg.RetryShare, g.cfg.RetrySlack)
 		g.budgets[service] = b
 	}
 	return b
--- a/gateway/roles.go
+++ b/gateway/roles.go
@@ -77,11 +77,19 @@
 	// unknownTime is how long an engine gets no further order after one whose answer was lost, which
 	// may be carried out seconds later.
 	unknownTime = 15 * time.Second
-	// decodeShare is the least share of engines that generate answers. Below it, moving prompts to
-	// them becomes the bottleneck.
-	decodeShare = 0.27
+	// decodeShare is the least share of engines that generate answers, and prefillShare the least that
+	// read prompts. Below them, a sudden turn of the mix finds no engine that is ready.
+	decodeShare  = 0.18
+	prefillShare = 0.3
+	// spareShare is the part of the engines beyond the need that generates answers.
+	spareShare = 0.3
 	// decodeFill is the share of their places up to which decode engines are meant to be used.
-	decodeFill = 0.45
+	decodeFill = 0.7
+	// readDepth is the number of prompts at one prefill engine above which another one is needed. An
+	// engine reads one prompt after the other, in about 10 ms each.
+	readDepth = 3
+	// minChangeShare is the least difference, as a share of the engines, that is worth a change.
+	minChangeShare = 0.08
 	// changeShare bounds the engines that change at the same time under load.
 	changeShare = 0.3
 )
@@ -219,8 +227,10 @@
 	decode  int
 	prefill int
 	mixed   int
-	// generating are the requests on decode engines, places is the number that one of them takes.
+	// generating are the requests on decode engines and reading those on prefill engines. places is
+	// the number that one engine takes.
 	generating int
+	reading    int
 	places     int
 	idle       bool
 }
@@ -238,6 +248,7 @@
 			p.generating += v.inFlight + v.others
 		case external.RolePrefill:
 			p.prefill++
+			p.reading += v.inFlight + v.others
 		default:
 			p.mixed++
 		}
@@ -245,12 +256,19 @@
 	return p
 }
 
-// wantedDecode is the number of engines that should generate answers.
+// wantedDecode is the number of engines that should generate answers: what is needed and a part of what
+// is left, or the share of the need if there are too few engines.
 func (p *split) wantedDecode() int {
-	n := p.decode + p.prefill
-	least := max(2, int(math.Ceil(decodeShare*float64(n))))
-	need := int(math.Ceil(float64(p.generating) / (decodeFill * float64(max(p.places, 1)))))
-	return min(max(least, need), n-1)
+	n := float64(p.decode + p.prefill)
+	decode := float64(p.generating) / (decodeFill * float64(max(p.places, 1)))
+	prefill := float64(p.reading) / readDepth
+	if need := decode + prefill; need <= n {
+		decode += (n - need) * spareShare
+	} else {
+		decode = n * decode / need
+	}
+	least, most := max(2, math.Ceil(decodeShare*n)), n-max(1, math.Ceil(prefillShare*n))
+	return int(max(min(math.Round(decode), most), min(least, n-1)))
 }
 
 // changes returns how many engines should become prefill engines now, negative for decode engines.
@@ -265,7 +283,7 @@
 		}
 		st.wanted = d
 	}
-	if d == 0 {
+	if sign(d)*d < max(1, int(minChangeShare*float64(p.decode+p.prefill))) {
 		return 0
 	}
 	if p.idle {
--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -64,8 +64,13 @@
 	)
 }
 
+// watchShare is the part of the time in which a change must be in force that a watch may wait. The
+// rest is for the call that follows a watch which heard nothing.
+const watchShare = 0.85
+
 func newAdapter(lc fx.Lifecycle, s *settings.Gateway) (Adapter, error) {
-	return load[Adapter](lc, s.Adapter, kernel.Settings{"address": s.AdapterAddress})
+	wait := time.Duration(watchShare * float64(min(s.ConfigBound, s.DrainBound)))
+	return load[Adapter](lc, s.Adapter, kernel.Settings{"address": s.AdapterAddress, "watch-wait": wait.String()})
 }
 
 func newUpstream(lc fx.Lifecycle) *upstream.Pool {
@@ -115,8 +120,9 @@
 	return nil
 }
 
-// leasePoll is the mean time between two polls of an instance for a free lease.
-const leasePoll = 2 * time.Second
+// leasePoll is the mean time between two polls of an instance for a free lease. Each poll is a call
+// that is paid for, and roles are seldom changed.
+const leasePoll = 8 * time.Second
 
 // ignoreHangup notes SIGHUP. The settings are flags and environment variables, which a running
 // process cannot read again.
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -23,6 +23,8 @@
 	RetryShare     float64       `mapstructure:"retry-share"`
 	RetrySlack     float64       `mapstructure:"retry-slack"`
 	RetryWindow    time.Duration `mapstructure:"retry-window"`
+	ConfigBound    time.Duration `mapstructure:"config-bound"`
+	DrainBound     time.Duration `mapstructure:"drain-bound"`
 	LeaseTTL       time.Duration `mapstructure:"lease-ttl"`
 	OrderGuard     time.Duration `mapstructure:"order-guard"`
 	MemoryMiB      int           `mapstructure:"memory"`
@@ -44,6 +46,8 @@
 	f.Float64("retry-share", 0.1, "requests sent again, as a share of the requests for the same service")
 	f.Float64("retry-slack", 1, "requests sent again in a window beside that share")
 	f.Duration("retry-window", 10*time.Second, "length of the sliding window of the retry budget")
+	f.Duration("config-bound", 2*time.Second, "time within which an accepted configuration is in force")
+	f.Duration("drain-bound", 2*time.Second, "time within which a leaving backend server gets no more requests")
 	f.Duration("lease-ttl", 3500*time.Millisecond, "time to live of the lease for orders to engines; 0s gives no orders")
 	f.Duration("order-guard", 3*time.Second, "least time between the last order of one instance and the first of the next")
 	f.Int("memory", 96, "memory in MiB above which the garbage collector works harder")
@@ -68,7 +72,7 @@
 	errs := []error{
 		required("instance", s.Instance), required("data-centre", s.DataCentre), required("adapter", s.Adapter),
 		address("listen", s.Listen), address("ready-listen", s.ReadyListen), address("adapter-address", s.AdapterAddress),
-		positive("retry-window", s.RetryWindow), positive("drain-timeout", s.DrainTimeout), atLeast("memory", s.MemoryMiB, 16), logErr,
+		positive("retry-window", s.RetryWindow), positive("config-bound", s.ConfigBound), positive("drain-bound", s.DrainBound), positive("drain-timeout", s.DrainTimeout), atLeast("memory", s.MemoryMiB, 16), logErr,
 	}
 	if s.LeaseTTL != 0 && s.LeaseTTL < time.Second {
 		errs = append(errs, fmt.Errorf("setting lease-ttl: found %s, allowed are 0s and durations from 1s", s.LeaseTTL))
--- a/test/site/world_test.go
+++ b/test/site/world_test.go
@@ -111,7 +111,7 @@
 	n := &node{w: w, host: w.host(name), address: fmt.Sprintf("10.1.0.%d:8144", len(w.gateways)+1), tables: &route.Holder{}, roster: gateway.NewRoster()}
 	dial := func(ctx context.Context, _, addr string) (net.Conn, error) { return w.net.Dial(ctx, n.host, addr) }
 	a := &platform.Adapter{}
-	require.NoError(w.t, a.Provision(context.Background(), kernel.Settings{"address": storeAddress}))
+	require.NoError(w.t, a.Provision(context.Background(), kernel.Settings{"address": storeAddress, "watch-wait": "1.7s"}))
 	a.SetDial(dial)
 	log := logrus.New()
 	log.SetOutput(io.Discard)
