Change roles for turns of the mix that last, not for bursts

Cause: alternating bursts of 2.8 s are shorter than a role change (3 s), and each burst moved 8 to 13 of 44 engines back and forth. The load is averaged over 2 s, a change in the other direction waits 14 s, and differences below a tenth of the engines are left.

--- a/gateway/roles.go
+++ b/gateway/roles.go
@@ -68,7 +68,7 @@
 	persistTime = time.Second
 	// dwellTime is how long the split stays as it is after a change in the other direction. A role
 	// change takes an engine away for seconds.
-	dwellTime = 8 * time.Second
+	dwellTime = 14 * time.Second
 	// showTime is how long after a change the engine's new role may take to show in the list.
 	showTime = 5 * time.Second
 	// orderTimeout bounds one call to an engine. It is below the time for which the authority of a
@@ -79,7 +79,7 @@
 	unknownTime = 15 * time.Second
 	// decodeShare is the least share of engines that generate answers, and prefillShare the least that
 	// read prompts. Below them, a sudden turn of the mix finds no engine that is ready.
-	decodeShare  = 0.18
+	decodeShare  = 0.25
 	prefillShare = 0.3
 	// spareShare is the part of the engines beyond the need that generates answers.
 	spareShare = 0.3
@@ -88,10 +88,12 @@
 	// readDepth is the number of prompts at one prefill engine above which another one is needed. An
 	// engine reads one prompt after the other, in about 10 ms each.
 	readDepth = 3
+	// smoothing is the weight of one look in the average load: it remembers about two seconds.
+	smoothing = 0.25
 	// minChangeShare is the least difference, as a share of the engines, that is worth a change.
-	minChangeShare = 0.08
+	minChangeShare = 0.1
 	// changeShare bounds the engines that change at the same time under load.
-	changeShare = 0.3
+	changeShare = 0.2
 )
 
 // Roles plans the roles of engines and gives orders while it holds the authority.
@@ -118,6 +120,8 @@
 	wantedAt  time.Time
 	direction int
 	changedAt time.Time
+	// generating and reading are moving averages of the same fields of split.
+	generating, reading float64
 	// ordered holds the last order to each engine.
 	ordered map[*live]ordered
 }
@@ -187,6 +191,7 @@
 		return
 	}
 	split := newSplit(servers, st, now)
+	st.smooth(split)
 	changes := st.changes(split, now)
 	if changes == 0 {
 		return
@@ -229,8 +234,8 @@
 	mixed   int
 	// generating are the requests on decode engines and reading those on prefill engines. places is
 	// the number that one engine takes.
-	generating int
-	reading    int
+	generating float64
+	reading    float64
 	places     int
 	idle       bool
 }
@@ -245,10 +250,10 @@
 		switch st.role(s, now) {
 		case external.RoleDecode:
 			p.decode++
-			p.generating += v.inFlight + v.others
+			p.generating += float64(v.inFlight + v.others)
 		case external.RolePrefill:
 			p.prefill++
-			p.reading += v.inFlight + v.others
+			p.reading += float64(v.inFlight + v.others)
 		default:
 			p.mixed++
 		}
@@ -260,8 +265,8 @@
 // is left, or the share of the need if there are too few engines.
 func (p *split) wantedDecode() int {
 	n := float64(p.decode + p.prefill)
-	decode := float64(p.generating) / (decodeFill * float64(max(p.places, 1)))
-	prefill := float64(p.reading) / readDepth
+	decode := p.generating / (decodeFill * float64(max(p.places, 1)))
+	prefill := p.reading / readDepth
 	if need := decode + prefill; need <= n {
 		decode += (n - need) * spareShare
 	} else {
@@ -271,6 +276,14 @@
 	return int(max(min(math.Round(decode), most), min(least, n-1)))
 }
 
+// smooth replaces the load of a look by its moving average: bursts that are shorter than a role change
+// are no reason for one.
+func (st *roleState) smooth(p *split) {
+	st.generating += smoothing * (p.generating - st.generating)
+	st.reading += smoothing * (p.reading - st.reading)
+	p.generating, p.reading = st.generating, st.reading
+}
+
 // changes returns how many engines should become prefill engines now, negative for decode engines.
 func (st *roleState) changes(p *split, now time.Time) int {
 	if p.decode+p.prefill < 3 || p.mixed > 0 {
