Refuse long prompts that would begin after their target, instead of after twice the target

Cause: in a flood, half of the answers came late although the same number was served: engines read one prompt after the other, and a queue of twice the target makes all of them late.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -256,7 +256,7 @@
 
 // lateFactor is the expected time to the first event, as a multiple of the target, above which a
 // request is refused.
-const lateFactor = 2.0
+const lateFactor = 1.0
 
 func (q *request) limit() time.Duration {
 	return time.Duration(lateFactor * float64(q.route.Target))
