--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -180,7 +181,7 @@
 			return
 		}
 		if q.sends == 0 && q.tooLate(&c, now) {
-			q.refuse("overload", q.comeBack(&c))
+			q.refuse("overload", q.comeBack(now))
 			return
 		}
 		if !q.pay(&c, now) {
@@ -262,9 +263,12 @@
 	return time.Duration(lateFactor * float64(q.route.Target))
 }
 
-// comeBack is when the expected queue has shrunk to half of the target.
-func (q *request) comeBack(c *choice) time.Duration {
-	return min(max(c.first-q.route.Target/2, minRetryAfter), maxRetryAfter)
+// comeBack is when a refused caller should return: late in the time that it has left, since a flood
+// outlasts a short pause, but early enough for another try after that. Callers are spread, so that they
+// do not return together.
+func (q *request) comeBack(now time.Time) time.Duration {
+	left := q.deadline.Sub(now) / 3
+	return min(max(left*3/5+rand.N(left*2/5+1), minRetryAfter), maxRetryAfter)
 }
 
 // attempt sends the request to the chosen backend servers.
