--- a/internal/testcluster/forwarder.go
+++ b/internal/testcluster/forwarder.go
@@ -81,6 +81,18 @@
 	f.passed.Broadcast()
 }
 
+// Reset breaks off all present connections with a reset. New ones are accepted.
+func (f *Forwarder) Reset() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for c := range f.conns {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		_ = c.Close()
+	}
+}
+
 // Close ends all connections.
 func (f *Forwarder) Close() {
 	_ = f.listener.Close()
--- a/internal/testcluster/process.go
+++ b/internal/testcluster/process.go
@@ -28,6 +28,15 @@
 	done chan error
 }
 
+// NewProcess starts a program with its output appended to a log file.
+func NewProcess(name, bin, logPath string, args []string) (*Process, error) {
+	p := &Process{Name: name, LogPath: logPath, bin: bin, args: args}
+	return p, p.start()
+}
+
+// FreeAddress returns a loopback address that no process listens on, a new one at each call.
+func FreeAddress() (string, error) { return freeAddress() }
+
 // start starts the process with its output appended to its log file.
 func (p *Process) start() error {
 	log, err := os.OpenFile(p.LogPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
