--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -274,6 +274,9 @@
 		q.reads++
 		source, res, ok := q.prefill(c)
 		if !ok {
+			if res != finished {
+				q.logAttempt(c, res, now)
+			}
 			return res
 		}
 		q.source, q.reader = source, c.reader
@@ -293,6 +296,9 @@
 	o.readDone()
 	c.server.ended()
 	q.g.metrics.Attempt(q.service, res.String())
+	if res != finished {
+		q.logAttempt(c, res, sentAt)
+	}
 	if res != notRun && res != notSent {
 		if s.Source != "" && !o.accepted {
 			q.release()
@@ -509,6 +515,22 @@
 	q.w.WriteHeader(status)
 }
 
+// logAttempt notes an attempt that did not answer the request. Answers are noted once, by done.
+func (q *request) logAttempt(c *choice, res result, sentAt time.Time) {
+	f := logrus.Fields{
+		"request": q.call.ID, "route": q.route.Name, "service": q.service, "config": q.version, "attempt": q.sends + q.dials + 1,
+		"result": res.String(), "cause": q.cause, "took_ms": time.Since(sentAt).Milliseconds(), "choice": c.reason,
+		"events": q.events, "left_ms": time.Until(q.deadline).Milliseconds(), "budget_left": int(q.g.budget(q.service).Left(time.Now())),
+	}
+	if c.server != nil {
+		f["server"] = c.server.ID
+	}
+	if c.reader != nil {
+		f["reader"] = c.reader.ID
+	}
+	q.g.log.WithFields(f).Info("attempt")
+}
+
 // done counts and logs the end of a request.
 func (q *request) done(outcome, cause string) {
 	elapsed := time.Since(q.started)
--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -26,19 +26,28 @@
 }
 
 func (a *app) explainCommand() *cobra.Command {
-	return &cobra.Command{
+	var logs []string
+	cmd := &cobra.Command{
 		Use:   "explain SUBJECT",
-		Short: "Show the recent decisions about a request or an engine",
+		Short: "Show the decisions about a request or an engine",
 		Long: `explain asks all given entries for their recent routing and placement decisions about a request
 ID or an engine, and lists them in order of time. Entries keep decisions in memory for a short
-time only.`,
+time only.
+
+With --logs it reads the logs of gateways instead, from files or with - from the standard input,
+puts the lines of one request in order of time and says what happened.`,
 		Args: cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
+			if len(logs) > 0 {
+				return a.explainLogs(logs, args[0])
+			}
 			ctx, cancel := a.withTimeout(cmd.Context())
 			defer cancel()
 			return a.explain(ctx, args[0])
 		},
 	}
+	cmd.Flags().StringSliceVar(&logs, "logs", nil, "files with logs of gateways, - for the standard input")
+	return cmd
 }
 
 func (a *app) explain(ctx context.Context, subject string) error {
--- /dev/null
+++ b/internal/cli/explainlogs.go
@@ -0,0 +1,135 @@
+package cli
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strings"
+)
+
+// logLine is what explain needs of one line that a gateway logs about a request.
+type logLine struct {
+	Time       string `json:"time"`
+	Instance   string `json:"instance"`
+	Message    string `json:"msg"`
+	Request    string `json:"request"`
+	Route      string `json:"route"`
+	Service    string `json:"service"`
+	Outcome    string `json:"outcome"`
+	Result     string `json:"result"`
+	Cause      string `json:"cause"`
+	Choice     string `json:"choice"`
+	Server     string `json:"server"`
+	Reader     string `json:"reader"`
+	Config     uint64 `json:"config"`
+	Sends      int    `json:"sends"`
+	Runs       int    `json:"runs"`
+	Events     int    `json:"events"`
+	Unread     int    `json:"unread"`
+	ExpectedMS int64  `json:"expected_ms"`
+	FirstMS    int64  `json:"first_ms"`
+	ElapsedMS  int64  `json:"elapsed_ms"`
+	TookMS     int64  `json:"took_ms"`
+}
+
+// maxLogLine bounds one line of a log.
+const maxLogLine = 1 << 20
+
+func (a *app) explainLogs(files []string, id string) error {
+	var lines []logLine
+	for _, name := range files {
+		found, err := readLog(a.streams.In, name, id)
+		if err != nil {
+			return err
+		}
+		lines = append(lines, found...)
+	}
+	if len(lines) == 0 {
+		return fmt.Errorf("no line about request %q in %s", id, strings.Join(files, ", "))
+	}
+	slices.SortStableFunc(lines, func(x, y logLine) int { return strings.Compare(x.Time, y.Time) })
+	t := &table{header: []string{"TIME", "INSTANCE", "LINE", "RESULT", "CAUSE", "SERVER", "READER", "CHOICE"}}
+	for _, l := range lines {
+		t.add(l.Time, l.Instance, l.Message, l.Outcome+l.Result, l.Cause, l.Server, l.Reader, l.Choice)
+	}
+	if err := a.emit(lines, t); err != nil {
+		return err
+	}
+	if a.output() != "table" {
+		return nil
+	}
+	return a.print("\n" + summarize(lines) + "\n")
+}
+
+// readLog returns the lines about a request. Lines that are no JSON, or carry a prefix before it, are
+// common where several logs are collected.
+func readLog(stdin io.Reader, name, id string) ([]logLine, error) {
+	in := stdin
+	if name != "-" {
+		f, err := os.Open(name)
+		if err != nil {
+			return nil, fmt.Errorf("read log: %w", err)
+		}
+		defer f.Close()
+		in = f
+	}
+	var out []logLine
+	scanner := bufio.NewScanner(in)
+	scanner.Buffer(make([]byte, 0, 64<<10), maxLogLine)
+	for scanner.Scan() {
+		text := scanner.Bytes()
+		start := bytes.IndexByte(text, '{')
+		if start < 0 || !bytes.Contains(text, []byte(id)) {
+			continue
+		}
+		var l logLine
+		if json.Unmarshal(text[start:], &l) == nil && l.Request == id {
+			out = append(out, l)
+		}
+	}
+	if err := scanner.Err(); err != nil {
+		return nil, fmt.Errorf("read log %q: %w", name, err)
+	}
+	return out, nil
+}
+
+// summarize says in one paragraph what happened to a request.
+func summarize(lines []logLine) string {
+	var b strings.Builder
+	for _, l := range lines {
+		if l.Message == "attempt" {
+			fmt.Fprintf(&b, "An attempt at %s of service %s ended after %d ms as %s (%s). ", orNone(l.Server), l.Service, l.TookMS, l.Result, orNone(l.Cause))
+		}
+	}
+	end := slices.IndexFunc(lines, func(l logLine) bool { return l.Message == "request" })
+	if end < 0 {
+		b.WriteString("The request has no last line: its process ended, or the line was left out.")
+		return b.String()
+	}
+	l := lines[end]
+	switch l.Outcome {
+	case "answered":
+		fmt.Fprintf(&b, "%s answered by %s: the first part after %d ms (expected %d ms), the whole after %d ms.", l.Request, orNone(l.Server), l.FirstMS, l.ExpectedMS, l.ElapsedMS)
+	case "refused":
+		fmt.Fprintf(&b, "%s refused after %d ms because of %s: it did not run. ", l.Request, l.ElapsedMS, orNone(l.Cause))
+		if l.Cause == "overload" {
+			fmt.Fprintf(&b, "Its first part was expected after %d ms, with %d prompt tokens to read at %s.", l.ExpectedMS, l.Unread, orNone(strings.Trim(l.Reader+" "+l.Server, " ")))
+		}
+	case "failed":
+		fmt.Fprintf(&b, "%s got the backend server's own failure from %s (%s) after %d ms.", l.Request, orNone(l.Server), orNone(l.Cause), l.ElapsedMS)
+	default:
+		fmt.Fprintf(&b, "%s ended as %s after %d ms and %d events (%s); it may have run on %d backend servers.", l.Request, l.Outcome, l.ElapsedMS, l.Events, orNone(l.Cause), l.Runs)
+	}
+	return b.String()
+}
+
+func orNone(s string) string {
+	if s == "" {
+		return "none"
+	}
+	return s
+}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -29,6 +29,8 @@
 	20261204,
 	// The stand-in answered a hanging stream with an empty success at its time limit; a worker answers 504.
 	4712463620271783105,
+	3575342084053007081,
+	12979586039161303901,
 }
 
 func TestSoak(t *testing.T) {
