--- a/cmd/quetzallug/main.go
+++ b/cmd/quetzallug/main.go
@@ -1,4 +1,4 @@
-// Command quetzallug is the operators' tool. See docs/operators.md.
+// Command quetzallug is the operators' tool. See docs/OPERATIONS.md.
 package main
 
 import (
