Count a stream that broke off as ended; use avoided engines if there are no others

Cause, found by the soak: a stream that is broken off ends by a panic, which skipped counting it as ended. Its engine then counted as silent for ever, and a gateway whose decode engines had all broken a stream answered no_server for a minute. Also found: each fetched prompt was followed by a call that frees it.

--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -122,28 +122,19 @@
 	p.perToken[r] = old + learnRate*(min(max(seen, old/maxPace), old*maxPace)-old)
 }
 
-// candidates returns the servers to compare: those that are usable and were not tried, else those
-// that were not tried.
-func candidates(servers []*Server, tried []*live, now time.Time) ([]*Server, []view) {
-	all := make([]*Server, 0, len(servers))
+// candidates returns the servers that were not tried: those that are usable, or also the avoided ones.
+func candidates(servers []*Server, tried []*live, now time.Time, avoided bool) ([]*Server, []view) {
+	out := make([]*Server, 0, len(servers))
 	views := make([]view, 0, len(servers))
 	for _, s := range servers {
 		if slices.Contains(tried, s.live) {
 			continue
 		}
-		all, views = append(all, s), append(views, s.view(now))
-	}
-	n := 0
-	for i, v := range views {
-		if v.usable {
-			all[n], views[n] = all[i], v
-			n++
+		if v := s.view(now); v.usable || avoided {
+			out, views = append(out, s), append(views, v)
 		}
 	}
-	if n == 0 {
-		return all, views
-	}
-	return all[:n], views[:n]
+	return out, views
 }
 
 // choosePlain returns the server with the least load for its size.
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -222,7 +222,16 @@
 
 // choose picks the backend servers for the next attempt.
 func (g *Gateway) choose(q *request, now time.Time) choice {
-	servers, views := candidates(g.roster.Servers(q.service), q.tried, now)
+	all := g.roster.Servers(q.service)
+	if c := g.chooseFrom(q, now, all, false); c.server != nil {
+		return c
+	}
+	return g.chooseFrom(q, now, all, true)
+}
+
+// chooseFrom compares the backend servers that are usable, or all that were not tried.
+func (g *Gateway) chooseFrom(q *request, now time.Time, all []*Server, avoided bool) choice {
+	servers, views := candidates(all, q.tried, now, avoided)
 	if !q.route.Prompt || len(q.call.Parts) == 0 {
 		return choosePlain(servers, views, g.cfg.DataCentre)
 	}
@@ -292,22 +301,24 @@
 	c.server.sent(unread, sentAt)
 	q.g.prefixes.note(q.keys, c.server.key(), sentAt)
 	o := &offer{q: q, s: c.server, send: s, unread: unread, ahead: ahead, sentAt: sentAt}
-	res := o.run()
-	o.readDone()
-	c.server.ended()
+	res := o.account()
 	q.g.metrics.Attempt(q.service, res.String())
 	if res != finished {
 		q.logAttempt(c, res, sentAt)
 	}
-	if res != notRun && res != notSent {
-		if s.Source != "" && !o.accepted {
-			q.release()
-		}
-		q.source = ""
+	if res == unknown || res == failed {
+		q.release()
 	}
 	return res
 }
 
+// account runs the offer and counts it as ended. A stream that is broken off ends by a panic.
+func (o *offer) account() result {
+	defer o.s.ended()
+	defer o.readDone()
+	return o.run()
+}
+
 func (q *request) after() string {
 	if q.lastEvent != "" {
 		return q.lastEvent
@@ -317,15 +328,13 @@
 
 // offer is one request to one backend server.
 type offer struct {
-	q      *request
-	s      *Server
-	send   *Send
-	unread float64
-	ahead  float64
-	sentAt time.Time
-	// accepted is true once the backend server has answered with success.
-	accepted bool
-	counted  bool
+	q       *request
+	s       *Server
+	send    *Send
+	unread  float64
+	ahead   float64
+	sentAt  time.Time
+	counted bool
 }
 
 // readDone counts the prompt as read by the backend server, once.
@@ -349,7 +358,8 @@
 		if !mark.Signed || resp.Header.Get("Content-Encoding") != "" {
 			return o.broken("not_a_servers_answer")
 		}
-		o.accepted = true
+		// The backend server has fetched the prompt.
+		o.q.source = ""
 		if o.q.route.Stream {
 			return o.relay(resp)
 		}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/quetzallug/quetzallug/external"
+	"github.com/quetzallug/quetzallug/lease"
 )
 
 var start = time.Unix(1000, 0)
@@ -95,14 +96,14 @@
 	for range 5 {
 		servers[0].result(1, start)
 	}
-	left, _ := candidates(servers, nil, start)
+	left, _ := candidates(servers, nil, start, false)
 	require.Len(t, left, 1)
 	require.Equal(t, "b", left[0].ID)
-	left, _ = candidates(servers, nil, start.Add(ejectMax))
+	left, _ = candidates(servers, nil, start.Add(ejectMax), false)
 	require.Len(t, left, 2)
 	require.Equal(t, "b", choosePlain(left, []view{left[0].view(start), left[1].view(start)}, "z").server.ID)
 	// If none is well, the failing ones are better than nothing.
-	left, _ = candidates(servers[:1], nil, start)
+	left, _ = candidates(servers[:1], nil, start, true)
 	require.Len(t, left, 1)
 }
 
@@ -110,11 +111,11 @@
 func TestSilentServersGetNothingMore(t *testing.T) {
 	servers := []*Server{newServer("a", external.RoleMixed), newServer("b", external.RoleMixed)}
 	servers[0].sent(0, start)
-	left, _ := candidates(servers, nil, start.Add(silence+time.Millisecond))
+	left, _ := candidates(servers, nil, start.Add(silence+time.Millisecond), false)
 	require.Len(t, left, 1)
 	require.Equal(t, "b", left[0].ID)
 	servers[0].heard(nil, start.Add(silence))
-	left, _ = candidates(servers, nil, start.Add(silence+time.Millisecond))
+	left, _ = candidates(servers, nil, start.Add(silence+time.Millisecond), false)
 	require.Len(t, left, 2)
 }
 
@@ -192,6 +193,20 @@
 	})
 }
 
+// Guards against orders of a new holder while the one before may still be giving orders: its lease may
+// have been revoked without its knowledge.
+func TestNewHolderWaits(t *testing.T) {
+	r := &Roles{guard: 6 * time.Second}
+	held := func(fence uint64) lease.Authority {
+		return lease.NewAuthority(RolesPool, "n", fence, start.Add(time.Hour))
+	}
+	require.True(t, r.mayOrder(held(1), start), "nobody ever held it before")
+	require.False(t, r.mayOrder(held(2), start))
+	require.False(t, r.mayOrder(held(2), start.Add(5*time.Second)))
+	require.True(t, r.mayOrder(held(2), start.Add(6*time.Second)))
+	require.False(t, r.mayOrder(held(3), start.Add(7*time.Second)))
+}
+
 // Guards against events that are joined, cut or lost on their way through.
 func TestEvents(t *testing.T) {
 	in := &events{br: bufio.NewReaderSize(strings.NewReader("id: 1\ndata: a\n\nweight: 3\nid: 2\r\ndata: "+strings.Repeat("b", 9000)+"\r\n\r\ndata: rest"), 16)}
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -159,7 +160,7 @@
 	if age <= 0 {
 		return l.failing
 	}
-	return l.failing / (1 + age.Seconds()/failureMemory.Seconds())
+	return l.failing * math.Exp(-age.Seconds()/failureMemory.Seconds())
 }
 
 // view is a consistent copy of what a choice needs.
--- a/test/site/gateway_test.go
+++ b/test/site/gateway_test.go
@@ -1,6 +1,7 @@
 package site
 
 import (
+	"fmt"
 	"net/http"
 	"strings"
 	"sync"
@@ -343,3 +344,45 @@
 		require.InDelta(t, 500, r.elapsed.Milliseconds(), 50)
 	})
 }
+
+// Guards against a worker that is avoided for ever because a stream which broke off still counts as in
+// progress there (soak seed 9115907571842290497).
+func TestBrokenStreamsDoNotCountForEver(t *testing.T) {
+	bubble(t, func(t *testing.T, w *world) {
+		n := calm(w)
+		bad := w.workers[3]
+		require.Equal(t, "decode", bad.Stage())
+		bad.SetFault(func(*http.Request) site.Fault { return site.FaultTruncate })
+		// No two prompts share a part that would draw them to one engine.
+		for i := range 12 {
+			w.call(n, ask{path: pathStream + "x", prompt: fmt.Sprintf("a%d:50,b%d:60", i, i), events: 4})
+		}
+		bad.SetFault(nil)
+		// Until its failures are forgotten.
+		time.Sleep(time.Minute)
+		before := len(bad.Runs())
+		require.Positive(t, before)
+		for i := range 30 {
+			r := w.call(n, ask{path: pathStream + "x", prompt: fmt.Sprintf("c%d:50,d%d:60", i, i), events: 4})
+			require.True(t, r.whole(), "%d %s", r.status, r.body)
+		}
+		require.Greater(t, len(bad.Runs()), before)
+	})
+}
+
+// Guards against "no server" while engines that generate are only avoided.
+func TestAvoidedEnginesAreBetterThanNone(t *testing.T) {
+	bubble(t, func(t *testing.T, w *world) {
+		n := calm(w)
+		for _, wk := range w.workers {
+			if wk.Stage() == "decode" {
+				wk.SetFault(func(*http.Request) site.Fault { return site.FaultLost })
+			}
+		}
+		for range 8 {
+			w.call(n, ask{path: pathStream + "x", prompt: "dd:50,ee:60", events: 1})
+		}
+		r := w.call(n, ask{path: pathStream + "x", prompt: "dd:50,ee:60", events: 1})
+		require.NotEqual(t, http.StatusServiceUnavailable, r.status, r.body)
+	})
+}
--- a/test/site/world_test.go
+++ b/test/site/world_test.go
@@ -8,6 +8,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
@@ -117,7 +118,7 @@
 	log.SetOutput(io.Discard)
 	pool := upstream.NewPoolWithDial(dial)
 	n.gateway = gateway.New(gateway.Config{DataCentre: "z", RetryWindow: 10 * time.Second, RetryShare: 0.2, RetrySlack: 1}, a, n.tables, n.roster, pool, nothing{}, log)
-	leases, err := lease.NewManager(a, lease.Config{Holder: name, Pools: []string{gateway.RolesPool}, TTL: leaseTTL, SafetyMargin: leaseTTL / 7, MaxPools: 1})
+	leases, err := lease.NewManager(a, lease.Config{Holder: name, Pools: []string{gateway.RolesPool}, TTL: leaseTTL, SafetyMargin: leaseTTL / 7, MaxPools: 1, Random: rand.New(rand.NewPCG(1, uint64(len(w.gateways)))).Float64})
 	require.NoError(w.t, err)
 	roles := gateway.NewRoles(name, leaseTTL+guard, a, leases, n.tables, n.roster, pool, log)
 	for _, run := range []func(context.Context){gateway.NewFeed(a, n.tables, n.roster, log).Run, leases.Run, roles.Run} {
