--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -202,6 +202,8 @@
 			extra += views[d].failing * failurePenalty.Seconds()
 		} else {
 			first += decodeDelay(s, v)
+			// Engines that are equally good take turns.
+			extra += rand.Float64() * perRequest.Seconds()
 		}
 		if s.DataCentre != p.dataCentre {
 			extra += crossing.Seconds() / 3
