--- a/external/external.go
+++ b/external/external.go
@@ -1,4 +1,4 @@
-// Package platform defines the interfaces to the systems that the platform provides:
+// Package external defines the interfaces to the systems that a deployment provides:
 // the key-value service, the instance list, the weight store, model engines and
 // plain backend servers. Adapters implement them and register with package kernel.
 package external
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -78,6 +78,7 @@
 	// source is a prompt that was read and not fetched yet, at reader.
 	source string
 	reader *Server
+	vain   []vain
 	dials  int
 	runs   int
 	// failure is the backend server's own failure, passed on if nothing better comes.
@@ -128,6 +129,7 @@
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
 	defer cancel()
 	q.ctx = ctx
+	defer q.release(context.WithoutCancel(ctx))
 	_ = http.NewResponseController(w).SetWriteDeadline(q.deadline.Add(writeSlack))
 	g.budget(q.service).Fresh(q.started)
 	q.serve()
@@ -307,7 +309,7 @@
 		q.logAttempt(c, res, sentAt)
 	}
 	if res == unknown || res == failed {
-		q.release()
+		q.drop()
 	}
 	return res
 }
@@ -570,7 +572,6 @@
 		f["events"] = q.events
 	}
 	q.g.log.WithFields(f).Info("request")
-	q.release()
 }
 
 func (r result) String() string {
--- a/gateway/prefill.go
+++ b/gateway/prefill.go
@@ -82,25 +82,40 @@
 	}
 }
 
-// release frees the memory of a prompt that was read and not used.
-func (q *request) release() {
+// vain is a prompt that was read and not used.
+type vain struct {
+	reader *Server
+	handle string
+}
+
+// drop gives up the prompt that was read for the request.
+func (q *request) drop() {
 	if q.source == "" {
 		return
 	}
-	p, handle := q.reader, q.source[len(q.reader.Address)+1:]
+	q.vain = append(q.vain, vain{q.reader, q.source[len(q.reader.Address)+1:]})
 	q.source = ""
-	method, target := q.g.codec.Release(handle)
-	go func() {
-		ctx, cancel := context.WithTimeout(context.WithoutCancel(q.ctx), releaseTimeout)
-		defer cancel()
-		resp, err := q.g.pool.Do(ctx, p.Address, &upstream.Request{
-			Method: method, Target: target, Host: p.Address, Header: http.Header{},
-		}, func(*http.Response, bool) bool { return true })
-		if err != nil {
-			q.g.log.WithError(err).WithField("server", p.ID).Warn("free a prompt read in vain")
-			return
-		}
-		_, _ = io.Copy(io.Discard, io.LimitReader(resp, maxDiscard))
-		resp.Close(q.g.pool)
-	}()
+}
+
+// release frees the memory of prompts that were read in vain.
+func (q *request) release(ctx context.Context) {
+	q.drop()
+	for _, v := range q.vain {
+		go q.g.free(ctx, v.reader, v.handle)
+	}
+}
+
+func (g *Gateway) free(ctx context.Context, p *Server, handle string) {
+	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
+	defer cancel()
+	method, target := g.codec.Release(handle)
+	resp, err := g.pool.Do(ctx, p.Address, &upstream.Request{
+		Method: method, Target: target, Host: p.Address, Header: http.Header{},
+	}, func(*http.Response, bool) bool { return true })
+	if err != nil {
+		g.log.WithError(err).WithField("server", p.ID).Warn("free a prompt read in vain")
+		return
+	}
+	_, _ = io.Copy(io.Discard, io.LimitReader(resp, maxDiscard))
+	resp.Close(g.pool)
 }
--- a/internal/cli/explainlogs.go
+++ b/internal/cli/explainlogs.go
@@ -62,7 +62,7 @@
 	if a.output() != "table" {
 		return nil
 	}
-	return a.print("\n" + summarize(lines) + "\n")
+	return a.print("\n" + tell(lines) + "\n")
 }
 
 // readLog returns the lines about a request. Lines that are no JSON, or carry a prefix before it, are
@@ -97,8 +97,8 @@
 	return out, nil
 }
 
-// summarize says in one paragraph what happened to a request.
-func summarize(lines []logLine) string {
+// tell says in one paragraph what happened to a request.
+func tell(lines []logLine) string {
 	var b strings.Builder
 	for _, l := range lines {
 		if l.Message == "attempt" {
--- a/standin/site/worker.go
+++ b/standin/site/worker.go
@@ -96,6 +96,7 @@
 	orders   []Order
 	kept     map[string]bool
 	handles  map[string]string
+	freed    int
 	reading  sync.Mutex
 }
 
@@ -167,6 +168,13 @@
 	return slices.Clone(w.orders)
 }
 
+// Freed returns the number of calls that freed a handle.
+func (w *Worker) Freed() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.freed
+}
+
 // Stage returns the worker's stage.
 func (w *Worker) Stage() string {
 	w.mu.Lock()
@@ -195,6 +203,7 @@
 	case strings.HasPrefix(r.URL.Path, "/api/kv-handle/"):
 		w.mu.Lock()
 		delete(w.handles, r.URL.Path[len("/api/kv-handle/"):])
+		w.freed++
 		w.mu.Unlock()
 		reply(rw, http.StatusOK, struct{}{})
 	default:
--- a/test/site/gateway_test.go
+++ b/test/site/gateway_test.go
@@ -386,3 +386,29 @@
 		require.NotEqual(t, http.StatusServiceUnavailable, r.status, r.body)
 	})
 }
+
+// Guards against memory that is held for prompts read in vain, and against a call for each prompt that
+// was fetched.
+func TestPromptsReadInVainAreFreed(t *testing.T) {
+	bubble(t, func(t *testing.T, w *world) {
+		n := calm(w)
+		reader := w.workers[2]
+		require.Equal(t, "prefill", reader.Stage())
+		require.True(t, w.call(n, ask{path: pathStream + "x", prompt: prompt, events: 1}).whole())
+		time.Sleep(time.Second)
+		require.Zero(t, reader.Freed())
+		for _, wk := range w.workers {
+			wk.SetFault(func(r *http.Request) site.Fault {
+				if r.Header.Get("Quetzallug-Stage") == "" {
+					return site.FaultShed
+				}
+				return site.FaultNone
+			})
+		}
+		r := w.call(n, ask{path: pathStream + "x", prompt: prompt, events: 1})
+		require.Equal(t, http.StatusServiceUnavailable, r.status)
+		w.check(r, pathStream+"x", 1)
+		time.Sleep(time.Second)
+		require.Equal(t, 1, reader.Freed())
+	})
+}
--- a/test/site/world_test.go
+++ b/test/site/world_test.go
@@ -89,7 +89,7 @@
 }
 
 // worker starts and registers a worker.
-func (w *world) worker(cfg site.WorkerConfig) *site.Worker {
+func (w *world) worker(cfg site.WorkerConfig) {
 	if cfg.Address == "" {
 		cfg.Address = fmt.Sprintf("10.1.64.%d:8080", len(w.workers)+1)
 	}
@@ -104,7 +104,6 @@
 	w.workers = append(w.workers, wk)
 	w.serve(w.host(cfg.ID), cfg.Address, wk)
 	wk.Register(w.store)
-	return wk
 }
 
 // gateway starts a gateway process.
@@ -266,6 +265,7 @@
 		out.err = err
 		return out
 	}
+	defer resp.Body.Close()
 	b, err := io.ReadAll(resp.Body)
 	out.status, out.header, out.body, out.err = resp.StatusCode, resp.Header, string(b), err
 	return out
--- a/test/soak/deployment_test.go
+++ b/test/soak/deployment_test.go
@@ -42,9 +42,8 @@
 	closers   []func()
 	version   int
 
-	mu      sync.Mutex
-	thawed  []time.Time
-	planned map[*gatewayProcess]bool
+	mu     sync.Mutex
+	thawed []time.Time
 }
 
 type worker struct {
@@ -52,17 +51,16 @@
 	link *testcluster.Forwarder
 }
 
-// gatewayProcess is one gateway. mu serializes the faults of one process.
+// gatewayProcess is one gateway. mu keeps the faults of one process apart.
 type gatewayProcess struct {
 	*testcluster.Process
-	mu            sync.Mutex
-	address       string
-	readyAddress  string
-	disturbedTill time.Time
+	mu           sync.Mutex
+	address      string
+	readyAddress string
 }
 
 func newDeployment(t *testing.T, program, dir string) *deployment {
-	d := &deployment{t: t, store: site.NewStore(), planned: map[*gatewayProcess]bool{}}
+	d := &deployment{t: t, store: site.NewStore()}
 	d.storeLink = d.forward(d.serve(d.store))
 	for i := range plain {
 		d.worker(site.WorkerConfig{ID: fmt.Sprintf("i-api-%d", i), Service: "api", Slots: 16, Work: 5 * time.Millisecond})
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -235,7 +235,7 @@
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, ctx.Err())
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
-	resp, err := c.exchange(r, belongs)
+	resp, err := c.exchange(r, belongs) //nolint:bodyclose // Response.Close ends the exchange
 	if err != nil {
 		stop()
 		_ = c.Close()
