--- a/cmd/quetzallugd/main.go
+++ b/cmd/quetzallugd/main.go
@@ -20,9 +20,14 @@
 	"github.com/quetzallug/quetzallug/internal/settings"
 )
 
+// stopSignals receives the signal to stop, also while a role is being set up.
+var stopSignals = make(chan os.Signal, 1)
+
 func main() {
-	// No role reads its settings again. From the first moment on, SIGHUP must not end a process.
+	// From the first moment on, a signal must not end a process that may be serving already. No role
+	// reads its settings again at SIGHUP.
 	signal.Ignore(syscall.SIGHUP)
+	signal.Notify(stopSignals, syscall.SIGTERM, syscall.SIGINT)
 	root := &cobra.Command{
 		Use:           "quetzallugd",
 		Short:         "Serve a fixed fleet of model engines and plain backend servers",
@@ -89,15 +94,21 @@
 	if err := a.Start(startCtx); err != nil {
 		return eris.Wrap(err, "start")
 	}
-	sig := <-a.Wait()
-	log.WithField("signal", fmt.Sprint(sig.Signal)).Info("stopping")
+	var exitCode int
+	select {
+	case sig := <-stopSignals:
+		log.WithField("signal", fmt.Sprint(sig)).Info("stopping")
+	case s := <-a.Wait():
+		exitCode = s.ExitCode
+		log.WithField("signal", fmt.Sprint(s.Signal)).Info("stopping")
+	}
 	stopCtx, cancel := context.WithTimeout(context.Background(), a.StopTimeout())
 	defer cancel()
 	if err := a.Stop(stopCtx); err != nil {
 		return eris.Wrap(err, "stop")
 	}
-	if sig.ExitCode != 0 {
-		return eris.Errorf("stopped with exit code %d", sig.ExitCode)
+	if exitCode != 0 {
+		return eris.Errorf("stopped with exit code %d", exitCode)
 	}
 	log.Info("stopped")
 	return nil
