--- a/standin/site/worker.go
+++ b/standin/site/worker.go
@@ -97,12 +97,13 @@
 	kept     map[string]bool
 	handles  map[string]string
 	freed    int
-	reading  sync.Mutex
+	// reading holds one token: prompts are read one after the other. A mutex would stop virtual time.
+	reading chan struct{}
 }
 
 // NewWorker returns a worker that is ready.
 func NewWorker(cfg WorkerConfig) *Worker {
-	return &Worker{cfg: cfg, born: time.Now().UnixMilli(), stage: cfg.Stage, state: "ready", kept: map[string]bool{}, handles: map[string]string{}}
+	return &Worker{cfg: cfg, born: time.Now().UnixMilli(), stage: cfg.Stage, state: "ready", kept: map[string]bool{}, handles: map[string]string{}, reading: make(chan struct{}, 1)}
 }
 
 // ID returns the worker's ID.
@@ -374,8 +375,12 @@
 
 // read takes the time that reading the prompt takes, one prompt after the other.
 func (w *Worker) read(ctx context.Context, r *http.Request) bool {
-	w.reading.Lock()
-	defer w.reading.Unlock()
+	select {
+	case w.reading <- struct{}{}:
+		defer func() { <-w.reading }()
+	case <-ctx.Done():
+		return false
+	}
 	tokens := 0
 	hit := true
 	chain := ""
