--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -33,6 +33,10 @@
 	// SIGHUP ended a process that was starting: it was handled only once all was set up.
 	7085740786696474655,
 	12490154874927744332,
+	13048827396821084613,
+	6445014425434027971,
+	3996980461148586961,
+	10771193138473149037,
 	// Streams that were broken off by a panic still counted as in progress, and their engines were
 	// avoided for ever.
 	9115907571842290497,
