Let operators ask a running gateway; count what the metrics lacked; bound slow bodies

quetzallug status and workers read GET /status of gateways. Metrics: refusals by reason, pauses, prompt tokens kept, read and moved, role orders, calls to the store by result, unread requests, ages of inputs, connections by backend server, retry budget left, log lines left out.

The body is read until the request's deadline now and is answered 408 afterwards. Connections that end in the middle of a header are logged and counted.

--- a/cmd/quetzallugd/gateway.go
+++ b/cmd/quetzallugd/gateway.go
@@ -28,7 +28,7 @@
 				return err
 			}
 			log.WithFields(s.Values()).Info("starting")
-			return run(app.Gateway(s, log), log)
+			return run(app.Gateway(s, log, out.Dropped), log)
 		},
 	}
 	settings.AddGateway(cmd.Flags())
--- a/gateway/feed.go
+++ b/gateway/feed.go
@@ -11,12 +11,18 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/quetzallug/quetzallug/external"
+	"github.com/quetzallug/quetzallug/internal/pause"
 	"github.com/quetzallug/quetzallug/route"
 )
 
-// Source decodes what the operator and the backend servers write to the store.
+// Source is the store with what the operator and the backend servers write to it.
 type Source interface {
 	external.KV
+	Decoder
+}
+
+// Decoder decodes what the operator and the backend servers write to the store.
+type Decoder interface {
 	// ConfigKey is the key of the operator's configuration.
 	ConfigKey() string
 	// ServersPrefix begins the keys of registrations.
@@ -72,7 +78,7 @@
 // list: a watch may be cut or its history be gone while the store is well. Only a list that fails
 // disturbs the roster.
 func (f *Feed) follow(ctx context.Context) {
-	pause, lost := retryPause, false
+	wait, lost := retryPause, false
 	for ctx.Err() == nil {
 		revision, err := f.list(ctx)
 		if err != nil {
@@ -81,14 +87,15 @@
 				f.log.WithError(err).Warn("store lost")
 			}
 			lost = true
-			sleep(ctx, pause/2+rand.N(pause))
-			pause = min(2*pause, maxRetryPause)
+			pause.For(ctx, wait/2+rand.N(wait))
+			wait = min(2*wait, maxRetryPause)
 			continue
 		}
 		if lost {
 			f.log.WithField("revision", revision).Info("store regained")
 		}
-		lost, pause = false, retryPause
+		lost, wait = false, retryPause
+		f.roster.Confirmed(time.Now())
 		f.watch(ctx, revision)
 	}
 }
@@ -126,6 +133,7 @@
 			}
 			return
 		}
+		f.roster.Confirmed(time.Now())
 		for _, e := range events {
 			switch {
 			case e.Key == f.source.ConfigKey():
@@ -136,7 +144,7 @@
 		}
 		revision = next
 		if len(events) > 0 {
-			sleep(ctx, watchPause)
+			pause.For(ctx, watchPause)
 		}
 	}
 }
@@ -197,21 +205,9 @@
 }
 
 func (f *Feed) expire(ctx context.Context) {
-	for sleep(ctx, expireInterval) {
+	for pause.For(ctx, expireInterval) {
 		for _, id := range f.roster.Expire(time.Now()) {
 			f.log.WithField("server", id).Info("lapsed registration did not return")
 		}
 	}
 }
-
-// sleep tells whether the context is still in force after the pause.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -3,17 +3,16 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"github.com/quetzallug/quetzallug/route"
-	"github.com/quetzallug/quetzallug/upstream"
 )
 
 const (
@@ -111,18 +110,19 @@
 	q.version = table.Version
 	q.route = table.Match(r.Host, r.URL.Path)
 	if q.route == nil {
+		g.metrics.Refusal("", "no_route")
 		q.reply(http.StatusNotFound, outcomeInvalid, "no_route")
 		return
 	}
-	if !q.readBody(table.Limits.MaxBodyBytes) {
-		return
-	}
 	q.call = g.codec.Call(r)
 	q.service = q.route.Service(q.call.ID)
 	q.deadline = q.started.Add(q.route.Timeout)
 	if q.call.Remaining > 0 && q.call.Remaining < q.route.Timeout {
 		q.deadline = q.started.Add(q.call.Remaining)
 	}
+	if !q.readBody(table.Limits.MaxBodyBytes) {
+		return
+	}
 	if q.route.Prompt {
 		q.keys = chain(q.call.Parts)
 	}
@@ -138,28 +138,46 @@
 // defaultMaxBody bounds a body if the configuration names no limit.
 const defaultMaxBody = 8 << 20
 
+// readBody reads the whole body, at most until the request's deadline.
 func (q *request) readBody(limit int64) bool {
 	if limit <= 0 {
 		limit = defaultMaxBody
 	}
 	if q.r.ContentLength > limit {
-		q.reply(http.StatusRequestEntityTooLarge, outcomeInvalid, "body_too_large")
+		q.invalid(http.StatusRequestEntityTooLarge, "body_too_large")
 		return false
 	}
+	if q.r.ContentLength == 0 {
+		return true
+	}
+	conn := http.NewResponseController(q.w)
+	_ = conn.SetReadDeadline(q.deadline)
 	body, err := io.ReadAll(http.MaxBytesReader(q.w, q.r.Body, limit))
 	var large *http.MaxBytesError
 	switch {
 	case errors.As(err, &large):
-		q.reply(http.StatusRequestEntityTooLarge, outcomeInvalid, "body_too_large")
+		q.invalid(http.StatusRequestEntityTooLarge, "body_too_large")
+		return false
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		q.invalid(http.StatusRequestTimeout, "body_too_slow")
 		return false
 	case err != nil:
-		q.reply(http.StatusBadRequest, outcomeInvalid, "body_unreadable")
+		q.invalid(http.StatusBadRequest, "body_unreadable")
 		return false
 	}
+	_ = conn.SetReadDeadline(time.Time{})
 	q.body = body
 	return true
 }
 
+// invalid answers a request that cannot be served as it is. Its connection ends, and its read deadline
+// stays, because the rest of the body may be on its way.
+func (q *request) invalid(status int, cause string) {
+	q.w.Header().Set("Connection", "close")
+	q.g.metrics.Refusal(q.service, cause)
+	q.reply(status, outcomeInvalid, cause)
+}
+
 // serve sends the request until it is answered or must be given up.
 func (q *request) serve() {
 	for {
@@ -179,7 +197,7 @@
 		c := q.g.choose(q, now)
 		q.last = c
 		if c.server == nil {
-			q.giveUp(c.reason)
+			q.giveUp(q.because(c.reason))
 			return
 		}
 		if q.sends == 0 && q.tooLate(&c, now) {
@@ -187,7 +205,7 @@
 			return
 		}
 		if !q.pay(&c, now) {
-			q.giveUp(q.cause + ",budget")
+			q.giveUp(q.because("budget"))
 			return
 		}
 		switch res := q.attempt(&c, now); res {
@@ -207,6 +225,14 @@
 	}
 }
 
+// because joins the cause of the last attempt, if there was one, with the reason for giving up.
+func (q *request) because(reason string) string {
+	if q.cause == "" {
+		return reason
+	}
+	return q.cause + "," + reason
+}
+
 // mayRepeat tells whether the request may be offered once more.
 func (q *request) mayRepeat() bool {
 	return q.sends < maxSends && q.runs < q.route.MaxAttempts && (q.runs == 0 || q.route.Repeatable)
@@ -306,6 +332,7 @@
 	o := &offer{q: q, s: c.server, send: s, unread: unread, ahead: ahead, sentAt: sentAt}
 	res := o.account()
 	q.g.metrics.Attempt(q.service, res.String())
+	q.countPrompt(c)
 	if res != finished {
 		q.logAttempt(c, res, sentAt)
 	}
@@ -315,11 +342,21 @@
 	return res
 }
 
-// account runs the offer and counts it as ended. A stream that is broken off ends by a panic.
-func (o *offer) account() result {
-	defer o.s.ended()
-	defer o.readDone()
-	return o.run()
+// countPrompt counts where the tokens of the prompt came from, as far as the choice expected it.
+func (q *request) countPrompt(c *choice) {
+	if !q.route.Prompt {
+		return
+	}
+	all := float64(q.call.PromptTokens)
+	if c.reason == reasonRead {
+		q.g.metrics.Prompt(q.service, PromptTokens{Moved: all})
+		return
+	}
+	p := PromptTokens{Kept: max(0, all-c.unread), Read: min(all, c.unread)}
+	if c.reader != nil {
+		p.Moved = all
+	}
+	q.g.metrics.Prompt(q.service, p)
 }
 
 func (q *request) after() string {
@@ -329,153 +366,6 @@
 	return q.call.After
 }
 
-// offer is one request to one backend server.
-type offer struct {
-	q       *request
-	s       *Server
-	send    *Send
-	unread  float64
-	ahead   float64
-	sentAt  time.Time
-	counted bool
-}
-
-// readDone counts the prompt as read by the backend server, once.
-func (o *offer) readDone() {
-	if !o.counted {
-		o.counted = true
-		o.s.read(o.unread)
-	}
-}
-
-func (o *offer) run() result {
-	resp, mark, res := o.exchange()
-	if resp == nil {
-		return res
-	}
-	defer resp.Close(o.q.g.pool)
-	switch {
-	case mark.NotRun || mark.Elsewhere:
-		return o.refused(resp, mark)
-	case resp.StatusCode/100 == 2:
-		if !mark.Signed || resp.Header.Get("Content-Encoding") != "" {
-			return o.broken("not_a_servers_answer")
-		}
-		// The backend server has fetched the prompt.
-		o.q.source = ""
-		if o.q.route.Stream {
-			return o.relay(resp)
-		}
-		return o.whole(resp)
-	default:
-		return o.failure(resp, mark)
-	}
-}
-
-// exchange sends the request and waits for the header of its answer.
-func (o *offer) exchange() (*upstream.Response, Mark, result) {
-	q := o.q
-	o.send.Remaining = time.Until(q.deadline)
-	codec := q.g.codec
-	resp, err := q.g.pool.Do(q.ctx, o.s.Address, &upstream.Request{
-		Method: q.r.Method, Target: q.r.RequestURI, Host: q.r.Host,
-		Header: codec.Header(q.r.Header, o.send), Body: q.body,
-	}, q.belongs)
-	now := time.Now()
-	switch {
-	case err == nil:
-		m := codec.Mark(resp.StatusCode, resp.Header)
-		o.s.heard(m.Load, now)
-		return resp, m, finished
-	case q.r.Context().Err() != nil:
-		q.done(outcomeGone, "")
-		return nil, Mark{}, finished
-	case errors.Is(err, upstream.ErrNotSent):
-		o.s.unreachable(now)
-		q.cause = "unreachable"
-		if q.ctx.Err() != nil {
-			return nil, Mark{}, notRun
-		}
-		return nil, Mark{}, notSent
-	case q.ctx.Err() != nil:
-		o.s.result(0.5, now)
-		q.cause = "deadline"
-		return nil, Mark{}, unknown
-	default:
-		return nil, Mark{}, o.broken(err.Error())
-	}
-}
-
-// belongs tells whether an answer is to this request. A refusal may come without an ID; any other
-// answer without one is taken only if nothing else was sent on the connection.
-func (q *request) belongs(resp *http.Response, fresh bool) bool {
-	m := q.g.codec.Mark(resp.StatusCode, resp.Header)
-	return m.ID == q.call.ID || (m.ID == "" && (fresh || m.NotRun || m.Elsewhere))
-}
-
-func (o *offer) broken(cause string) result {
-	o.s.result(1, time.Now())
-	o.q.cause = cause
-	return unknown
-}
-
-func (o *offer) refused(resp *upstream.Response, m Mark) result {
-	_, _ = io.Copy(io.Discard, io.LimitReader(resp, maxDiscard))
-	if m.Elsewhere {
-		o.s.unreachable(time.Now())
-		o.q.cause = "another_server_at_address"
-		return notRun
-	}
-	o.s.refused(time.Now())
-	o.q.cause = "server_full"
-	return notRun
-}
-
-// maxDiscard bounds the body of a refusal that is read so that its connection can be kept.
-const maxDiscard = 64 << 10
-
-// whole passes on an answer after all of it was received.
-func (o *offer) whole(resp *upstream.Response) result {
-	body, err := io.ReadAll(io.LimitReader(resp, maxAnswer+1))
-	switch {
-	case o.q.r.Context().Err() != nil:
-		o.q.done(outcomeGone, "")
-		return finished
-	case err != nil || len(body) > maxAnswer:
-		return o.broken("answer_not_whole")
-	}
-	o.s.result(0, time.Now())
-	o.q.first = time.Since(o.q.started)
-	o.q.write(&answer{resp.StatusCode, resp.Header, body})
-	o.q.done(outcomeAnswered, "")
-	return finished
-}
-
-// failureShare is the weight of a backend server's own failure: it may be the request's fault.
-const failureShare = 0.5
-
-func (o *offer) failure(resp *upstream.Response, m Mark) result {
-	body, err := io.ReadAll(io.LimitReader(resp, maxAnswer+1))
-	switch {
-	case o.q.r.Context().Err() != nil:
-		o.q.done(outcomeGone, "")
-		return finished
-	case err != nil || len(body) > maxAnswer || !m.Signed:
-		return o.broken(fmt.Sprintf("status_%d_not_whole", resp.StatusCode))
-	}
-	a := &answer{resp.StatusCode, resp.Header, body}
-	if resp.StatusCode < http.StatusInternalServerError {
-		o.s.result(0, time.Now())
-		o.q.write(a)
-		o.q.done(outcomeFailed, strconv.Itoa(a.status))
-		return finished
-	}
-	o.s.result(failureShare, time.Now())
-	o.q.failure = a
-	o.q.cause = "server_failed"
-	return failed
-}
-
 // giveUp ends a request that was not answered.
 func (q *request) giveUp(cause string) {
 	switch {
@@ -497,6 +387,7 @@
 
 // refuse promises that the request did not run.
 func (q *request) refuse(cause string, after time.Duration) {
+	q.g.metrics.Refusal(q.service, cause)
 	q.g.codec.Refusal(q.w.Header(), after)
 	q.reply(http.StatusServiceUnavailable, outcomeRefused, cause)
 }
@@ -551,9 +442,10 @@
 	if q.route != nil {
 		name = q.route.Name
 	}
-	q.g.metrics.Request(q.service, outcome, elapsed)
+	kind := q.kind()
+	q.g.metrics.Request(q.service, kind, outcome, elapsed)
 	if q.first > 0 {
-		q.g.metrics.FirstEvent(q.service, q.first)
+		q.g.metrics.FirstEvent(q.service, kind, q.first)
 	}
 	f := logrus.Fields{
 		"request": q.call.ID, "route": name, "service": q.service, "config": q.version, "outcome": outcome,
@@ -575,6 +467,26 @@
 	q.g.log.WithFields(f).Info("request")
 }
 
+// Kinds of requests.
+const (
+	kindUnknown    = "unknown" // no route
+	kindOnce       = "once"    // must not be repeated
+	kindRepeatable = "repeatable"
+	kindStream     = "stream"
+)
+
+func (q *request) kind() string {
+	switch {
+	case q.route == nil:
+		return kindUnknown
+	case q.route.Stream:
+		return kindStream
+	case q.route.Repeatable:
+		return kindRepeatable
+	}
+	return kindOnce
+}
+
 func (r result) String() string {
 	return [...]string{"answered", "not_sent", "not_run", "unknown", "failed"}[r]
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -87,7 +87,8 @@
 
 // Config sets a Gateway.
 type Config struct {
-	// DataCentre is that of this process.
+	// Instance and DataCentre are those of this process.
+	Instance   string
 	DataCentre string
 	// RetryWindow, RetryShare and RetrySlack bound the requests that are sent again to one service,
 	// as a share of the requests for it in a sliding window.
@@ -97,7 +98,7 @@
 }
 
 // Gateway serves callers. It is safe for concurrent use.
-// Lock order: Gateway.mu, then live.mu of one backend server; prefixes.mu is held alone.
+// Lock order: Gateway.mu or Roster.mu, then live.mu of one backend server; prefixes.mu is held alone.
 type Gateway struct {
 	cfg      Config
 	codec    Codec
@@ -115,9 +116,21 @@
 
 // Metrics counts what happens to requests.
 type Metrics interface {
-	Request(service, outcome string, elapsed time.Duration)
-	FirstEvent(service string, d time.Duration)
+	Request(service, kind, outcome string, elapsed time.Duration)
+	Refusal(service, reason string)
+	FirstEvent(service, kind string, d time.Duration)
+	// Pause is the time between two events of a stream.
+	Pause(service string, d time.Duration)
 	Attempt(service, outcome string)
+	Prompt(service string, p PromptTokens)
+	RoleOrder(service, role, outcome string)
+}
+
+// PromptTokens is where the tokens of a prompt came from, as expected by the choice of servers.
+type PromptTokens struct {
+	// Kept were in the memory of the backend server that read the prompt, Read were read by it, and
+	// Moved were fetched by another one that generated the answer.
+	Kept, Read, Moved float64
 }
 
 // New returns a gateway.
--- a/gateway/roles.go
+++ b/gateway/roles.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/quetzallug/quetzallug/external"
+	"github.com/quetzallug/quetzallug/internal/pause"
 	"github.com/quetzallug/quetzallug/lease"
 	"github.com/quetzallug/quetzallug/route"
 	"github.com/quetzallug/quetzallug/upstream"
@@ -37,6 +38,8 @@
 	OrderRefused
 )
 
+func (r OrderResult) String() string { return [...]string{"accepted", "holds", "refused"}[r] }
+
 // EngineReport is what an engine says about itself when asked.
 type EngineReport struct {
 	Role     external.Role
@@ -105,6 +108,7 @@
 	tables   *route.Holder
 	roster   *Roster
 	pool     *upstream.Pool
+	metrics  Metrics
 	log      logrus.FieldLogger
 
 	services map[string]*roleState
@@ -143,16 +147,16 @@
 
 // NewRoles returns a planner of roles. guard is how long a new authority is held back, so that the
 // last orders of the holder before are over.
-func NewRoles(instance string, guard time.Duration, o Orders, a Authority, t *route.Holder, r *Roster, p *upstream.Pool, log logrus.FieldLogger) *Roles {
+func NewRoles(instance string, guard time.Duration, o Orders, a Authority, t *route.Holder, r *Roster, p *upstream.Pool, m Metrics, log logrus.FieldLogger) *Roles {
 	return &Roles{
-		instance: instance, guard: guard, orders: o, leases: a, tables: t, roster: r, pool: p, log: log,
+		instance: instance, guard: guard, orders: o, leases: a, tables: t, roster: r, pool: p, metrics: m, log: log,
 		services: make(map[string]*roleState),
 	}
 }
 
 // Run plans until the context ends.
 func (r *Roles) Run(ctx context.Context) {
-	for sleep(ctx, planInterval) {
+	for pause.For(ctx, planInterval) {
 		a, ok := r.leases.Authority(RolesPool)
 		table := r.tables.Table()
 		if !ok || table == nil || !r.mayOrder(a, time.Now()) {
@@ -395,10 +399,12 @@
 		// It may be carried out late. Counting it as carried out avoids an order to another engine that
 		// would have to be taken back.
 		st.ordered[s.live] = ordered{role: role, until: now.Add(unknownTime)}
+		r.metrics.RoleOrder(s.Service, string(role), "unknown")
 		log.WithError(err).Warn("order sent, outcome unknown")
 		return
 	}
 	result := r.orders.OrderResult(status)
+	r.metrics.RoleOrder(s.Service, string(role), result.String())
 	if result == OrderAccepted {
 		st.ordered[s.live] = ordered{role: role, until: now.Add(e.RoleChange + showTime)}
 		s.changing(now.Add(e.RoleChange))
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -197,6 +197,7 @@
 	servers   map[string]*Server
 	lapsed    map[string]bool
 	disturbed time.Time
+	confirmed time.Time
 	services  atomic.Pointer[map[string][]*Server]
 }
 
@@ -228,6 +229,13 @@
 	r.disturbed = now
 }
 
+// Confirmed notes that the store has told all changes up to now.
+func (r *Roster) Confirmed(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.confirmed = now
+}
+
 // Put adds or changes a registration. It tells whether anything changed.
 func (r *Roster) Put(reg Registration) bool {
 	r.mu.Lock()
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -59,6 +59,7 @@
 	q := o.q
 	in := &events{br: bufio.NewReaderSize(resp, streamBuffer)}
 	flush := http.NewResponseController(q.w)
+	var last time.Time
 	for {
 		event, id, err := in.next()
 		now := time.Now()
@@ -71,6 +72,10 @@
 		}
 		if len(event) > 0 {
 			o.firstEvent(now)
+			if !last.IsZero() {
+				q.g.metrics.Pause(q.service, now.Sub(last))
+			}
+			last = now
 		}
 		if err == nil && !q.follows(id) {
 			continue
--- /dev/null
+++ b/internal/app/gatewayhttp_test.go
@@ -0,0 +1,96 @@
+package app
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/quetzallug/quetzallug/internal/memnet"
+)
+
+// Guards against callers that hold a connection for ever with an unfinished header, or that fill the
+// memory with one, and against such connections that nothing counts. Good requests beside them are
+// answered.
+func TestUnreadableRequests(t *testing.T) {
+	const request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+	for name, tc := range map[string]struct {
+		text string
+		// pause is the time between two bytes.
+		pause   time.Duration
+		leave   bool
+		counted int
+		within  time.Duration
+		answer  string
+	}{
+		"one byte a second":    {text: request, pause: time.Second, counted: 1, within: headerTimeout},
+		"never ending header":  {text: "GET / HTTP/1.1\r\nHost: a\r\nX: " + strings.Repeat("x", 2*maxHeaderBytes), counted: 1, within: time.Second, answer: "431"},
+		"no request":           {text: "\x16\x03\x01\x02\x00\x01\x00\x01\xfc\r\n\r\n", counted: 1, within: time.Second, answer: "400"},
+		"leaves in the header": {text: "GET / HTTP/1.1\r\nHo", leave: true, counted: 1, within: time.Second},
+		"good, then leaves":    {text: request + request, leave: true, within: time.Second, answer: "200"},
+		"nothing at all":       {leave: true, within: time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				network, host := memnet.New(), func(name string) *memnet.Host {
+					h := &memnet.Host{Name: name}
+					h.Ctx, h.Cancel = context.WithCancel(t.Context())
+					return h
+				}
+				srv := newServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") }))
+				counted := 0
+				noteUnread(srv, func(net.Addr) { counted++ })
+				server, caller := host("server"), host("caller")
+				l := network.Listen(server, "10.0.0.1:1")
+				go func() { _ = srv.Serve(l) }()
+				defer func() {
+					_ = srv.Close()
+					network.Kill(caller)
+					network.Kill(server)
+					time.Sleep(time.Minute)
+				}()
+
+				started := time.Now()
+				c, err := network.Dial(t.Context(), caller, "10.0.0.1:1")
+				require.NoError(t, err)
+				answer := make(chan string, 1)
+				go func() {
+					b, _ := io.ReadAll(c)
+					answer <- string(b)
+				}()
+				step := len(tc.text)
+				if tc.pause > 0 {
+					step = 1
+				}
+				for text := tc.text; text != ""; text = text[step:] {
+					if _, err := io.WriteString(c, text[:step]); err != nil {
+						break
+					}
+					time.Sleep(tc.pause)
+				}
+				if tc.leave {
+					time.Sleep(100 * time.Millisecond)
+					_ = c.Close()
+				}
+				text := <-answer
+				require.LessOrEqual(t, time.Since(started), tc.within+tc.pause)
+				require.Contains(t, text, tc.answer)
+				good, err := network.Dial(t.Context(), caller, "10.0.0.1:1")
+				require.NoError(t, err)
+				_, err = io.WriteString(good, "GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
+				require.NoError(t, err)
+				b, err := io.ReadAll(good)
+				require.NoError(t, err)
+				require.Contains(t, string(b), "ok")
+				time.Sleep(2 * time.Second)
+				require.Equal(t, tc.counted, counted)
+			})
+		})
+	}
+}
--- /dev/null
+++ b/internal/cli/gateway_test.go
@@ -0,0 +1,76 @@
+package cli
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/quetzallug/quetzallug/gateway"
+)
+
+func serveStatus(t *testing.T, s *gateway.Status) string {
+	t.Helper()
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/status" {
+			http.NotFound(w, r)
+			return
+		}
+		_ = json.NewEncoder(w).Encode(s)
+	}))
+	t.Cleanup(srv.Close)
+	return srv.Listener.Addr().String()
+}
+
+// Guards against a status that fails because one of several gateways is down, that hides that it is, or
+// that counts the requests of one gateway only.
+func TestStatusAndWorkersOfGateways(t *testing.T) {
+	first := serveStatus(t, &gateway.Status{
+		Instance: "edge-1", DataCentre: "z1", Ready: true, Config: 7, StoreAgeMS: 900, Orders: true,
+		Services: []gateway.ServiceStatus{{Service: "llm", Servers: 2, Usable: 1, InFlight: 3, UnreadTokens: 900, RetryBudgetLeft: 4.5}},
+		Servers: []gateway.ServerStatus{
+			{Server: "i-1", Service: "llm", DataCentre: "z1", Role: "prefill", State: "ready", Usable: true, InFlight: 3, Slots: 8, LoadAgeMS: -1, Connections: 2},
+			{Server: "i-2", Service: "llm", DataCentre: "z2", Role: "decode", State: "draining", Slots: 8, LoadAgeMS: 50},
+		},
+	})
+	second := serveStatus(t, &gateway.Status{
+		Instance: "edge-2", DataCentre: "z2", Reason: "no configuration yet", StoreAgeMS: -1,
+		Servers: []gateway.ServerStatus{{Server: "i-1", Service: "llm", DataCentre: "z1", State: "ready", InFlight: 4, Slots: 8, LoadAgeMS: 30, Others: 3, Connections: 1}},
+	})
+	const down = "127.0.0.1:1"
+
+	r := runTool(t, "", "status", "--gateway", first+","+second, "--gateway", down)
+	require.Equal(t, ExitOK, r.code, r.err)
+	require.Contains(t, r.err, down)
+	require.Regexp(t, `edge-1 +z1 +true +7 +900ms +true +llm +2 +1 +3 +900 +4`, r.out)
+	require.Regexp(t, `edge-2 +z2 +false \(no configuration yet\) +0 +never +false`, r.out)
+
+	t.Setenv("QUETZALLUG_GATEWAY", first+" "+second)
+	r = runTool(t, "", "workers", "-o", "json")
+	require.Equal(t, ExitOK, r.code, r.err)
+	var workers []map[string]any
+	require.NoError(t, json.Unmarshal([]byte(r.out), &workers))
+	require.Len(t, workers, 2)
+	require.Equal(t, "i-1", workers[0]["server"])
+	require.EqualValues(t, 7, workers[0]["in_flight"])
+	require.EqualValues(t, 3, workers[0]["connections"])
+	require.EqualValues(t, 30, workers[0]["load_age_ms"])
+	require.EqualValues(t, 2, workers[0]["seen_by"])
+	require.EqualValues(t, 1, workers[0]["usable_by"])
+	r = runTool(t, "", "workers", "--service", "api")
+	require.Equal(t, ExitOK, r.code, r.err)
+	require.NotContains(t, r.out, "i-1")
+
+	t.Setenv("QUETZALLUG_GATEWAY", "")
+	r = runTool(t, "", "status", "--gateway", down)
+	require.Equal(t, ExitUnavailable, r.code, r.err)
+	other := httptest.NewServer(http.NotFoundHandler())
+	defer other.Close()
+	r = runTool(t, "", "status", "--gateway", other.Listener.Addr().String())
+	require.Equal(t, ExitUnexpected, r.code, r.err)
+	require.Contains(t, r.err, "status 404")
+	r = runTool(t, "", "status", "--gateway", "not an address")
+	require.NotEqual(t, ExitOK, r.code)
+}
--- a/internal/cli/settings.go
+++ b/internal/cli/settings.go
@@ -23,6 +23,7 @@
 	settingKVModule  = "kv-module"
 	settingKVAddress = "kv-address"
 	settingEntry     = "entry"
+	settingGateway   = "gateway"
 	settingKey       = "key"
 	settingCluster   = "cluster"
 	settingTLSCert   = "tls-cert"
@@ -54,6 +55,7 @@
 	fs.String(settingKVModule, defaultKVModule, "module of the key-value service")
 	fs.String(settingKVAddress, "", "URL of the key-value service")
 	fs.StringSlice(settingEntry, nil, "host:port of an entry; may be given several times")
+	fs.StringSlice(settingGateway, nil, "host:port of a gateway's readiness check or metrics; may be given several times")
 	fs.String(settingKey, "", "shared key of the peers; prefer QUETZALLUG_KEY, since a flag shows in the process list")
 	fs.String(settingCluster, defaultCluster, "name of the cluster")
 	fs.String(settingTLSCert, "", "certificate for the entries, as PEM text or file; empty for cleartext")
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -33,14 +33,22 @@
 func (a *app) statusCommand() *cobra.Command {
 	return &cobra.Command{
 		Use:   "status",
-		Short: "Show the entries and the revisions that they have in force",
-		Long: `status asks each entry for the documents in force. An entry that is not confirmed has not yet
+		Short: "Show the entries or gateways and what they have in force",
+		Long: `With --gateway, status asks each gateway for its readiness, the version of the configuration in
+force, the age of what it knows from the store, whether it gives orders to engines, and the load of
+each service. A gateway that does not answer is reported on the standard error; the exit code is 5
+only if none answers.
+
+Without it, status asks each entry for the documents in force. An entry that is not confirmed has not yet
 reached the key-value service since its start, directly or through a peer. An entry that does
 not answer is reported on the standard error; the exit code is 5 only if none answers.`,
 		Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			ctx, cancel := a.withTimeout(cmd.Context())
 			defer cancel()
+			if addresses := a.gateways(); len(addresses) > 0 {
+				return a.gatewayStatus(ctx, addresses)
+			}
 			answers, err := a.askStatus(ctx)
 			if err != nil {
 				return err
@@ -104,14 +112,21 @@
 func (a *app) enginesCommand() *cobra.Command {
 	var service string
 	cmd := &cobra.Command{
-		Use:   "engines",
-		Short: "Show the workers of all services as the entries see them",
-		Long: `engines shows each worker once, by the youngest load report that any of the given entries has.
+		Use:     "engines",
+		Aliases: []string{"workers"},
+		Short:   "Show the backend servers of all services as the entries or gateways see them",
+		Long: `With --gateway, engines shows each backend server with the requests, unread prompt tokens and
+connections that all given gateways have there, and how many of them send new requests to it.
+
+Without it, engines shows each worker once, by the youngest load report that any of the given entries has.
 Free and total are pieces of 1,024 tokens.`,
 		Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			ctx, cancel := a.withTimeout(cmd.Context())
 			defer cancel()
+			if addresses := a.gateways(); len(addresses) > 0 {
+				return a.gatewayWorkers(ctx, addresses, service)
+			}
 			answers, err := a.askStatus(ctx)
 			if err != nil {
 				return err
--- a/internal/telemetry/gateway.go
+++ b/internal/telemetry/gateway.go
@@ -16,7 +16,13 @@
 	requests   metric.Int64Counter
 	duration   metric.Float64Histogram
 	firstEvent metric.Float64Histogram
+	pause      metric.Float64Histogram
 	attempts   metric.Int64Counter
+	refusals   metric.Int64Counter
+	prompt     metric.Float64Counter
+	orders     metric.Int64Counter
+	storeCalls metric.Int64Counter
+	unread     metric.Int64Counter
 
 	// sets holds the options of each combination of labels, which are few: no label grows with
 	// requests or callers.
@@ -29,41 +35,141 @@
 func NewGateway(m *Metrics) (*Gateway, error) {
 	b := builder{meter: m.meter}
 	g := &Gateway{
-		requests:   b.counter("quetzallug_gateway_requests", "Requests by outcome and cause."),
+		requests:   b.counter("quetzallug_gateway_requests", "Requests of callers, by service, kind and outcome."),
 		duration:   b.histogram("quetzallug_gateway_request_duration", "Time from a request to the end of its answer."),
 		firstEvent: b.histogram("quetzallug_gateway_first_event", "Time from a request to the first part of its answer."),
+		pause:      b.histogram("quetzallug_gateway_pause", "Time between two events of a stream."),
 		attempts:   b.counter("quetzallug_gateway_attempts", "Requests sent to backend servers, by service and outcome."),
+		refusals:   b.counter("quetzallug_gateway_refusals", "Requests refused before they ran, by service and reason."),
+		prompt:     b.floatCounter("quetzallug_gateway_prompt_tokens", "Prompt tokens by service and where they came from: kept, read or moved, as the choice of the backend server expected it."),
+		orders:     b.counter("quetzallug_gateway_role_orders", "Orders to change an engine's role, by service and by role and outcome."),
+		storeCalls: b.counter("quetzallug_gateway_store_calls", "Calls to the store, by operation and result."),
+		unread:     b.counter("quetzallug_gateway_unread_requests", "Connections of callers that ended before their request's header could be read."),
 	}
 	return g, b.err
 }
 
+// Watch exports what a gateway believes at the time of a scrape. No label grows with requests: services
+// and backend servers are those of the configuration and of the registrations.
+func (g *Gateway) Watch(m *Metrics, status func() *gateway.Status, linesLeftOut func() int64) error {
+	b := builder{meter: m.meter}
+	ready := b.observable("quetzallug_gateway_ready", "1 if the process takes requests.")
+	config := b.observable("quetzallug_gateway_config_version", "Version of the configuration in force.")
+	storeAge := b.observable("quetzallug_gateway_store_age", "Milliseconds since the store last told all changes: the age of the configuration and of the registrations.")
+	holder := b.observable("quetzallug_gateway_orders_held", "1 if this process may give orders to engines.")
+	lines := b.observable("quetzallug_gateway_log_lines_left_out", "Log lines left out because their reader was too slow.")
+	servers := b.observable("quetzallug_gateway_servers", "Registered backend servers by service.")
+	usable := b.observable("quetzallug_gateway_usable_servers", "Backend servers that get new requests, by service.")
+	inFlight := b.observable("quetzallug_gateway_in_flight", "Requests at backend servers, by service.")
+	unread := b.observable("quetzallug_gateway_unread_tokens", "Prompt tokens sent and not read yet, by service.")
+	budget := b.observable("quetzallug_gateway_retry_budget_left", "Requests that may be sent again now, by service.")
+	conns := b.observable("quetzallug_gateway_connections", "Open connections by backend server.")
+	loadAge := b.observable("quetzallug_gateway_load_age", "Milliseconds since a backend server last told its load; -1 if it never did.")
+	if b.err != nil {
+		return b.err
+	}
+	_, err := m.meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
+		s := status()
+		o.ObserveInt64(ready, flag(s.Ready))
+		o.ObserveInt64(config, int64(s.Config)) //nolint:gosec // versions are far below 2^63
+		o.ObserveInt64(storeAge, s.StoreAgeMS)
+		o.ObserveInt64(holder, flag(s.Orders))
+		o.ObserveInt64(lines, linesLeftOut())
+		for _, v := range s.Services {
+			label := metric.WithAttributes(attribute.String("service", v.Service))
+			o.ObserveInt64(servers, int64(v.Servers), label)
+			o.ObserveInt64(usable, int64(v.Usable), label)
+			o.ObserveInt64(inFlight, int64(v.InFlight), label)
+			o.ObserveInt64(unread, int64(v.UnreadTokens), label)
+			o.ObserveInt64(budget, int64(v.RetryBudgetLeft), label)
+		}
+		for _, v := range s.Servers {
+			label := metric.WithAttributes(attribute.String("server", v.Server))
+			o.ObserveInt64(conns, int64(v.Connections), label)
+			o.ObserveInt64(loadAge, v.LoadAgeMS, label)
+		}
+		return nil
+	}, ready, config, storeAge, holder, lines, servers, usable, inFlight, unread, budget, conns, loadAge)
+	return err
+}
+
+func flag(b bool) int64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
 type labelSet struct {
 	add    []metric.AddOption
 	record []metric.RecordOption
 }
 
-type setKey struct{ a, b string }
+// setKey holds up to three labels, each a name and a value. Unused names are empty.
+type setKey [6]string
 
-func (g *Gateway) set(nameA, a, nameB, b string) *labelSet {
-	key := setKey{nameA + a, nameB + b}
+func (g *Gateway) set(labels ...string) *labelSet {
+	var key setKey
+	copy(key[:], labels)
 	if s, ok := g.sets.Load(key); ok {
 		return s.(*labelSet)
 	}
-	o := metric.WithAttributeSet(attribute.NewSet(attribute.String(nameA, a), attribute.String(nameB, b)))
+	var attributes []attribute.KeyValue
+	for i := 0; i < len(key); i += 2 {
+		if key[i] != "" {
+			attributes = append(attributes, attribute.String(key[i], key[i+1]))
+		}
+	}
+	o := metric.WithAttributeSet(attribute.NewSet(attributes...))
 	s, _ := g.sets.LoadOrStore(key, &labelSet{add: []metric.AddOption{o}, record: []metric.RecordOption{o}})
 	return s.(*labelSet)
 }
 
 // Request implements gateway.Metrics.
-func (g *Gateway) Request(service, outcome string, elapsed time.Duration) {
-	s := g.set("service", service, "outcome", outcome)
+func (g *Gateway) Request(service, kind, outcome string, elapsed time.Duration) {
+	s := g.set("service", service, "kind", kind, "outcome", outcome)
 	g.requests.Add(context.Background(), 1, s.add...)
 	g.duration.Record(context.Background(), elapsed.Seconds(), s.record...)
 }
 
+// Refusal implements gateway.Metrics.
+func (g *Gateway) Refusal(service, reason string) {
+	g.refusals.Add(context.Background(), 1, g.set("service", service, "reason", reason).add...)
+}
+
+// Pause implements gateway.Metrics.
+func (g *Gateway) Pause(service string, d time.Duration) {
+	g.pause.Record(context.Background(), d.Seconds(), g.set("service", service).record...)
+}
+
+// Prompt implements gateway.Metrics.
+func (g *Gateway) Prompt(service string, p gateway.PromptTokens) {
+	for _, part := range [...]struct {
+		source string
+		tokens float64
+	}{{"kept", p.Kept}, {"read", p.Read}, {"moved", p.Moved}} {
+		if part.tokens > 0 {
+			g.prompt.Add(context.Background(), part.tokens, g.set("service", service, "source", part.source).add...)
+		}
+	}
+}
+
+// RoleOrder implements gateway.Metrics.
+func (g *Gateway) RoleOrder(service, role, outcome string) {
+	g.orders.Add(context.Background(), 1, g.set("service", service, "role", role, "outcome", outcome).add...)
+}
+
+// StoreCall counts a call to the store.
+func (g *Gateway) StoreCall(operation, result string) {
+	g.storeCalls.Add(context.Background(), 1, g.set("operation", operation, "result", result).add...)
+}
+
+// Unread counts a connection that ended before its request's header could be read.
+func (g *Gateway) Unread() { g.unread.Add(context.Background(), 1) }
+
 // FirstEvent implements gateway.Metrics.
-func (g *Gateway) FirstEvent(service string, d time.Duration) {
-	g.firstEvent.Record(context.Background(), d.Seconds(), g.set("service", service, "outcome", "answered").record...)
+func (g *Gateway) FirstEvent(service, kind string, d time.Duration) {
+	g.firstEvent.Record(context.Background(), d.Seconds(), g.set("service", service, "kind", kind).record...)
 }
 
 // Attempt implements gateway.Metrics.
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -113,6 +113,18 @@
 	return g
 }
 
+func (b *builder) floatCounter(name, help string) metric.Float64Counter {
+	c, err := b.meter.Float64Counter(name, metric.WithDescription(help))
+	b.keep(err)
+	return c
+}
+
+func (b *builder) observable(name, help string) metric.Int64ObservableGauge {
+	g, err := b.meter.Int64ObservableGauge(name, metric.WithDescription(help))
+	b.keep(err)
+	return g
+}
+
 func (b *builder) histogram(name, help string) metric.Float64Histogram {
 	h, err := b.meter.Float64Histogram(name, metric.WithDescription(help), metric.WithUnit("s"),
 		metric.WithExplicitBucketBoundaries(latencyBounds...))
--- /dev/null
+++ b/test/soak/status_test.go
@@ -0,0 +1,88 @@
+package soak
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/quetzallug/quetzallug/gateway"
+	"github.com/quetzallug/quetzallug/internal/cli"
+	"github.com/quetzallug/quetzallug/internal/testcluster"
+	"github.com/quetzallug/quetzallug/standin/site"
+)
+
+// Guards against a running gateway of which operators cannot learn what it believes: the tool's status
+// and workers, and each of the metrics that docs/OPERATIONS.md names.
+func TestStatusAndMetricsOfTheRealProgram(t *testing.T) {
+	bin, dir := t.TempDir(), t.TempDir()
+	require.NoError(t, testcluster.Build("../..", bin))
+	d := newDeployment(t, filepath.Join(bin, "quetzallugd"), dir)
+	d.waitReady()
+	l := newLoad(d)
+	ask := func(kind string) {
+		c, err := net.Dial("tcp", d.gateways[0].address)
+		require.NoError(t, err)
+		defer c.Close()
+		l.call(c, bufio.NewReader(c), kind)
+	}
+	for range 20 {
+		for _, kind := range []string{"read", "once", "stream", "resume"} {
+			ask(kind)
+		}
+	}
+	for _, w := range d.workers[:plain] {
+		w.SetFault(func(*http.Request) site.Fault { return site.FaultShed })
+	}
+	ask("once")
+	c, err := net.Dial("tcp", d.gateways[0].address)
+	require.NoError(t, err)
+	_, err = io.WriteString(c, "no request\r\n\r\n")
+	require.NoError(t, err)
+	_, _ = io.ReadAll(c)
+
+	tool := func(args ...string) string {
+		var out, errs bytes.Buffer
+		code := cli.Run(t.Context(), append(args, "-o", "json", "--gateway", d.gateways[0].readyAddress, "--gateway", d.gateways[1].readyAddress),
+			cli.Streams{In: strings.NewReader(""), Out: &out, Err: &errs})
+		require.Equal(t, cli.ExitOK, code, errs.String())
+		return out.String()
+	}
+	var status []struct {
+		Instance string `json:"instance"`
+		Ready    bool   `json:"ready"`
+		Config   uint64 `json:"config"`
+		Servers  int    `json:"servers"`
+	}
+	require.NoError(t, json.Unmarshal([]byte(tool("status")), &status))
+	require.Len(t, status, 2)
+	require.Equal(t, "edge-0", status[0].Instance)
+	require.True(t, status[0].Ready)
+	require.EqualValues(t, 1, status[0].Config)
+	require.Equal(t, plain+engines, status[0].Servers)
+	var workers []gateway.ServerStatus
+	require.NoError(t, json.Unmarshal([]byte(tool("workers")), &workers))
+	require.Len(t, workers, plain+engines)
+
+	resp, err := http.Get("http://" + d.gateways[0].readyAddress + "/metrics")
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	for _, name := range []string{
+		`requests_total{kind="once",`, `outcome="refused"`, `refusals_total{`, `reason="server_full,no_server"`, `request_duration_seconds_bucket{kind="stream"`,
+		`first_event_seconds_bucket{kind="stream"`, `pause_seconds_bucket{`, `attempts_total{`, `prompt_tokens_total{`, `source="kept"`, `source="read"`,
+		`store_calls_total{operation="list"`, `store_calls_total{operation="watch"`, `unread_requests_total`, `ready{`, `config_version{`, `store_age{`,
+		`orders_held{`, `log_lines_left_out{`, `servers{`, `usable_servers{`, `in_flight{`, `unread_tokens{`, `retry_budget_left{`, `connections{`, `load_age{`,
+	} {
+		require.Contains(t, string(b), name)
+	}
+	d.stop()
+}
--- a/upstream/socket.go
+++ b/upstream/socket.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"errors"
 	"net"
 	"strconv"
 	"strings"
@@ -10,16 +11,16 @@
 	"golang.org/x/sys/unix"
 )
 
-// setUserTimeout gives up a connection whose peer acknowledges nothing.
-func setUserTimeout(_, _ string, c syscall.RawConn) error {
-	var option error
-	err := c.Control(func(fd uintptr) {
-		option = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unacknowledged/time.Millisecond))
-	})
-	if err != nil {
-		return err
+// UserTimeout returns a control function of net.Dialer. It gives up a connection whose peer
+// acknowledges nothing for d.
+func UserTimeout(d time.Duration) func(network, address string, c syscall.RawConn) error {
+	return func(_, _ string, c syscall.RawConn) error {
+		var option error
+		err := c.Control(func(fd uintptr) {
+			option = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
+		})
+		return errors.Join(err, option)
 	}
-	return option
 }
 
 // silent tells whether an idle connection is open and has nothing to read.
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -14,6 +14,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -87,10 +88,14 @@
 	idle map[string][]*conn
 	// opened counts the connections made.
 	opened int64
+	// open counts the connections that are open, by address.
+	open map[string]int
 }
 
 type conn struct {
 	net.Conn
+	pool    *Pool
+	closed  atomic.Bool
 	addr    string
 	br      *bufio.Reader
 	bw      *bufio.Writer
@@ -109,13 +114,15 @@
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveProbes,
 		},
-		Control: setUserTimeout,
+		Control: UserTimeout(unacknowledged),
 	}
 	return NewPoolWithDial(dialer.DialContext)
 }
 
 // NewPoolWithDial returns an empty pool whose connections are opened by dial.
-func NewPoolWithDial(dial Dial) *Pool { return &Pool{dial: dial, idle: make(map[string][]*conn)} }
+func NewPoolWithDial(dial Dial) *Pool {
+	return &Pool{dial: dial, idle: make(map[string][]*conn), open: make(map[string]int)}
+}
 
 // Opened returns the number of connections made so far.
 func (p *Pool) Opened() int64 {
@@ -124,16 +131,43 @@
 	return p.opened
 }
 
+// Connections returns the number of open connections to an address.
+func (p *Pool) Connections(addr string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.open[addr]
+}
+
+// count notes n connections more to an address, or fewer if n is negative.
+func (p *Pool) count(addr string, n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.opened += int64(max(0, n))
+	if p.open[addr] += n; p.open[addr] == 0 {
+		delete(p.open, addr)
+	}
+}
+
+// Close closes the connection. It must not be called with Pool.mu held.
+func (c *conn) Close() error {
+	if c.closed.Swap(true) {
+		return nil
+	}
+	c.pool.count(c.addr, -1)
+	return c.Conn.Close()
+}
+
 // Close closes the kept connections.
 func (p *Pool) Close() {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, cs := range p.idle {
+	idle := p.idle
+	p.idle = make(map[string][]*conn)
+	p.mu.Unlock()
+	for _, cs := range idle {
 		for _, c := range cs {
 			_ = c.Close()
 		}
 	}
-	clear(p.idle)
 }
 
 // Forget closes the kept connections to an address.
@@ -213,10 +247,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	p.mu.Lock()
-	p.opened++
-	p.mu.Unlock()
-	return &conn{Conn: nc, addr: addr, br: bufio.NewReaderSize(nc, readBuffer), bw: bufio.NewWriterSize(nc, writeBuffer)}, nil
+	p.count(addr, 1)
+	return &conn{Conn: nc, pool: p, addr: addr, br: bufio.NewReaderSize(nc, readBuffer), bw: bufio.NewWriterSize(nc, writeBuffer)}, nil
 }
 
 // Belongs tells whether an answer belongs to the request. fresh is true on a connection that carries
