Order no role changes that the load does not ask for; share the retry slack among all instances

Cause: the part of the engines beyond the need was divided by a fixed share, whatever the need was. Now a split in which both roles have twice what they need stays as it is, a fleet without load gets at most 32 engines of each role by orders, and one look gives at most 16. TestRolePlan: a large idle fleet is split by a few orders, ample engines stay as they are; both failed before. Its case of the dwell time had one reading for eleven engines, which is ample now, and has fifteen.

Each instance could send one request again beside its share; 300 of them would exceed the 102 that the grown site allows. Instances do not know how many run, so each uses 1/340 of the slack (TestGatewaySettings).

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -197,9 +197,34 @@
 		require.Negative(t, n)
 		require.GreaterOrEqual(t, n, -int(changeShare*float64(len(servers))))
 	})
+	// Guards against hundreds of orders to a large fleet that has little to do: they were six times the
+	// worth of all requests in the users' sweep at 300 entries.
+	t.Run("a large idle fleet is split by a few orders", func(t *testing.T) {
+		s, servers := st(), engines(20, 2980)
+		require.Equal(t, idleEngines-20, plan(s, servers, start))
+		require.Zero(t, plan(s, engines(idleEngines, 2000), start))
+		require.Zero(t, plan(s, engines(2000, idleEngines), start))
+		require.Equal(t, -2, plan(s, engines(2000, idleEngines-2), start))
+	})
+	t.Run("ample engines stay as they are", func(t *testing.T) {
+		s, servers := st(), engines(10, 30)
+		for _, e := range servers[:10] {
+			e.sent(0, start)
+		}
+		require.Zero(t, plan(s, servers, start))
+		require.Zero(t, plan(s, servers, start.Add(persistTime)))
+		for range 2 * readDepth {
+			for _, e := range servers[:10] {
+				e.sent(0, start)
+			}
+		}
+		require.Positive(t, plan(s, servers, start.Add(persistTime)))
+	})
 	t.Run("no change in the other direction within the dwell time", func(t *testing.T) {
 		s, servers := st(), engines(3, 8)
-		servers[0].sent(0, start)
+		for range 5 * readDepth {
+			servers[0].sent(0, start)
+		}
 		s.direction, s.changedAt = -1, start
 		require.Zero(t, plan(s, servers, start.Add(persistTime)))
 		require.Zero(t, plan(s, servers, start.Add(dwellTime-time.Second)))
--- a/gateway/roles.go
+++ b/gateway/roles.go
@@ -97,6 +97,14 @@
 	minChangeShare = 0.1
 	// changeShare bounds the engines that change at the same time under load.
 	changeShare = 0.2
+	// ampleFactor is how many times the engines that it needs each role must have for the split to be left
+	// as it is: orders are paid for, and a fleet with little load gains nothing from them.
+	ampleFactor = 2
+	// idleEngines is the number of engines that each role gets before there is any load. It covers a whole
+	// fleet of 44; a larger one changes by the load that comes.
+	idleEngines = 32
+	// ordersPerLook bounds the orders of one look, which are sent one after the other in about 5 ms each.
+	ordersPerLook = 16
 )
 
 // Roles plans the roles of engines and gives orders while it holds the authority.
@@ -118,7 +126,8 @@
 
 // roleState is what is remembered between two looks at one service.
 type roleState struct {
-	seen      string
+	// seen is a sum over the engines' keys.
+	seen      uint64
 	seenAt    time.Time
 	wanted    int
 	wantedAt  time.Time
@@ -214,14 +223,9 @@
 
 // settled tells whether the list of engines has been the same for a while.
 func (st *roleState) settled(servers []*Server, now time.Time) bool {
-	ids := make([]string, len(servers))
-	for i, s := range servers {
-		ids[i] = s.ID
-	}
-	slices.Sort(ids)
-	seen := ""
-	for _, id := range ids {
-		seen += id + " "
+	seen := uint64(0)
+	for _, s := range servers {
+		seen += mix(s.key)
 	}
 	if seen != st.seen {
 		st.seen, st.seenAt = seen, now
@@ -265,12 +269,22 @@
 	return p
 }
 
+// need is the number of engines that the load takes, by role.
+func (p *split) need() (decode, prefill float64) {
+	return p.generating / (decodeFill * float64(max(p.places, 1))), p.reading / readDepth
+}
+
+// ample tells whether both roles have several times the engines that they need.
+func (p *split) ample() bool {
+	decode, prefill := p.need()
+	return ampleFactor*decode <= float64(p.decode) && ampleFactor*prefill <= float64(p.prefill)
+}
+
 // wantedDecode is the number of engines that should generate answers: what is needed and a part of what
 // is left, or the share of the need if there are too few engines.
 func (p *split) wantedDecode() int {
 	n := float64(p.decode + p.prefill)
-	decode := p.generating / (decodeFill * float64(max(p.places, 1)))
-	prefill := p.reading / readDepth
+	decode, prefill := p.need()
 	if need := decode + prefill; need <= n {
 		decode += (n - need) * spareShare
 	} else {
@@ -304,7 +318,10 @@
 		return 0
 	}
 	if p.idle {
-		return d
+		return p.idleChanges(d)
+	}
+	if p.ample() {
+		return 0
 	}
 	if now.Sub(st.wantedAt) < persistTime || (sign(d) != st.direction && now.Sub(st.changedAt) < dwellTime) {
 		return 0
@@ -316,7 +333,16 @@
 		}
 	}
 	room := max(1, int(changeShare*float64(len(p.servers)))) - changing
-	return sign(d) * max(0, min(sign(d)*d, room))
+	return sign(d) * max(0, min(sign(d)*d, room, ordersPerLook))
+}
+
+// idleChanges bounds the changes of a fleet without load.
+func (p *split) idleChanges(d int) int {
+	have := p.prefill
+	if d < 0 {
+		have = p.decode
+	}
+	return sign(d) * max(0, min(sign(d)*d, idleEngines-have, ordersPerLook))
 }
 
 func sign(n int) int {
--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -98,7 +98,7 @@
 
 func newGateway(s *settings.Gateway, a Adapter, t *route.Holder, r *gateway.Roster, p *upstream.Pool, m *telemetry.Gateway, log logrus.FieldLogger) *gateway.Gateway {
 	return gateway.New(gateway.Config{
-		Instance: s.Instance, DataCentre: s.DataCentre, RetryWindow: s.RetryWindow, RetryShare: s.RetryShare, RetrySlack: s.RetrySlack,
+		Instance: s.Instance, DataCentre: s.DataCentre, RetryWindow: s.RetryWindow, RetryShare: s.RetryShare, RetrySlack: s.OwnRetrySlack(),
 	}, a, t, r, p, m, log)
 }
 
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -22,6 +22,7 @@
 	AdapterAddress string        `mapstructure:"adapter-address"`
 	RetryShare     float64       `mapstructure:"retry-share"`
 	RetrySlack     float64       `mapstructure:"retry-slack"`
+	Instances      int           `mapstructure:"instances"`
 	RetryWindow    time.Duration `mapstructure:"retry-window"`
 	ConfigBound    time.Duration `mapstructure:"config-bound"`
 	DrainBound     time.Duration `mapstructure:"drain-bound"`
@@ -34,6 +35,14 @@
 	Grace          time.Duration `mapstructure:"grace"`
 }
 
+// maxInstances is the number of entries that one deployment is designed for.
+const maxInstances = 340
+
+// OwnRetrySlack is the part of the slack that this instance may use. Instances do not know how many
+// others run; if each of 300 used one request of the slack, they would exceed the 102 that one of the
+// known deployments allows.
+func (s *Gateway) OwnRetrySlack() float64 { return s.RetrySlack / float64(s.Instances) }
+
 // AddGateway adds the flags of a gateway.
 func AddGateway(f *pflag.FlagSet) {
 	f.String("instance", "", "name of this instance")
@@ -44,7 +53,8 @@
 	f.String("adapter", "adapter.platform", "module that translates between the installation and quetzallug")
 	f.String("adapter-address", "127.0.0.1:7000", "IP address and port of the installation's store")
 	f.Float64("retry-share", 0.1, "requests sent again, as a share of the requests for the same service")
-	f.Float64("retry-slack", 1, "requests sent again in a window beside that share")
+	f.Float64("retry-slack", 0, "requests that all instances together may send again in a window beside that share")
+	f.Int("instances", maxInstances, "largest number of instances that share retry-slack")
 	f.Duration("retry-window", 10*time.Second, "length of the sliding window of the retry budget")
 	f.Duration("config-bound", 2*time.Second, "time within which an accepted configuration is in force")
 	f.Duration("drain-bound", 2*time.Second, "time within which a leaving backend server gets no more requests")
@@ -72,7 +82,7 @@
 	errs := []error{
 		required("instance", s.Instance), required("data-centre", s.DataCentre), required("adapter", s.Adapter),
 		address("listen", s.Listen), address("ready-listen", s.ReadyListen), address("adapter-address", s.AdapterAddress),
-		positive("retry-window", s.RetryWindow), positive("config-bound", s.ConfigBound), positive("drain-bound", s.DrainBound), positive("grace", s.Grace), atLeast("memory", s.MemoryMiB, 16), logErr,
+		positive("retry-window", s.RetryWindow), positive("config-bound", s.ConfigBound), positive("drain-bound", s.DrainBound), positive("grace", s.Grace), atLeast("memory", s.MemoryMiB, 16), atLeast("instances", s.Instances, 1), logErr,
 	}
 	if s.LeaseTTL != 0 && s.LeaseTTL < time.Second {
 		errs = append(errs, fmt.Errorf("setting lease-ttl: found %s, allowed are 0s and durations from 1s", s.LeaseTTL))
--- a/internal/settings/gateway_test.go
+++ b/internal/settings/gateway_test.go
@@ -16,14 +16,21 @@
 	s, err := ReadGateway(cmd)
 	require.NoError(t, err)
 	require.Equal(t, "8s", s.Values()["grace"])
+	require.Zero(t, s.OwnRetrySlack())
+
+	// Guards against many instances that exceed the common slack together: each of 300 had 1 of 102.
+	require.NoError(t, cmd.Flags().Parse([]string{"--retry-slack", "102"}))
+	s, err = ReadGateway(cmd)
+	require.NoError(t, err)
+	require.LessOrEqual(t, 340*s.OwnRetrySlack(), 102.0)
 
 	require.NoError(t, cmd.Flags().Parse([]string{
-		"--instance", "", "--listen", "host:80", "--adapter-address", "x", "--retry-share", "2", "--retry-slack", "-1", "--lease-ttl", "5ms",
+		"--instance", "", "--listen", "host:80", "--adapter-address", "x", "--retry-share", "2", "--retry-slack", "-1", "--instances", "0", "--lease-ttl", "5ms",
 		"--grace", "0s", "--config-bound", "-1s", "--memory", "1", "--log-level", "loud", "--metrics-listen", "9464",
 	}))
 	_, err = ReadGateway(cmd)
 	for _, name := range []string{
-		"instance", "listen", "adapter-address", "retry-share", "retry-slack", "lease-ttl", "grace", "config-bound", "memory", "log level", "metrics-listen",
+		"instance", "listen", "adapter-address", "retry-share", "retry-slack", "instances", "lease-ttl", "grace", "config-bound", "memory", "log level", "metrics-listen",
 	} {
 		require.ErrorContains(t, err, name)
 	}
