Let loads be played against the gateway's decisions without a network

Decider (placing and refusing) and RolePlan (roles of engines) are what Gateway and Roles decide with; neither knows a network or a clock of its own. No decision changes.

--- /dev/null
+++ b/gateway/decider.go
@@ -0,0 +1,169 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/quetzallug/quetzallug/route"
+)
+
+// Decider places requests on backend servers and says which of them are refused. It answers to the load
+// that it was told and needs no network, so that loads can be played against it in simulated time. It is
+// safe for concurrent use.
+type Decider struct {
+	dataCentre string
+	roster     *Roster
+	prefixes   *prefixes
+
+	mu    sync.Mutex
+	paces map[string]*pace
+}
+
+// NewDecider returns a decider of a process in a data centre.
+func NewDecider(dataCentre string, r *Roster) *Decider {
+	return &Decider{dataCentre: dataCentre, roster: r, prefixes: newPrefixes(), paces: make(map[string]*pace)}
+}
+
+// Query is a request to be placed.
+type Query struct {
+	Route   *route.Route
+	Service string
+	Call    *Call
+	// Deadline is the earlier of the caller's and the route's.
+	Deadline time.Time
+	// keys are those of the prompt's parts; see Keys.
+	keys []uint64
+	// tried backend servers are not chosen again.
+	tried []*live
+	// reader has read the prompt, if it is not nil.
+	reader *Server
+}
+
+// Prepare must be called once the route and the call are set.
+func (q *Query) Prepare() {
+	if q.Route.Prompt {
+		q.keys = chain(q.Call.Parts)
+	}
+}
+
+// Tried keeps the backend server from being chosen again for this request.
+func (q *Query) Tried(s *Server) { q.tried = append(q.tried, s.live) }
+
+// ReadBy tells which backend server has read the prompt.
+func (q *Query) ReadBy(s *Server) { q.reader = s }
+
+// Choice is where a request goes.
+type Choice struct {
+	// Reader reads the prompt for Server; nil if Server does both or nothing is left to read.
+	Reader *Server
+	// Server answers; nil if there is none.
+	Server *Server
+	// Unread are the prompt tokens that have to be read.
+	Unread float64
+	// First is the expected time to the first event.
+	First time.Duration
+	// Refuse asks to refuse the request, and to tell its caller to return after ComeBack.
+	Refuse   bool
+	ComeBack time.Duration
+}
+
+// Decide places a request that was not sent yet, or whose prompt was read, and says whether it should be
+// refused instead.
+func (d *Decider) Decide(q *Query, now time.Time) Choice {
+	c := d.choose(q, now)
+	out := Choice{Reader: c.reader, Server: c.server, Unread: c.unread, First: c.first}
+	if q.reader == nil && tooLate(q, &c, now) {
+		out.Refuse, out.ComeBack = true, comeBack(q.Deadline, now)
+	}
+	return out
+}
+
+// Sent counts a request on its way to a backend server, with the prompt tokens that it will read there.
+func (d *Decider) Sent(q *Query, s *Server, unread float64, now time.Time) {
+	s.sent(unread, now)
+	d.prefixes.note(q.keys, s.key, now)
+}
+
+// Read counts the prompt as read. ahead is what had to be read before it when it was sent at sentAt.
+func (d *Decider) Read(q *Query, s *Server, unread, ahead float64, sentAt, now time.Time) {
+	s.read(unread)
+	d.pace(q.Service).observe(s.Role, unread, ahead, now.Sub(sentAt))
+}
+
+// Ahead are the prompt tokens that this process has sent to a backend server and that were not read yet.
+func (d *Decider) Ahead(s *Server, now time.Time) float64 { return s.view(now).pending }
+
+// Ended counts a request as ended. load is what the answer told, nil if nothing.
+func (d *Decider) Ended(s *Server, load *Load, now time.Time) {
+	s.heard(load, now)
+	s.ended()
+}
+
+// Refused notes that a backend server took no request.
+func (d *Decider) Refused(s *Server, now time.Time) { s.refused(now) }
+
+// choose picks the backend servers for the next attempt.
+func (d *Decider) choose(q *Query, now time.Time) choice {
+	all := d.roster.Servers(q.Service)
+	if c := d.chooseFrom(q, now, all, false); c.server != nil {
+		return c
+	}
+	return d.chooseFrom(q, now, all, true)
+}
+
+// chooseFrom compares the backend servers that are usable, or all that were not tried.
+func (d *Decider) chooseFrom(q *Query, now time.Time, all []*Server, avoided bool) choice {
+	servers, views := candidates(all, q.tried, now, avoided)
+	if !q.Route.Prompt || len(q.Call.Parts) == 0 {
+		return choosePlain(servers, views, d.dataCentre)
+	}
+	decoders := newDecoders(servers, views, d.dataCentre)
+	if q.reader != nil {
+		return chooseDecoder(servers, q.reader, decoders)
+	}
+	keys := make([]uint64, len(servers))
+	for i, s := range servers {
+		keys[i] = s.key
+	}
+	perToken, unread := d.pace(q.Service).values()
+	cached := d.prefixes.cached(q.keys, q.Call.Parts, keys, now)
+	return choosePrompt(servers, views, cached, &prompt{call: q.Call, keys: q.keys, dataCentre: d.dataCentre}, perToken, unread, decoders)
+}
+
+func (d *Decider) pace(service string) *pace {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	p := d.paces[service]
+	if p == nil {
+		p = newPace()
+		d.paces[service] = p
+	}
+	return p
+}
+
+// tooLate tells whether a request that was not offered yet should be refused, because its answer
+// would begin so late that serving it takes time from requests which can still be on time.
+func tooLate(q *Query, c *choice, now time.Time) bool {
+	if !q.Route.Prompt || q.Route.Target <= 0 {
+		return false
+	}
+	if c.first > q.Deadline.Sub(now) {
+		return true
+	}
+	// Refusing a request with little to read would free next to nothing.
+	return c.unread >= shortPrompt && c.first > time.Duration(lateFactor*float64(q.Route.Target))
+}
+
+// lateFactor is the expected time to the first event, as a multiple of the target, above which a
+// request is refused. Beyond the target an answer is late; with twice the target as the limit, half of
+// all answers in a flood were late for the same number served.
+const lateFactor = 1.0
+
+// comeBack is when a refused caller should return: late in the time that it has left, since a flood
+// outlasts a short pause, but early enough for another try after that. Callers are spread, so that they
+// do not return together.
+func comeBack(deadline, now time.Time) time.Duration {
+	left := deadline.Sub(now) / 3
+	return min(max(left*3/5+rand.N(left*2/5+1), minRetryAfter), maxRetryAfter)
+}
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"math/rand/v2"
 	"net/http"
 	"os"
 	"strconv"
@@ -194,14 +193,15 @@
 			q.giveUp(q.cause)
 			return
 		}
-		c := q.g.choose(q, now)
+		query := q.query()
+		c := q.g.decider.choose(query, now)
 		q.last = c
 		if c.server == nil {
 			q.giveUp(q.because(c.reason))
 			return
 		}
-		if q.sends == 0 && q.tooLate(&c, now) {
-			q.refuse("overload", q.comeBack(now))
+		if q.sends == 0 && tooLate(query, &c, now) {
+			q.refuse("overload", comeBack(q.deadline, now))
 			return
 		}
 		if !q.pay(&c, now) {
@@ -233,6 +233,14 @@
 	return q.cause + "," + reason
 }
 
+func (q *request) query() *Query {
+	out := &Query{Route: q.route, Service: q.service, Call: &q.call, Deadline: q.deadline, keys: q.keys, tried: q.tried}
+	if q.source != "" {
+		out.reader = q.reader
+	}
+	return out
+}
+
 // mayRepeat tells whether the request may be offered once more.
 func (q *request) mayRepeat() bool {
 	return q.sends < maxSends && q.runs < q.route.MaxAttempts && (q.runs == 0 || q.route.Repeatable)
@@ -248,64 +256,6 @@
 	return q.sends == 0 || b.Take(now)
 }
 
-// choose picks the backend servers for the next attempt.
-func (g *Gateway) choose(q *request, now time.Time) choice {
-	all := g.roster.Servers(q.service)
-	if c := g.chooseFrom(q, now, all, false); c.server != nil {
-		return c
-	}
-	return g.chooseFrom(q, now, all, true)
-}
-
-// chooseFrom compares the backend servers that are usable, or all that were not tried.
-func (g *Gateway) chooseFrom(q *request, now time.Time, all []*Server, avoided bool) choice {
-	servers, views := candidates(all, q.tried, now, avoided)
-	if !q.route.Prompt || len(q.call.Parts) == 0 {
-		return choosePlain(servers, views, g.cfg.DataCentre)
-	}
-	ids := make([]uint64, len(servers))
-	for i, s := range servers {
-		ids[i] = s.key
-	}
-	perToken, unread := g.pace(q.service).values()
-	decoders := newDecoders(servers, views, g.cfg.DataCentre)
-	if q.source != "" {
-		return chooseDecoder(servers, q.reader, decoders)
-	}
-	cached := g.prefixes.cached(q.keys, q.call.Parts, ids, now)
-	return choosePrompt(servers, views, cached, &prompt{call: &q.call, keys: q.keys, dataCentre: g.cfg.DataCentre}, perToken, unread, decoders)
-}
-
-// tooLate tells whether a request that was not offered yet should be refused, because its answer
-// would begin so late that serving it takes time from requests which can still be on time.
-func (q *request) tooLate(c *choice, now time.Time) bool {
-	if !q.route.Prompt || q.route.Target <= 0 {
-		return false
-	}
-	if c.first > q.deadline.Sub(now) {
-		return true
-	}
-	// Refusing a request with little to read would free next to nothing.
-	return c.unread >= shortPrompt && c.first > q.limit()
-}
-
-// lateFactor is the expected time to the first event, as a multiple of the target, above which a
-// request is refused. Beyond the target an answer is late; with twice the target as the limit, half of
-// all answers in a flood were late for the same number served.
-const lateFactor = 1.0
-
-func (q *request) limit() time.Duration {
-	return time.Duration(lateFactor * float64(q.route.Target))
-}
-
-// comeBack is when a refused caller should return: late in the time that it has left, since a flood
-// outlasts a short pause, but early enough for another try after that. Callers are spread, so that they
-// do not return together.
-func (q *request) comeBack(now time.Time) time.Duration {
-	left := q.deadline.Sub(now) / 3
-	return min(max(left*3/5+rand.N(left*2/5+1), minRetryAfter), maxRetryAfter)
-}
-
 // attempt sends the request to the chosen backend servers.
 func (q *request) attempt(c *choice, now time.Time) result {
 	s := &Send{Server: c.server, Priority: q.route.Priority, After: q.after()}
@@ -329,7 +279,7 @@
 	ahead := c.server.view(now).pending
 	sentAt := time.Now()
 	c.server.sent(unread, sentAt)
-	q.g.prefixes.note(q.keys, c.server.key, sentAt)
+	q.g.decider.prefixes.note(q.keys, c.server.key, sentAt)
 	o := &offer{q: q, s: c.server, send: s, unread: unread, ahead: ahead, sentAt: sentAt}
 	res := o.account()
 	q.g.metrics.Attempt(q.service, res.String())
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -98,20 +98,19 @@
 }
 
 // Gateway serves callers. It is safe for concurrent use.
-// Lock order: Gateway.mu or Roster.mu, then live.mu of one backend server; prefixes.mu is held alone.
+// Lock order: Gateway.mu or Roster.mu, then live.mu of one backend server; Decider.mu and prefixes.mu are held alone.
 type Gateway struct {
-	cfg      Config
-	codec    Codec
-	tables   *route.Holder
-	roster   *Roster
-	pool     *upstream.Pool
-	prefixes *prefixes
-	metrics  Metrics
-	log      logrus.FieldLogger
+	cfg     Config
+	codec   Codec
+	tables  *route.Holder
+	roster  *Roster
+	pool    *upstream.Pool
+	decider *Decider
+	metrics Metrics
+	log     logrus.FieldLogger
 
 	mu      sync.Mutex
 	budgets map[string]*retry.Window
-	paces   map[string]*pace
 }
 
 // Metrics counts what happens to requests.
@@ -136,8 +135,8 @@
 // New returns a gateway.
 func New(cfg Config, codec Codec, tables *route.Holder, roster *Roster, pool *upstream.Pool, m Metrics, log logrus.FieldLogger) *Gateway {
 	return &Gateway{
-		cfg: cfg, codec: codec, tables: tables, roster: roster, pool: pool, prefixes: newPrefixes(),
-		metrics: m, log: log, budgets: make(map[string]*retry.Window), paces: make(map[string]*pace),
+		cfg: cfg, codec: codec, tables: tables, roster: roster, pool: pool, decider: NewDecider(cfg.DataCentre, roster),
+		metrics: m, log: log, budgets: make(map[string]*retry.Window),
 	}
 }
 
@@ -166,14 +165,3 @@
 	}
 	return b
 }
-
-func (g *Gateway) pace(service string) *pace {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	p := g.paces[service]
-	if p == nil {
-		p = newPace()
-		g.paces[service] = p
-	}
-	return p
-}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -165,8 +165,8 @@
 		}
 		return out
 	}
-	st := func() *roleState { return &roleState{ordered: map[*live]ordered{}} }
-	plan := func(s *roleState, servers []*Server, at time.Time) int {
+	st := NewRolePlan
+	plan := func(s *RolePlan, servers []*Server, at time.Time) int {
 		return s.changes(newSplit(servers, s, at), at)
 	}
 
--- a/gateway/prefill.go
+++ b/gateway/prefill.go
@@ -24,7 +24,7 @@
 	p.sent(c.unread, sentAt)
 	defer p.ended()
 	defer p.read(c.unread)
-	q.g.prefixes.note(q.keys, p.key, sentAt)
+	q.g.decider.prefixes.note(q.keys, p.key, sentAt)
 	send := &Send{Server: p, Remaining: time.Until(q.deadline), Priority: q.route.Priority, Prefill: true}
 	resp, err := q.g.pool.Do(q.ctx, p.Address, &upstream.Request{
 		Method: q.r.Method, Target: q.r.RequestURI, Host: q.r.Host,
@@ -60,7 +60,7 @@
 		return "", notRun, false
 	}
 	p.result(0, now)
-	q.g.pace(q.service).observe(p.Role, c.unread, ahead, now.Sub(sentAt))
+	q.g.decider.pace(q.service).observe(p.Role, c.unread, ahead, now.Sub(sentAt))
 	return p.Address + "/" + handle, finished, true
 }
 
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -121,7 +121,7 @@
 		q.first = now.Sub(q.started)
 	}
 	if !o.counted && o.unread > 0 {
-		q.g.pace(q.service).observe(o.s.Role, o.unread, o.ahead, now.Sub(o.sentAt))
+		q.g.decider.pace(q.service).observe(o.s.Role, o.unread, o.ahead, now.Sub(o.sentAt))
 	}
 	o.readDone()
 }
