--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -138,7 +137,7 @@
 }
 
 // choosePlain returns the server with the least load for its size.
-func choosePlain(servers []*Server, views []view, dataCentre string) choice {
+func choosePlain(servers []*Server, views []view, dataCentre string, random Random) choice {
 	best, cost := -1, math.Inf(1)
 	for i, s := range servers {
 		if s.Role == external.RolePrefill {
@@ -149,7 +148,7 @@
 		if s.DataCentre != dataCentre {
 			c += 0.05
 		}
-		c += 0.01 * rand.Float64()
+		c += 0.01 * random()
 		if c < cost {
 			best, cost = i, c
 		}
@@ -165,8 +164,12 @@
 	call       *Call
 	keys       []uint64
 	dataCentre string
+	random     Random
 }
 
+// Random returns numbers from 0 to 1. Entries that know the same do not all choose the same server.
+type Random func() float64
+
 // home is the key under which prompts that share parts find the same backend server: the prompt up
 // to the part before its own.
 func (p *prompt) home() uint64 {
@@ -175,7 +178,7 @@
 	} else if n == 1 {
 		return p.keys[0]
 	}
-	return rand.Uint64()
+	return math.Float64bits(p.random())
 }
 
 // choosePrompt compares reading on each server that can read with the time until the first event.
@@ -205,7 +208,7 @@
 		} else {
 			first += decodeDelay(s, v)
 			// Engines that are equally good take turns.
-			extra += rand.Float64() * perRequest.Seconds()
+			extra += p.random() * perRequest.Seconds()
 		}
 		if s.DataCentre != p.dataCentre {
 			extra += crossing.Seconds() / 3
@@ -246,13 +249,14 @@
 	views   []view
 	// dataCentre is that of this process.
 	dataCentre string
+	random     Random
 	found      map[string]int
 	// scans counts the looks at all servers.
 	scans int
 }
 
-func newDecoders(servers []*Server, views []view, dataCentre string) *decoders {
-	return &decoders{servers: servers, views: views, dataCentre: dataCentre, found: make(map[string]int, 4)}
+func newDecoders(servers []*Server, views []view, dataCentre string, random Random) *decoders {
+	return &decoders{servers: servers, views: views, dataCentre: dataCentre, random: random, found: make(map[string]int, 4)}
 }
 
 // best returns the index of the best server for a prompt in a data centre, or -1. It prefers that data
@@ -267,7 +271,7 @@
 		if s.Role == external.RolePrefill {
 			continue
 		}
-		c := decoderCost(s, d.views[i], promptAt)
+		c := decoderCost(s, d.views[i], promptAt) + d.random()*perRequest.Seconds()
 		if s.DataCentre != d.dataCentre {
 			c += crossing.Seconds() / 3
 		}
@@ -281,8 +285,6 @@
 
 func decoderCost(s *Server, v view, dataCentre string) float64 {
 	c := decodeDelay(s, v) + v.pending*initialPerToken/10 + v.failing*failurePenalty.Seconds()
-	// Entries that know the same do not all choose the same server.
-	c += rand.Float64() * perRequest.Seconds()
 	if s.DataCentre != dataCentre {
 		c += crossing.Seconds()
 	}
--- a/gateway/decider.go
+++ b/gateway/decider.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -15,14 +14,15 @@
 	dataCentre string
 	roster     *Roster
 	prefixes   *prefixes
+	random     Random
 
 	mu    sync.Mutex
 	paces map[string]*pace
 }
 
 // NewDecider returns a decider of a process in a data centre.
-func NewDecider(dataCentre string, r *Roster) *Decider {
-	return &Decider{dataCentre: dataCentre, roster: r, prefixes: newPrefixes(), paces: make(map[string]*pace)}
+func NewDecider(dataCentre string, r *Roster, random Random) *Decider {
+	return &Decider{dataCentre: dataCentre, roster: r, prefixes: newPrefixes(), random: random, paces: make(map[string]*pace)}
 }
 
 // Query is a request to be placed.
@@ -74,7 +74,7 @@
 	c := d.choose(q, now)
 	out := Choice{Reader: c.reader, Server: c.server, Unread: c.unread, First: c.first}
 	if q.reader == nil && tooLate(q, &c, now) {
-		out.Refuse, out.ComeBack = true, comeBack(q.Deadline, now)
+		out.Refuse, out.ComeBack = true, d.comeBack(q.Deadline, now)
 	}
 	return out
 }
@@ -116,9 +116,9 @@
 func (d *Decider) chooseFrom(q *Query, now time.Time, all []*Server, avoided bool) choice {
 	servers, views := candidates(all, q.tried, now, avoided)
 	if !q.Route.Prompt || len(q.Call.Parts) == 0 {
-		return choosePlain(servers, views, d.dataCentre)
+		return choosePlain(servers, views, d.dataCentre, d.random)
 	}
-	decoders := newDecoders(servers, views, d.dataCentre)
+	decoders := newDecoders(servers, views, d.dataCentre, d.random)
 	if q.reader != nil {
 		return chooseDecoder(servers, q.reader, decoders)
 	}
@@ -128,7 +128,7 @@
 	}
 	perToken, unread := d.pace(q.Service).values()
 	cached := d.prefixes.cached(q.keys, q.Call.Parts, keys, now)
-	return choosePrompt(servers, views, cached, &prompt{call: q.Call, keys: q.keys, dataCentre: d.dataCentre}, perToken, unread, decoders)
+	return choosePrompt(servers, views, cached, &prompt{call: q.Call, keys: q.keys, dataCentre: d.dataCentre, random: d.random}, perToken, unread, decoders)
 }
 
 func (d *Decider) pace(service string) *pace {
@@ -163,7 +163,7 @@
 // comeBack is when a refused caller should return: late in the time that it has left, since a flood
 // outlasts a short pause, but early enough for another try after that. Callers are spread, so that they
 // do not return together.
-func comeBack(deadline, now time.Time) time.Duration {
+func (d *Decider) comeBack(deadline, now time.Time) time.Duration {
 	left := deadline.Sub(now) / 3
-	return min(max(left*3/5+rand.N(left*2/5+1), minRetryAfter), maxRetryAfter)
+	return min(max(left*3/5+time.Duration(d.random()*float64(left)*2/5), minRetryAfter), maxRetryAfter)
 }
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -201,7 +201,7 @@
 			return
 		}
 		if q.sends == 0 && tooLate(query, &c, now) {
-			q.refuse("overload", comeBack(q.deadline, now))
+			q.refuse("overload", q.g.decider.comeBack(q.deadline, now))
 			return
 		}
 		if !q.pay(&c, now) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -5,6 +5,7 @@
 package gateway
 
 import (
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -135,7 +136,7 @@
 // New returns a gateway.
 func New(cfg Config, codec Codec, tables *route.Holder, roster *Roster, pool *upstream.Pool, m Metrics, log logrus.FieldLogger) *Gateway {
 	return &Gateway{
-		cfg: cfg, codec: codec, tables: tables, roster: roster, pool: pool, decider: NewDecider(cfg.DataCentre, roster),
+		cfg: cfg, codec: codec, tables: tables, roster: roster, pool: pool, decider: NewDecider(cfg.DataCentre, roster, rand.Float64),
 		metrics: m, log: log, budgets: make(map[string]*retry.Window),
 	}
 }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"strings"
 	"testing"
 	"time"
@@ -33,13 +34,13 @@
 	for _, p := range parts {
 		tokens += p.Tokens
 	}
-	return &prompt{call: &Call{PromptTokens: tokens, Parts: parts}, keys: chain(parts), dataCentre: "z"}
+	return &prompt{call: &Call{PromptTokens: tokens, Parts: parts}, keys: chain(parts), dataCentre: "z", random: rand.Float64}
 }
 
 // choose chooses for a prompt of which nothing is known to be kept.
 func choose(servers []*Server, p *prompt) choice {
 	vs := views(servers)
-	return choosePrompt(servers, vs, make([]float64, len(servers)), p, perToken, 3000, newDecoders(servers, vs, p.dataCentre))
+	return choosePrompt(servers, vs, make([]float64, len(servers)), p, perToken, 3000, newDecoders(servers, vs, p.dataCentre, rand.Float64))
 }
 
 func perToken(r external.Role) float64 {
@@ -100,8 +101,8 @@
 func TestPlainRequestsAvoidPrefillEngines(t *testing.T) {
 	servers := []*Server{newServer("a", external.RolePrefill), newServer("d", external.RoleDecode)}
 	servers[1].sent(0, start)
-	require.Equal(t, "d", choosePlain(servers, views(servers), "z").server.ID)
-	require.Nil(t, choosePlain(servers[:1], views(servers[:1]), "z").server)
+	require.Equal(t, "d", choosePlain(servers, views(servers), "z", rand.Float64).server.ID)
+	require.Nil(t, choosePlain(servers[:1], views(servers[:1]), "z", rand.Float64).server)
 }
 
 // Guards against a backend server that fails requests although its health is good, and keeps its share.
@@ -115,7 +116,7 @@
 	require.Equal(t, "b", left[0].ID)
 	left, _ = candidates(servers, nil, start.Add(ejectMax), false)
 	require.Len(t, left, 2)
-	require.Equal(t, "b", choosePlain(left, []view{left[0].view(start), left[1].view(start)}, "z").server.ID)
+	require.Equal(t, "b", choosePlain(left, []view{left[0].view(start), left[1].view(start)}, "z", rand.Float64).server.ID)
 	// If none is well, the failing ones are better than nothing.
 	left, _ = candidates(servers[:1], nil, start, true)
 	require.Len(t, left, 1)
--- a/gateway/scale_test.go
+++ b/gateway/scale_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -31,7 +32,7 @@
 	vs := views(servers)
 	p := promptOf(Part{1, 2500}, Part{2, 3500}, Part{3, 3000})
 	p.dataCentre = "z1"
-	d := newDecoders(servers, vs, p.dataCentre)
+	d := newDecoders(servers, vs, p.dataCentre, rand.Float64)
 	c := choosePrompt(servers, vs, make([]float64, len(servers)), p, perToken, 3000, d)
 	require.NotNil(t, c.reader)
 	require.LessOrEqual(t, d.scans, 3)
@@ -78,7 +79,7 @@
 			b.ResetTimer()
 			for range b.N {
 				left, vs := candidates(servers, nil, start, false)
-				choosePrompt(left, vs, make([]float64, len(left)), p, perToken, 3000, newDecoders(left, vs, p.dataCentre))
+				choosePrompt(left, vs, make([]float64, len(left)), p, perToken, 3000, newDecoders(left, vs, p.dataCentre, rand.Float64))
 			}
 		})
 	}
