--- a/internal/policybench/sim.go
+++ b/internal/eventsim/eventsim.go
@@ -1,8 +1,5 @@
-// Package policybench measures the decision packages against baselines in a small virtual-time
-// model of one pool of engines. The model covers what the policies see and decide: batching steps,
-// prefill and decode cost, pieces of KV cache, prefix caches, role changes that cost seconds, and
-// load reports that lag. It does not model processes or networks.
-package policybench
+// Package eventsim runs events in the order of virtual time.
+package eventsim
 
 import (
 	"time"
@@ -56,34 +53,40 @@
 	return first
 }
 
-// simulation runs events in the order of virtual time.
-type simulation struct {
-	at    time.Duration
+// Sim holds the events that are still to come. It is not safe for concurrent use.
+type Sim struct {
+	// At is the time since the start.
+	At    time.Duration
 	order uint64
 	queue eventQueue
 }
 
-var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+// Epoch is the time of day at the start.
+var Epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
-func (s *simulation) now() time.Time { return epoch.Add(s.at) }
+// Now is the time of day.
+func (s *Sim) Now() time.Time { return Epoch.Add(s.At) }
 
-func (s *simulation) after(d time.Duration, run func()) {
+// After runs a function when the time has passed.
+func (s *Sim) After(d time.Duration, run func()) {
 	s.order++
-	s.queue.push(event{at: s.at + d, order: s.order, run: run})
+	s.queue.push(event{at: s.At + d, order: s.order, run: run})
 }
 
-func (s *simulation) every(period time.Duration, run func()) {
-	s.after(period, func() {
+// Every runs a function again and again.
+func (s *Sim) Every(period time.Duration, run func()) {
+	s.After(period, func() {
 		run()
-		s.every(period, run)
+		s.Every(period, run)
 	})
 }
 
-func (s *simulation) runUntil(end time.Duration) {
+// RunUntil runs all events up to a time.
+func (s *Sim) RunUntil(end time.Duration) {
 	for len(s.queue) > 0 && s.queue[0].at <= end {
 		e := s.queue.pop()
-		s.at = e.at
+		s.At = e.at
 		e.run()
 	}
-	s.at = end
+	s.At = end
 }
--- a/internal/policybench/engine.go
+++ b/internal/policybench/engine.go
@@ -86,7 +86,7 @@
 	}
 	first := seconds(tokens * perToken * e.slowness)
 	if e.busy {
-		first += e.stepEnd - e.w.at
+		first += e.stepEnd - e.w.At
 	}
 	return first
 }
@@ -169,8 +169,8 @@
 	duration += seconds(float64(used) * e.w.fleet.prefillToken)
 	duration = time.Duration(float64(duration) * e.slowness * (0.95 + 0.1*e.w.noise.Float64()))
 	members, life := len(e.batch), e.epoch
-	e.stepEnd = e.w.at + duration
-	e.w.after(duration, func() {
+	e.stepEnd = e.w.At + duration
+	e.w.After(duration, func() {
 		if e.epoch == life {
 			e.endStep(members, done)
 		}
@@ -210,7 +210,7 @@
 
 // change drains the engine and then gives it a new role.
 func (e *engine) change(role external.Role) {
-	e.state, e.next, e.drainFrom = draining, role, e.w.at
+	e.state, e.next, e.drainFrom = draining, role, e.w.At
 	e.w.changed()
 	e.drained()
 }
@@ -221,12 +221,12 @@
 	}
 	e.state = changing
 	life := e.epoch
-	e.w.after(changeTime, func() {
+	e.w.After(changeTime, func() {
 		if e.epoch != life {
 			return
 		}
-		e.w.stats.lost += e.w.at - e.drainFrom
-		e.state, e.role, e.since = serving, e.next, e.w.at
+		e.w.stats.lost += e.w.At - e.drainFrom
+		e.state, e.role, e.since = serving, e.next, e.w.At
 		e.prefixes = nil
 		e.w.changed()
 		e.w.policy.restarted(e)
--- a/internal/policybench/policybench_test.go
+++ b/internal/policybench/policybench_test.go
@@ -29,7 +29,7 @@
 			policy = newProject(w, nil, f.weights)
 		}
 		s := w.run(policy, 1)
-		w.runUntil(10 * time.Minute)
+		w.RunUntil(10 * time.Minute)
 		offered, refused := 0, 0
 		for _, n := range s.offered {
 			offered += n
--- a/internal/policybench/project.go
+++ b/internal/policybench/project.go
@@ -5,6 +5,7 @@
 
 	"github.com/quetzallug/quetzallug/admission"
 	"github.com/quetzallug/quetzallug/external"
+	"github.com/quetzallug/quetzallug/internal/eventsim"
 	"github.com/quetzallug/quetzallug/load"
 	"github.com/quetzallug/quetzallug/placement"
 	"github.com/quetzallug/quetzallug/retry"
@@ -100,7 +101,7 @@
 }
 
 func (p *project) choose(r *request) (prefill, decode *engine, refusal string) {
-	e, now := p.entries[r.entry], p.w.now()
+	e, now := p.entries[r.entry], p.w.Now()
 	q := routing.Request{
 		Model: "m", DataCentre: "dc", PromptTokens: r.prompt + r.produced, OutputTokens: r.kind.output, Blocks: r.blocks,
 		FirstToken: r.kind.firstToken, BetweenTokens: r.kind.betweenTokens, Exclude: r.exclude,
@@ -109,9 +110,9 @@
 		e.retries.Fresh(now)
 	}
 	d := e.router.Choose(&q, p.snapshot(e), now)
-	waited := p.w.at - r.arrived
+	waited := p.w.At - r.arrived
 	a := admission.Request{
-		Rank: r.kind.rank + 1, Deadline: epoch.Add(r.arrived + r.kind.total), BetweenTokens: r.kind.betweenTokens, Waited: waited,
+		Rank: r.kind.rank + 1, Deadline: eventsim.Epoch.Add(r.arrived + r.kind.total), BetweenTokens: r.kind.betweenTokens, Waited: waited,
 	}
 	if !r.hasFirst {
 		a.FirstToken = r.kind.firstToken
@@ -148,21 +149,21 @@
 }
 
 func (p *project) recheck(r *request, first time.Duration) string {
-	a := admission.Request{Waited: p.w.at - r.arrived}
+	a := admission.Request{Waited: p.w.At - r.arrived}
 	if !r.hasFirst {
 		a.FirstToken = r.kind.firstToken
 	}
-	d := p.entries[r.entry].admission.Recheck(&a, &admission.Expectation{FirstToken: first}, p.w.now())
+	d := p.entries[r.entry].admission.Recheck(&a, &admission.Expectation{FirstToken: first}, p.w.Now())
 	return string(d.Reason)
 }
 
 func (p *project) retry(r *request) bool {
-	return p.entries[r.entry].retries.Take(p.w.now())
+	return p.entries[r.entry].retries.Take(p.w.Now())
 }
 
 func (p *project) firstToken(r *request) {
 	s := r.route.(*sent)
-	s.from.FirstToken(s.prefill, p.w.now())
+	s.from.FirstToken(s.prefill, p.w.Now())
 }
 
 func (p *project) finished(r *request) {
@@ -171,7 +172,7 @@
 		return
 	}
 	r.route = nil
-	now := p.w.now()
+	now := p.w.Now()
 	s.from.Finished(s.prefill, now)
 	s.to.Finished(s.decode, now)
 	s.entry.admission.Release("", s.decision)
@@ -182,7 +183,7 @@
 
 func (p *project) report(e *engine, sequence uint64, age time.Duration, l external.EngineLoad) {
 	for _, n := range p.entries {
-		n.tracker.Worker(e.id).Observe(load.Report{Sequence: sequence, Age: age, Load: l}, p.w.now())
+		n.tracker.Worker(e.id).Observe(load.Report{Sequence: sequence, Age: age, Load: l}, p.w.Now())
 	}
 }
 
@@ -191,7 +192,7 @@
 		f := p.snapshot(n)
 		for _, w := range n.router.Candidates("m", f) {
 			if w.ID == e.id {
-				n.router.CacheEvents(w, []external.CacheEvent{c}, p.w.now())
+				n.router.CacheEvents(w, []external.CacheEvent{c}, p.w.Now())
 			}
 		}
 	}
@@ -199,7 +200,7 @@
 
 func (p *project) restarted(e *engine) {
 	for _, n := range p.entries {
-		n.tracker.Worker(e.id).Restarted(p.w.now())
+		n.tracker.Worker(e.id).Restarted(p.w.Now())
 	}
 }
 
@@ -207,7 +208,7 @@
 	if p.planner == nil {
 		return
 	}
-	now := p.w.now()
+	now := p.w.Now()
 	s := placement.Snapshot{Interval: planPeriod, BetweenTokens: p.w.fleet.long.betweenTokens}
 	s.Offered = append(s.Offered,
 		placement.KindWork{Rank: 1, Requests: o.long.requests, PromptTokens: o.long.prompt * p.kept, OutputTokens: o.long.output, FirstToken: p.w.fleet.long.firstToken},
@@ -232,7 +233,7 @@
 func (p *project) view(e *engine, now time.Time) placement.Engine {
 	l := p.entries[0].tracker.Worker(e.id).Estimate(now)
 	v := placement.Engine{
-		ID: e.id, State: placement.Serving, Config: external.EngineConfig{Role: e.role}, Since: epoch.Add(e.since),
+		ID: e.id, State: placement.Serving, Config: external.EngineConfig{Role: e.role}, Since: eventsim.Epoch.Add(e.since),
 		Sequences: l.Sequences, PrefillTokens: l.PrefillTokens,
 	}
 	switch e.state {
@@ -260,7 +261,7 @@
 			alive++
 		}
 	}
-	want := p.splits(p.w.at, alive)
+	want := p.splits(p.w.At, alive)
 	if want == p.last && alive == p.alive {
 		return
 	}
--- a/internal/policybench/run.go
+++ b/internal/policybench/run.go
@@ -178,7 +178,7 @@
 		p = newProject(w, placement.New(placement.Config{Change: changeTime}), c.weights)
 	default:
 		b := &hindsight{project: newFreshProject(w, c.weights), splits: h.schedule(c.fleet, &c.load)}
-		w.after(0, func() { b.plan(nil) })
+		w.After(0, func() { b.plan(nil) })
 		p = b
 	}
 	st := w.run(p, s)
--- a/internal/policybench/world.go
+++ b/internal/policybench/world.go
@@ -1,3 +1,7 @@
+// Package policybench measures the decision packages against baselines in a small virtual-time
+// model of one pool of engines. The model covers what the policies see and decide: batching steps,
+// prefill and decode cost, pieces of KV cache, prefix caches, role changes that cost seconds, and
+// load reports that lag. It does not model processes or networks.
 package policybench
 
 import (
@@ -9,6 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/quetzallug/quetzallug/external"
+	"github.com/quetzallug/quetzallug/internal/eventsim"
 	"github.com/quetzallug/quetzallug/routing"
 )
 
@@ -58,7 +63,7 @@
 
 // world is one run.
 type world struct {
-	simulation
+	eventsim.Sim
 
 	fleet   *fleet
 	load    *workload
@@ -91,17 +96,17 @@
 	w.feed(arrivals(w.fleet, w.load, seed))
 	for i, e := range w.engines {
 		// Reports are spread over the period.
-		w.after(reportPeriod*time.Duration(i)/time.Duration(len(w.engines)), func() {
+		w.After(reportPeriod*time.Duration(i)/time.Duration(len(w.engines)), func() {
 			w.sendReport(e)
-			w.every(reportPeriod, func() { w.sendReport(e) })
+			w.Every(reportPeriod, func() { w.sendReport(e) })
 		})
 	}
-	w.every(planPeriod, w.planRound)
+	w.Every(planPeriod, w.planRound)
 	if w.load.loseAt > 0 {
-		w.after(w.load.loseAt, w.loseEngines)
+		w.After(w.load.loseAt, w.loseEngines)
 	}
 	const tail = 30 * time.Second
-	w.runUntil(w.load.duration + tail)
+	w.RunUntil(w.load.duration + tail)
 	w.stats.duration = w.load.duration - w.stats.warmUp
 	return &w.stats
 }
@@ -109,7 +114,7 @@
 // feed schedules the next arrival only, which keeps the event queue short.
 func (w *world) feed(rest []*request) {
 	if len(rest) > 0 {
-		w.after(rest[0].arrived-w.at, func() {
+		w.After(rest[0].arrived-w.At, func() {
 			w.arrive(rest[0])
 			w.feed(rest[1:])
 		})
@@ -133,7 +138,7 @@
 	}
 	e.reports++
 	sequence, l, life := e.reports, e.report(), e.epoch
-	w.after(w.lag, func() {
+	w.After(w.lag, func() {
 		if e.epoch == life {
 			w.policy.report(e, sequence, w.lag, l)
 		}
@@ -170,7 +175,7 @@
 	if d != p {
 		d.incoming++
 	}
-	w.after(networkHop, func() { w.atPrefill(r) })
+	w.After(networkHop, func() { w.atPrefill(r) })
 }
 
 func (w *world) atPrefill(r *request) {
@@ -193,7 +198,7 @@
 		w.stats.refuse(r, reason)
 		return
 	}
-	w.after(networkHop, func() { w.dispatch(r) })
+	w.After(networkHop, func() { w.dispatch(r) })
 }
 
 // release undoes the reservation at the decode engine.
@@ -207,7 +212,7 @@
 // prefilled delivers the first token and hands the request to its decode engine.
 func (w *world) prefilled(e *engine, r *request) {
 	if !r.hasFirst {
-		r.first, r.hasFirst = w.at, true
+		r.first, r.hasFirst = w.At, true
 		w.policy.firstToken(r)
 	}
 	r.produced++
@@ -222,7 +227,7 @@
 	}
 	d := r.decode
 	transfer := seconds(float64(r.prompt)*kvTokenBytes/kvBandwidth) + networkHop
-	w.after(transfer, func() {
+	w.After(transfer, func() {
 		d.incoming--
 		if d.state == dead || d.state == changing {
 			w.resume(r)
@@ -242,7 +247,7 @@
 		return
 	}
 	r.prefillLeft, r.cacheChecked, r.started = r.prompt+r.produced, false, false
-	w.after(resumeDelay, func() { w.dispatch(r) })
+	w.After(resumeDelay, func() { w.dispatch(r) })
 }
 
 // drop refuses a queued request that the engine has not started.
@@ -253,7 +258,7 @@
 }
 
 func (w *world) finish(r *request) {
-	r.last = w.at
+	r.last = w.At
 	w.policy.finished(r)
 	w.stats.finish(r)
 }
@@ -271,7 +276,7 @@
 		e.events++
 		c := external.CacheEvent{Sequence: e.events, Prefix: b, Evicted: evicted}
 		if w.noise.Float64() >= cacheLoss {
-			w.after(cacheLag, func() { w.policy.cacheEvent(e, c) })
+			w.After(cacheLag, func() { w.policy.cacheEvent(e, c) })
 		}
 	}
 }
