Keep descriptors for new callers; send nothing on for callers that left

Callers that return on a new connection leave the old ones idle for up to 90 s; the machine allows 4,100 descriptors. net/http then accepts nothing for up to a second, and reads requests whose callers have given up. Ruled out: processor (0.10 of 0.304 cores at most), the store, the engines.

Connections of callers take at most 0.6 of the descriptors (--max-files); above, the one that has been idle for longest yields to each new one. Before a request is sent, the caller's connection is looked at without waiting. Errors of the listener are structured lines now. TestIdleConnectionsYieldToNewOnes, TestRequestsOfCallersThatLeftAreNotSent (1 of 20 was sent before), TestEnded. Registered backend servers have a fixed order.

--- /dev/null
+++ b/gateway/caller_test.go
@@ -0,0 +1,91 @@
+package gateway
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"github.com/quetzallug/quetzallug/route"
+	"github.com/quetzallug/quetzallug/upstream"
+)
+
+// plainCodec passes headers on as they are.
+type plainCodec struct{ Codec }
+
+func (plainCodec) Call(r *http.Request) Call {
+	return Call{ID: r.Header.Get("Id"), Remaining: time.Second}
+}
+
+func (plainCodec) Header(received http.Header, _ *Send) http.Header { return received }
+
+func (plainCodec) Answer(received http.Header) http.Header { return received }
+
+func (plainCodec) Mark(int, http.Header) Mark { return Mark{Signed: true} }
+
+type noMetrics struct{ Metrics }
+
+func (noMetrics) Request(string, string, string, time.Duration) {}
+func (noMetrics) FirstEvent(string, string, time.Duration)      {}
+func (noMetrics) Attempt(string, string)                        {}
+
+// Guards against requests that are sent on although their callers have left: in a hunt
+// (mix-turns-in-flood, seed 572537457078) a process without free descriptors read requests a second after
+// they had arrived, and sent four of them on after their callers' time had passed.
+func TestRequestsOfCallersThatLeftAreNotSent(t *testing.T) {
+	var arrivals atomic.Int64
+	listen := func() net.Listener {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		return l
+	}
+	serve := func(l net.Listener, srv *http.Server) {
+		go func() { _ = srv.Serve(l) }()
+		t.Cleanup(func() { _ = srv.Close() })
+	}
+	backend := listen()
+	serve(backend, &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		arrivals.Add(1)
+		_, _ = io.WriteString(w, "ok")
+	})})
+	table, err := route.NewTable(1, []*route.Route{{
+		Name: "r", Host: "a", Prefix: "/", Timeout: time.Second, MaxAttempts: 1, Shares: []route.Share{{Service: "s", Weight: 1}},
+	}}, []*route.Service{{Name: "s"}}, route.Limits{})
+	require.NoError(t, err)
+	tables := &route.Holder{}
+	tables.Offer(table)
+	roster := NewRoster()
+	roster.Replace([]Registration{{ID: "i", Service: "s", Address: backend.Addr().String(), Slots: 4}}, time.Now())
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	g := New(Config{RetryWindow: time.Second}, plainCodec{}, tables, roster, upstream.NewPool(), noMetrics{}, log)
+
+	l := listen()
+	const callers = 20
+	for i := range callers {
+		c, err := net.Dial("tcp", l.Addr().String())
+		require.NoError(t, err)
+		_, err = fmt.Fprintf(c, "POST / HTTP/1.1\r\nHost: a\r\nId: %d\r\nContent-Length: 1\r\n\r\nb", i)
+		require.NoError(t, err)
+		require.NoError(t, c.Close())
+	}
+	// The process reads the requests only now.
+	handled := make(chan struct{}, callers+1)
+	serve(l, &http.Server{
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			g.ServeHTTP(w, r)
+			handled <- struct{}{}
+		}),
+		ConnContext: WithCaller,
+	})
+	for range callers {
+		<-handled
+	}
+	require.Zero(t, arrivals.Load())
+}
--- a/gateway/decider.go
+++ b/gateway/decider.go
@@ -85,6 +85,9 @@
 	d.prefixes.note(q.keys, s.key, now)
 }
 
+// Dropped counts a prompt as no longer to be read.
+func (d *Decider) Dropped(s *Server, unread float64) { s.read(unread) }
+
 // Read counts the prompt as read. ahead is what had to be read before it when it was sent at sentAt.
 func (d *Decider) Read(q *Query, s *Server, unread, ahead float64, sentAt, now time.Time) {
 	s.read(unread)
@@ -94,11 +97,11 @@
 // Ahead are the prompt tokens that this process has sent to a backend server and that were not read yet.
 func (d *Decider) Ahead(s *Server, now time.Time) float64 { return s.view(now).pending }
 
-// Ended counts a request as ended. load is what the answer told, nil if nothing.
-func (d *Decider) Ended(s *Server, load *Load, now time.Time) {
-	s.heard(load, now)
-	s.ended()
-}
+// Heard notes that a backend server sent something. load is what it told, nil if nothing.
+func (d *Decider) Heard(s *Server, load *Load, now time.Time) { s.heard(load, now) }
+
+// Ended counts a request as ended, whatever its outcome.
+func (d *Decider) Ended(s *Server) { s.ended() }
 
 // Refused notes that a backend server took no request.
 func (d *Decider) Refused(s *Server, now time.Time) { s.refused(now) }
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -181,7 +181,7 @@
 func (q *request) serve() {
 	for {
 		now := time.Now()
-		if q.r.Context().Err() != nil {
+		if callerLeft(q.r.Context()) {
 			q.done(outcomeGone, "")
 			return
 		}
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -2,6 +2,8 @@
 
 import (
 	"math"
+	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -345,6 +347,9 @@
 			m[s.Service] = append(m[s.Service], s)
 		}
 	}
+	for _, servers := range m {
+		slices.SortFunc(servers, func(a, b *Server) int { return strings.Compare(a.ID, b.ID) })
+	}
 	r.services.Store(&m)
 	r.published++
 }
--- a/internal/app/gatewayhttp.go
+++ b/internal/app/gatewayhttp.go
@@ -3,9 +3,10 @@
 import (
 	"context"
 	"encoding/json"
+	stdlog "log"
 	"net"
 	"net/http"
-	"sync"
+	"strings"
 	"time"
 
 	"github.com/gin-gonic/gin"
@@ -26,6 +27,9 @@
 	idleTimeout = 90 * time.Second
 	// maxHeaderBytes bounds a request's header.
 	maxHeaderBytes = 64 << 10
+	// callerShare is the part of the process's descriptors that connections of callers may take. The rest
+	// is for backend servers, the store and files.
+	callerShare = 0.6
 )
 
 // newGatewayHealth returns the readiness check of a gateway.
@@ -69,63 +73,37 @@
 	end := func() time.Time { return h.stopped.Add(time.Duration(drainShare * float64(s.Grace))) }
 	for _, addr := range []string{s.MetricsListen, s.ReadyListen} {
 		if addr != "" {
-			serveHTTP(lc, sd, log, newServer(checks), addr, end, func(context.Context) {})
+			serveHTTP(lc, sd, log, newServer(checks, log), addr, end, func(context.Context) {})
 		}
 	}
-	srv := newServer(callers)
-	noteUnread(srv, func(from net.Addr) {
+	srv := newServer(callers, log)
+	conns := newCallerConns(int(callerShare * float64(s.MaxFiles)))
+	conns.onUnread = func(from net.Addr) {
 		gm.Unread()
 		log.WithField("caller", from.String()).Info("connection ended before its request could be read")
-	})
+	}
+	conns.onDropped = func(idle bool) { gm.Dropped(idle) }
+	conns.attach(srv)
 	serveHTTP(lc, sd, log, srv, s.Listen, end, func(ctx context.Context) {
 		pause.For(ctx, time.Until(h.stopped.Add(min(s.LameDuck, s.Grace/2))))
 	})
 }
 
 // newServer returns a server with the limits of a gateway's listeners.
-func newServer(h http.Handler) *http.Server {
-	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+func newServer(h http.Handler, log logrus.FieldLogger) *http.Server {
+	return &http.Server{
+		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ErrorLog: stdlog.New(&errorLog{log}, "", 0),
+	}
 }
 
-// noteUnread calls note for each connection that ends after some bytes of a request and before its
-// header is read: the caller was too slow, sent too much or something else, or left. net/http answers
-// such requests itself, without calling the handler.
-func noteUnread(srv *http.Server, note func(from net.Addr)) {
-	type state struct{ reading bool }
-	var mu sync.Mutex
-	conns := make(map[net.Conn]*state)
-	type key struct{}
-	srv.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
-		s := &state{}
-		mu.Lock()
-		defer mu.Unlock()
-		conns[c] = s
-		return context.WithValue(ctx, key{}, s)
-	}
-	next := srv.Handler
-	srv.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if s, ok := r.Context().Value(key{}).(*state); ok {
-			mu.Lock()
-			s.reading = false
-			mu.Unlock()
-		}
-		next.ServeHTTP(w, r)
-	})
-	srv.ConnState = func(c net.Conn, to http.ConnState) {
-		mu.Lock()
-		defer mu.Unlock()
-		s := conns[c]
-		switch {
-		case s == nil:
-		case to == http.StateActive:
-			s.reading = true
-		case to == http.StateClosed || to == http.StateHijacked:
-			delete(conns, c)
-			if s.reading {
-				note(c.RemoteAddr())
-			}
-		}
-	}
+// errorLog writes what net/http reports, such as failures to accept, as structured lines.
+type errorLog struct{ log logrus.FieldLogger }
+
+// Write implements io.Writer.
+func (e *errorLog) Write(line []byte) (int, error) {
+	e.log.WithField("error", strings.TrimSpace(string(line))).Warn("http server")
+	return len(line), nil
 }
 
 // serveHTTP serves from start to stop. beforeStop runs while requests are still accepted; requests that
--- a/internal/app/gatewayhttp_test.go
+++ b/internal/app/gatewayhttp_test.go
@@ -10,6 +10,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
 	"github.com/quetzallug/quetzallug/internal/memnet"
@@ -43,9 +44,11 @@
 					h.Ctx, h.Cancel = context.WithCancel(t.Context())
 					return h
 				}
-				srv := newServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") }))
+				srv := newServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") }), logrus.New())
 				counted := 0
-				noteUnread(srv, func(net.Addr) { counted++ })
+				conns := newCallerConns(100)
+				conns.onUnread = func(net.Addr) { counted++ }
+				conns.attach(srv)
 				server, caller := host("server"), host("caller")
 				l := network.Listen(server, "10.0.0.1:1")
 				go func() { _ = srv.Serve(l) }()
@@ -94,3 +97,74 @@
 		})
 	}
 }
+
+// Guards against a process that runs out of descriptors because callers leave idle connections behind:
+// it accepted nothing for a second, and requests were sent on after their callers had left. Connections
+// with a request are never closed.
+func TestIdleConnectionsYieldToNewOnes(t *testing.T) {
+	const limit = 5
+	synctest.Test(t, func(t *testing.T) {
+		network, host := memnet.New(), func(name string) *memnet.Host {
+			h := &memnet.Host{Name: name}
+			h.Ctx, h.Cancel = context.WithCancel(t.Context())
+			return h
+		}
+		srv := newServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/slow" {
+				time.Sleep(10 * time.Second)
+			}
+			_, _ = io.WriteString(w, "ok")
+		}), logrus.New())
+		conns := newCallerConns(limit)
+		dropped := map[bool]int{}
+		conns.onDropped = func(idle bool) { dropped[idle]++ }
+		conns.attach(srv)
+		server, caller := host("server"), host("caller")
+		l := network.Listen(server, "10.0.0.1:1")
+		go func() { _ = srv.Serve(l) }()
+		defer func() {
+			_ = srv.Close()
+			network.Kill(caller)
+			network.Kill(server)
+			time.Sleep(time.Minute)
+		}()
+		send := func(c net.Conn, path string) string {
+			_, err := io.WriteString(c, "GET "+path+" HTTP/1.1\r\nHost: a\r\n\r\n")
+			if err != nil {
+				return ""
+			}
+			require.NoError(t, c.SetReadDeadline(time.Now().Add(time.Minute)))
+			b := make([]byte, 1024)
+			n, _ := c.Read(b)
+			return string(b[:n])
+		}
+		open := func() net.Conn {
+			c, err := network.Dial(t.Context(), caller, "10.0.0.1:1")
+			require.NoError(t, err)
+			time.Sleep(10 * time.Millisecond)
+			return c
+		}
+		slow := make(chan string, limit)
+		for range limit - 1 {
+			c := open()
+			go func() { slow <- send(c, "/slow") }()
+		}
+		var last net.Conn
+		for range 20 {
+			last = open()
+			require.Contains(t, send(last, "/"), "ok", "a new caller is served")
+			time.Sleep(time.Millisecond)
+		}
+		require.Contains(t, send(last, "/"), "ok", "the connection used last stays")
+		require.Equal(t, map[bool]int{true: 19}, dropped)
+		busy := open()
+		go func() { slow <- send(busy, "/slow") }()
+		time.Sleep(10 * time.Millisecond)
+		require.Empty(t, send(open(), "/"), "all connections are in use")
+		require.Equal(t, 1, dropped[false])
+		for range limit {
+			require.Contains(t, <-slow, "ok")
+		}
+		require.Contains(t, send(open(), "/"), "ok")
+	})
+}
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -28,6 +28,7 @@
 	DrainBound     time.Duration `mapstructure:"drain-bound"`
 	LeaseTTL       time.Duration `mapstructure:"lease-ttl"`
 	OrderGuard     time.Duration `mapstructure:"order-guard"`
+	MaxFiles       int           `mapstructure:"max-files"`
 	MemoryMiB      int           `mapstructure:"memory"`
 	LogLevel       string        `mapstructure:"log-level"`
 	LogFormat      string        `mapstructure:"log-format"`
@@ -60,6 +61,7 @@
 	f.Duration("drain-bound", 2*time.Second, "time within which a leaving backend server gets no more requests")
 	f.Duration("lease-ttl", 3500*time.Millisecond, "time to live of the lease for orders to engines; 0s gives no orders")
 	f.Duration("order-guard", 3*time.Second, "least time between the last order of one instance and the first of the next")
+	f.Int("max-files", 1024, "descriptors that the process may hold; callers' connections take 0.6 of them")
 	f.Int("memory", 96, "memory in MiB above which the garbage collector works harder")
 	f.String("log-level", "info", "least level logged: debug, info, warning or error")
 	f.String("log-format", logging.FormatJSON, "format of log lines: text or json")
@@ -82,7 +84,7 @@
 	errs := []error{
 		required("instance", s.Instance), required("data-centre", s.DataCentre), required("adapter", s.Adapter),
 		address("listen", s.Listen), address("ready-listen", s.ReadyListen), address("adapter-address", s.AdapterAddress),
-		positive("retry-window", s.RetryWindow), positive("config-bound", s.ConfigBound), positive("drain-bound", s.DrainBound), positive("grace", s.Grace), atLeast("memory", s.MemoryMiB, 16), atLeast("instances", s.Instances, 1), logErr,
+		positive("retry-window", s.RetryWindow), positive("config-bound", s.ConfigBound), positive("drain-bound", s.DrainBound), positive("grace", s.Grace), atLeast("memory", s.MemoryMiB, 16), atLeast("max-files", s.MaxFiles, 64), atLeast("instances", s.Instances, 1), logErr,
 	}
 	if s.LeaseTTL != 0 && s.LeaseTTL < time.Second {
 		errs = append(errs, fmt.Errorf("setting lease-ttl: found %s, allowed are 0s and durations from 1s", s.LeaseTTL))
--- a/internal/settings/gateway_test.go
+++ b/internal/settings/gateway_test.go
@@ -26,11 +26,11 @@
 
 	require.NoError(t, cmd.Flags().Parse([]string{
 		"--instance", "", "--listen", "host:80", "--adapter-address", "x", "--retry-share", "2", "--retry-slack", "-1", "--instances", "0", "--lease-ttl", "5ms",
-		"--grace", "0s", "--config-bound", "-1s", "--memory", "1", "--log-level", "loud", "--metrics-listen", "9464",
+		"--grace", "0s", "--config-bound", "-1s", "--memory", "1", "--max-files", "10", "--log-level", "loud", "--metrics-listen", "9464",
 	}))
 	_, err = ReadGateway(cmd)
 	for _, name := range []string{
-		"instance", "listen", "adapter-address", "retry-share", "retry-slack", "instances", "lease-ttl", "grace", "config-bound", "memory", "log level", "metrics-listen",
+		"instance", "listen", "adapter-address", "retry-share", "retry-slack", "instances", "lease-ttl", "grace", "config-bound", "memory", "max-files", "log level", "metrics-listen",
 	} {
 		require.ErrorContains(t, err, name)
 	}
--- a/internal/telemetry/gateway.go
+++ b/internal/telemetry/gateway.go
@@ -23,6 +23,7 @@
 	orders     metric.Int64Counter
 	storeCalls metric.Int64Counter
 	unread     metric.Int64Counter
+	dropped    metric.Int64Counter
 
 	// sets holds the options of each combination of labels, which are few: no label grows with
 	// requests or callers.
@@ -44,6 +45,7 @@
 		prompt:     b.floatCounter("quetzallug_gateway_prompt_tokens", "Prompt tokens by service and where they came from: kept, read or moved, as the choice of the backend server expected it."),
 		orders:     b.counter("quetzallug_gateway_role_orders", "Orders to change an engine's role, by service and by role and outcome."),
 		storeCalls: b.counter("quetzallug_gateway_store_calls", "Calls to the store, by operation and result."),
+		dropped:    b.counter("quetzallug_gateway_dropped_connections", "Connections of callers closed because there were too many: idle ones, or new ones if none was idle."),
 		unread:     b.counter("quetzallug_gateway_unread_requests", "Connections of callers that ended before their request's header could be read."),
 	}
 	return g, b.err
@@ -164,6 +166,15 @@
 	g.storeCalls.Add(context.Background(), 1, g.set("operation", operation, "result", result).add...)
 }
 
+// Dropped counts a connection of a caller that was closed because there were too many.
+func (g *Gateway) Dropped(idle bool) {
+	state := "new"
+	if idle {
+		state = "idle"
+	}
+	g.dropped.Add(context.Background(), 1, g.set("state", state).add...)
+}
+
 // Unread counts a connection that ended before its request's header could be read.
 func (g *Gateway) Unread() { g.unread.Add(context.Background(), 1) }
 
--- a/test/site/slow_test.go
+++ b/test/site/slow_test.go
@@ -85,7 +85,8 @@
 func TestStatusOfAGateway(t *testing.T) {
 	bubble(t, func(t *testing.T, w *world) {
 		n := calm(w)
-		for range 5 {
+		// Enough for both of two equal servers to get some.
+		for range 40 {
 			require.True(t, w.call(n, ask{path: pathRead + "x", method: http.MethodGet}).whole())
 		}
 		w.workers[1].Drain(w.store)
--- a/upstream/socket.go
+++ b/upstream/socket.go
@@ -25,22 +25,37 @@
 
 // silent tells whether an idle connection is open and has nothing to read.
 func silent(c net.Conn) bool {
-	sc, ok := c.(syscall.Conn)
-	if !ok {
-		return true
+	n, err, ok := peek(c)
+	return !ok || n <= 0 && (err == unix.EAGAIN || err == unix.EWOULDBLOCK)
+}
+
+// peek looks at the next byte without taking it or waiting for it. It does not wait for another reader of
+// the connection either, as RawConn.Read would. ok is false if the connection is no socket.
+func peek(c net.Conn) (n int, err error, ok bool) { //nolint:revive,staticcheck // the error is a result here
+	sc, isSocket := c.(syscall.Conn)
+	if !isSocket {
+		return 0, nil, false
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return false
+		return 0, err, true
 	}
 	var b [1]byte
-	var n int
 	var readErr error
-	err = raw.Read(func(fd uintptr) bool {
+	err = raw.Control(func(fd uintptr) {
 		n, _, readErr = unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		return true
 	})
-	return err == nil && n <= 0 && (readErr == unix.EAGAIN || readErr == unix.EWOULDBLOCK)
+	if err != nil {
+		return 0, err, true
+	}
+	return n, readErr, true
+}
+
+// Ended tells whether the peer has closed or reset a connection, although what it sent before may be
+// unread.
+func Ended(c net.Conn) bool {
+	n, err, ok := peek(c)
+	return ok && (n == 0 && err == nil || err != nil && err != unix.EAGAIN && err != unix.EWOULDBLOCK && err != unix.EINTR)
 }
 
 // keepAliveTimeout reads the timeout parameter of a Keep-Alive header.
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -231,3 +231,42 @@
 		<-closed
 	}
 }
+
+// Guards against a check that waits for another reader of the connection, and against one that takes
+// bytes which wait, or a connection that is only idle, for an end.
+func TestEnded(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	client, err := net.Dial("tcp", l.Addr().String())
+	require.NoError(t, err)
+	server, err := l.Accept()
+	require.NoError(t, err)
+	defer server.Close()
+	require.False(t, upstream.Ended(server))
+	read := make(chan byte)
+	go func() {
+		b := make([]byte, 1)
+		for {
+			if _, err := server.Read(b); err != nil {
+				close(read)
+				return
+			}
+			read <- b[0]
+		}
+	}()
+	require.False(t, upstream.Ended(server), "idle")
+	_, err = client.Write([]byte("ab"))
+	require.NoError(t, err)
+	require.Equal(t, byte('a'), <-read)
+	require.False(t, upstream.Ended(server), "a byte waits")
+	require.Equal(t, byte('b'), <-read)
+	require.NoError(t, client.Close())
+	_, open := <-read
+	require.False(t, open)
+	require.True(t, upstream.Ended(server))
+	here, there := net.Pipe()
+	defer here.Close()
+	require.NoError(t, there.Close())
+	require.False(t, upstream.Ended(here), "unknown counts as open")
+}
