Count a disturbance of the store from the beginning of the call that failed

The gateway had been cut off from the store from 20.9 to 27.3 s; the worker's entry went at 26.955 s; the request was sent at 30.301 s, 3 s after the cut.

Cause: a registration that is missing after a disturbance is kept for 2.5 s, because those that lapsed while the store was away come back within two. The 2.5 s began when the last call failed, up to 1.2 s after the cut was over, since a call whose packets were lost waits for its time-out.

Now the 2.7 s begin with that call, so that they end before the three seconds.

--- a/gateway/feed.go
+++ b/gateway/feed.go
@@ -80,9 +80,12 @@
 func (f *Feed) follow(ctx context.Context) {
 	wait, lost := retryPause, false
 	for ctx.Err() == nil {
+		started := time.Now()
 		revision, err := f.list(ctx)
 		if err != nil {
-			f.roster.Disturbed(time.Now())
+			// The disturbance ended no earlier than this call began. When it fails tells little: a call
+			// can wait for its time-out while the store is back.
+			f.roster.Disturbed(started)
 			if !lost {
 				f.log.WithError(err).Warn("store lost")
 			}
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -220,9 +220,10 @@
 	Registration *Registration
 }
 
-// lapseGrace is how long after a disturbance of the store a lapsed registration is kept. Backend
-// servers that live are registered again within about two seconds.
-const lapseGrace = 2500 * time.Millisecond
+// lapseGrace is how long after a disturbance of the store a lapsed registration is kept. Backend servers
+// that live are registered again within about two seconds. Three seconds after a disturbance, those that
+// left must get no requests.
+const lapseGrace = 2700 * time.Millisecond
 
 // NewRoster returns an empty roster.
 func NewRoster() *Roster {
@@ -241,7 +242,7 @@
 	return len(r.servers)
 }
 
-// Disturbed notes that a call to the store failed.
+// Disturbed notes that a call to the store failed that began at a time.
 func (r *Roster) Disturbed(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/test/site/gateway_test.go
+++ b/test/site/gateway_test.go
@@ -412,3 +412,25 @@
 		require.Equal(t, 1, reader.Freed())
 	})
 }
+
+// Guards against a worker that left while a gateway was cut off from the store, and still gets requests
+// when the gateway has been back for as long as the platform allows: a registration that is missing after
+// the cut was kept for 2.5 s after the last call had failed, which ends up to 1.2 s after the cut. Found on
+// halte-boards trouble-2 (DRAIN, 3.3 s after the worker's end was acknowledged).
+func TestWorkersThatLeftDuringACut(t *testing.T) {
+	const contact = 3 * time.Second
+	for offset := time.Duration(0); offset < 2*time.Second; offset += 100 * time.Millisecond {
+		t.Run(offset.String(), func(t *testing.T) {
+			bubble(t, func(t *testing.T, w *world) {
+				n := calm(w)
+				w.store.SetMode(site.StoreSilent)
+				time.Sleep(5*time.Second + offset)
+				w.store.Remove("servers/i-a")
+				time.Sleep(300 * time.Millisecond)
+				w.store.SetMode(site.StoreUp)
+				time.Sleep(contact)
+				require.Len(t, n.roster.Servers("api"), 1)
+			})
+		})
+	}
+}
