Correct a split that replaced engines brought; say why a split is kept

A release of workers replaced prefill engines by ones that start as decode engines; the dwell time of 14 s after the planner's own last change held, then a kill of all gateways brought a new holder, which began to look at the load only when its guard time was over. New lines 'roles planned' show it.

The dwell time ends when the list of engines changes, and a holder that may not order yet looks at the load as well. 'Ample' is half an engine's time now: at twice the need, prompts already waited.

--- a/gateway/roleplan.go
+++ b/gateway/roleplan.go
@@ -37,9 +37,11 @@
 	minChangeShare = 0.1
 	// changeShare bounds the engines that change at the same time under load.
 	changeShare = 0.2
-	// ampleFactor is how many times the engines that it needs each role must have for the split to be left
-	// as it is: orders are paid for, and a fleet with little load gains nothing from them.
-	ampleFactor = 2
+	// ampleDepth is the number of prompts at one prefill engine, and ampleFill the share of the places of a
+	// decode engine, up to which a split is left as it is: orders are paid for, and a fleet with little load
+	// gains nothing from them. Prompts wait noticeably from about half an engine's time.
+	ampleDepth = 0.5
+	ampleFill  = 0.35
 	// idleEngines is the number of engines that each role gets before there is any load. It covers a whole
 	// fleet of 44; a larger one changes by the load that comes.
 	idleEngines = 32
@@ -61,8 +63,32 @@
 	generating, reading float64
 	// ordered holds the last order to each engine.
 	ordered map[*live]ordered
+	// Look is what the last look found.
+	Look Look
 }
 
+// Look is one look at the split of a service's engines.
+type Look struct {
+	// Decode and Prefill are the engines of each role, Wanted those that should generate answers.
+	Decode, Prefill, Wanted int
+	// Generating and Reading are the average requests on decode and on prefill engines.
+	Generating, Reading float64
+	// Reason says why the split is changed or left as it is.
+	Reason string
+}
+
+// Reasons of looks.
+const (
+	lookUnsettled = "list_changes"   // the list of engines has just changed
+	lookNoSplit   = "no_split"       // too few engines, or some without a role
+	lookFits      = "fits"           // the split is the wanted one
+	lookIdle      = "idle"           // there is no load
+	lookAmple     = "ample"          // both roles have far more than they need
+	lookNew       = "wanted_briefly" // another split is wanted, but not for long
+	lookDwell     = "changed_lately" // the last change was in the other direction
+	lookChange    = "changes"
+)
+
 // ordered is an order whose effect may not show in the list of engines yet.
 type ordered struct {
 	role external.Role
@@ -85,6 +111,7 @@
 // PlanInterval with the registered engines of one service.
 func (st *RolePlan) Next(servers []*Server, now time.Time) (external.Role, []*Server) {
 	if !st.settled(servers, now) {
+		st.Look = Look{Reason: lookUnsettled}
 		return "", nil
 	}
 	split := newSplit(servers, st, now)
@@ -120,6 +147,8 @@
 	}
 	if seen != st.seen {
 		st.seen, st.seenAt = seen, now
+		// Engines that come bring their roles with them: the split is no longer the one that was ordered.
+		st.changedAt = time.Time{}
 	}
 	return len(servers) > 0 && now.Sub(st.seenAt) >= settleTime
 }
@@ -165,10 +194,9 @@
 	return p.generating / (decodeFill * float64(max(p.places, 1))), p.reading / readDepth
 }
 
-// ample tells whether both roles have several times the engines that they need.
+// ample tells whether both roles have far more engines than they need.
 func (p *split) ample() bool {
-	decode, prefill := p.need()
-	return ampleFactor*decode <= float64(p.decode) && ampleFactor*prefill <= float64(p.prefill)
+	return p.generating <= ampleFill*float64(p.places*p.decode) && p.reading <= ampleDepth*float64(p.prefill)
 }
 
 // wantedDecode is the number of engines that should generate answers: what is needed and a part of what
@@ -195,28 +223,37 @@
 
 // changes returns how many engines should become prefill engines now, negative for decode engines.
 func (st *RolePlan) changes(p *split, now time.Time) int {
+	st.Look = Look{Decode: p.decode, Prefill: p.prefill, Generating: p.generating, Reading: p.reading}
 	if p.decode+p.prefill < 3 || p.mixed > 0 {
+		st.Look.Reason = lookNoSplit
 		return 0
 	}
 	d := p.decode - p.wantedDecode()
+	st.Look.Wanted = p.decode - d
 	if d != st.wanted {
 		if sign(d) != sign(st.wanted) {
 			st.wantedAt = now
 		}
 		st.wanted = d
 	}
-	if sign(d)*d < max(1, int(minChangeShare*float64(p.decode+p.prefill))) {
+	switch {
+	case sign(d)*d < max(1, int(minChangeShare*float64(p.decode+p.prefill))):
+		st.Look.Reason = lookFits
 		return 0
-	}
-	if p.idle {
+	case p.idle:
+		st.Look.Reason = lookIdle
 		return p.idleChanges(d)
-	}
-	if p.ample() {
+	case p.ample():
+		st.Look.Reason = lookAmple
 		return 0
-	}
-	if now.Sub(st.wantedAt) < persistTime || (sign(d) != st.direction && now.Sub(st.changedAt) < dwellTime) {
+	case now.Sub(st.wantedAt) < persistTime:
+		st.Look.Reason = lookNew
+		return 0
+	case sign(d) != st.direction && now.Sub(st.changedAt) < dwellTime:
+		st.Look.Reason = lookDwell
 		return 0
 	}
+	st.Look.Reason = lookChange
 	changing := 0
 	for _, o := range st.ordered {
 		if now.Before(o.until) {
--- a/gateway/roles.go
+++ b/gateway/roles.go
@@ -100,12 +100,13 @@
 	for pause.For(ctx, PlanInterval) {
 		a, ok := r.leases.Authority(RolesPool)
 		table := r.tables.Table()
-		if !ok || table == nil || !r.mayOrder(a, time.Now()) {
+		if !ok || table == nil {
 			continue
 		}
+		may := r.mayOrder(a, time.Now())
 		for name, s := range table.Services {
 			if s.Engine != nil {
-				r.plan(ctx, a, name, s.Engine)
+				r.plan(ctx, a, may, name, s.Engine)
 			}
 		}
 	}
@@ -128,12 +129,21 @@
 	return s
 }
 
-func (r *Roles) plan(ctx context.Context, a lease.Authority, service string, e *route.Engine) {
+// plan looks at the split of a service's engines. A holder that may not order yet looks as well, so that
+// it knows the load when it may.
+func (r *Roles) plan(ctx context.Context, a lease.Authority, may bool, service string, e *route.Engine) {
 	now := time.Now()
 	st := r.state(service)
+	before := st.Look.Reason
 	to, servers := st.Next(r.roster.Servers(service), now)
+	if l := st.Look; l.Reason != before {
+		r.log.WithFields(logrus.Fields{
+			"service": service, "decode": l.Decode, "prefill": l.Prefill, "wanted_decode": l.Wanted, "generating": int(l.Generating),
+			"reading": int(l.Reading), "choice": l.Reason, "fence": a.Fence,
+		}).Info("roles planned")
+	}
 	for _, s := range servers {
-		if !a.Valid() {
+		if !may || !a.Valid() {
 			return
 		}
 		r.order(ctx, a, s, to, st, e)
