--- a/cmd/quetzallug-bench/main.go
+++ b/cmd/quetzallug-bench/main.go
@@ -21,10 +21,10 @@
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
-	root := &cobra.Command{Use: "quetzallug-bench", Short: "Measure the product on loopback", SilenceUsage: true}
+	root := &cobra.Command{Use: "quetzallug-bench", Short: "Measure the product on loopback, and its decisions in simulated time", SilenceUsage: true}
 	root.PersistentFlags().String("data", "", "folder for CSV files; empty for none")
 	root.PersistentFlags().String("bin", "", "folder of built programs; empty builds them")
-	root.AddCommand(latencyCommand(), capacityCommand(), callsCommand(), fullSizeCommand())
+	root.AddCommand(latencyCommand(), capacityCommand(), callsCommand(), fullSizeCommand(), mixCommand())
 	err := root.ExecuteContext(ctx)
 	stop()
 	if err != nil {
--- /dev/null
+++ b/cmd/quetzallug-bench/mix.go
@@ -0,0 +1,63 @@
+package main
+
+import (
+	"os"
+	"runtime"
+
+	"github.com/spf13/cobra"
+
+	"github.com/quetzallug/quetzallug/internal/gatewaybench"
+)
+
+func mixCommand() *cobra.Command {
+	var deployment, previous string
+	var days, policies []string
+	var seeds, parallel int
+	cmd := &cobra.Command{
+		Use:   "mix",
+		Short: "Play loads against the gateway's decisions and other policies on a model of engines",
+		Long: `mix plays days over a deployment in simulated time, once for each policy and seed, and prints what
+callers got. With --data it also writes the results as JSON and a plot; --previous shows the results of an
+earlier version beside those of this one. A run of all examples takes about half a minute.`,
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			d, err := gatewaybench.ReadDeployment(deployment)
+			if err != nil {
+				return err
+			}
+			var list []*gatewaybench.Day
+			for _, path := range days {
+				day, err := gatewaybench.ReadDay(path, d)
+				if err != nil {
+					return err
+				}
+				list = append(list, day)
+			}
+			var before []gatewaybench.Row
+			if previous != "" {
+				if before, err = gatewaybench.ReadRows(previous); err != nil {
+					return err
+				}
+			}
+			rows, err := gatewaybench.Compare(cmd.Context(), d, list, policies, seeds, parallel)
+			if err != nil {
+				return err
+			}
+			rows = gatewaybench.Merge(rows, before)
+			if data, _ := cmd.Flags().GetString("data"); data != "" {
+				if err := gatewaybench.WriteData(data, rows); err != nil {
+					return err
+				}
+			}
+			return gatewaybench.WriteTable(os.Stdout, rows)
+		},
+	}
+	f := cmd.Flags()
+	f.StringVar(&deployment, "deployment", "examples/mix/board.yaml", "file of the deployment")
+	f.StringSliceVar(&days, "days", []string{"examples/mix/days/flood.yaml"}, "files of the days")
+	f.StringSliceVar(&policies, "policies", gatewaybench.Policies, "policies to play")
+	f.StringVar(&previous, "previous", "", "JSON file that an earlier version wrote with --data; empty for none")
+	f.IntVar(&seeds, "seeds", 3, "number of seeds")
+	f.IntVar(&parallel, "parallel", max(1, runtime.NumCPU()/2), "runs at a time")
+	return cmd
+}
