--- a/gateway/decider.go
+++ b/gateway/decider.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -16,13 +17,14 @@
 	prefixes   *prefixes
 	random     Random
 
-	mu    sync.Mutex
-	paces map[string]*pace
+	mu       sync.Mutex
+	paces    map[string]*pace
+	refusals map[string]*refusals
 }
 
 // NewDecider returns a decider of a process in a data centre.
 func NewDecider(dataCentre string, r *Roster, random Random) *Decider {
-	return &Decider{dataCentre: dataCentre, roster: r, prefixes: newPrefixes(), random: random, paces: make(map[string]*pace)}
+	return &Decider{dataCentre: dataCentre, roster: r, prefixes: newPrefixes(), random: random, paces: make(map[string]*pace), refusals: make(map[string]*refusals)}
 }
 
 // Query is a request to be placed.
@@ -73,7 +75,7 @@
 func (d *Decider) Decide(q *Query, now time.Time) Choice {
 	c := d.choose(q, now)
 	out := Choice{Reader: c.reader, Server: c.server, Unread: c.unread, First: c.first}
-	if q.reader == nil && tooLate(q, &c, now) {
+	if q.reader == nil && !d.admit(q, &c, now) {
 		out.Refuse, out.ComeBack = true, d.comeBack(q.Deadline, now)
 	}
 	return out
@@ -163,9 +165,76 @@
 	return p
 }
 
+// admit tells whether a request that was not offered yet should be served. Those with much to read are
+// counted, because the share of them that is refused says how deep a flood is.
+func (d *Decider) admit(q *Query, c *choice, now time.Time) bool {
+	if c.server == nil {
+		return true
+	}
+	r := d.refused(q.Service)
+	late := tooLate(q, c, r.share(now), now)
+	if q.Route.Prompt && c.unread >= shortPrompt {
+		r.note(late, now)
+	}
+	return !late
+}
+
+func (d *Decider) refused(service string) *refusals {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	r := d.refusals[service]
+	if r == nil {
+		r = &refusals{}
+		d.refusals[service] = r
+	}
+	return r
+}
+
+// refusals are decaying counts of requests.
+type refusals struct {
+	mu               sync.Mutex
+	offered, refused float64
+	at               time.Time
+}
+
+const (
+	// refusalMemory is the time in which a request counts 1/e: the known floods last for seconds.
+	refusalMemory = 2 * time.Second
+	// fewOffers is the number of recent requests below which the share tells nothing.
+	fewOffers = 5
+)
+
+func (r *refusals) decay(now time.Time) {
+	if age := now.Sub(r.at); age > 0 {
+		f := math.Exp(-age.Seconds() / refusalMemory.Seconds())
+		r.offered, r.refused, r.at = r.offered*f, r.refused*f, now
+	}
+}
+
+func (r *refusals) note(refused bool, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.decay(now)
+	r.offered++
+	if refused {
+		r.refused++
+	}
+}
+
+// share is the part of the recent requests that was refused.
+func (r *refusals) share(now time.Time) float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.decay(now)
+	if r.offered < fewOffers {
+		return 0
+	}
+	return r.refused / r.offered
+}
+
 // tooLate tells whether a request that was not offered yet should be refused, because its answer
 // would begin so late that serving it takes time from requests which can still be on time.
-func tooLate(q *Query, c *choice, now time.Time) bool {
+func tooLate(q *Query, c *choice, refused float64, now time.Time) bool {
 	if !q.Route.Prompt || q.Route.Target <= 0 {
 		return false
 	}
@@ -179,7 +248,8 @@
 	if c.unread < shortPrompt {
 		return false
 	}
-	return c.first-time.Duration(sizeAllowance*float64(c.excess)) > time.Duration(lateFactor*float64(q.Route.Target))
+	allowance := sizeAllowance * min(1, refused/deepFlood)
+	return c.first-time.Duration(allowance*float64(c.excess)) > time.Duration(lateFactor*float64(q.Route.Target))
 }
 
 const (
@@ -188,11 +258,13 @@
 	// crowded is the share of an engine's places from which it takes no further long answers. Steps get
 	// longer with each request; in full engines of 64 places the longest answers of the known deployments,
 	// 211 events, took longer than their callers wait, and a tenth of the answers was made in vain.
-	crowded = 0.95
-	// sizeAllowance is the part of a large prompt's longer reading that does not count against it. Without
-	// it, the largest tenth was served less than half as often as all in a flood; with all of it, the
-	// requests behind are late.
+	crowded = 0.9
+	// sizeAllowance is the part of a large prompt's longer reading that does not count against it in a deep
+	// flood. Without it, the largest tenth was served less than half as often as all there. It grows with
+	// the share of requests that are refused: in a lesser flood few large ones are refused anyway, and with
+	// the whole allowance the requests behind them were late (0.12 of the worth of grown irt-verde quiet-1).
 	sizeAllowance = 0.75
+	deepFlood     = 0.7
 )
 
 // lateFactor is the expected time to the first event, as a multiple of the target, above which a
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -202,7 +202,7 @@
 			q.giveUp(q.because(c.reason))
 			return
 		}
-		if q.sends == 0 && tooLate(query, &c, now) {
+		if q.sends == 0 && !q.g.decider.admit(query, &c, now) {
 			q.refuse("overload", q.g.decider.comeBack(q.deadline, now))
 			return
 		}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -363,14 +363,31 @@
 		return &Query{Route: r, Call: &Call{OutputTokens: events}, Deadline: start.Add(2 * time.Second)}
 	}
 	queued := choice{unread: 4000, first: 160 * time.Millisecond}
-	require.True(t, tooLate(query(2), &queued, start))
+	require.True(t, tooLate(query(2), &queued, 0, start))
 	large := choice{unread: 40_000, first: 160 * time.Millisecond, excess: 100 * time.Millisecond}
-	require.False(t, tooLate(query(2), &large, start), "late by its own reading")
+	require.False(t, tooLate(query(2), &large, deepFlood, start), "late by its own reading")
+	require.True(t, tooLate(query(2), &large, 0, start), "without a flood, the requests behind it count")
 	behind := choice{unread: 40_000, first: 300 * time.Millisecond, excess: 100 * time.Millisecond}
-	require.True(t, tooLate(query(2), &behind, start), "late behind others")
+	require.True(t, tooLate(query(2), &behind, 1, start), "late behind others")
 	full := choice{unread: 100, first: 20 * time.Millisecond, crowding: 0.96}
-	require.True(t, tooLate(query(90), &full, start))
-	require.False(t, tooLate(query(2), &full, start), "a short answer is soon over")
-	full.crowding = 0.8
-	require.False(t, tooLate(query(90), &full, start))
+	require.True(t, tooLate(query(90), &full, 0, start))
+	require.False(t, tooLate(query(2), &full, 0, start), "a short answer is soon over")
+	full.crowding = 0.85
+	require.False(t, tooLate(query(90), &full, 0, start))
+}
+
+// Guards against a share of refusals that outlasts the flood, or that a single request decides.
+func TestRefusedShare(t *testing.T) {
+	r := &refusals{}
+	r.note(true, start)
+	require.Zero(t, r.share(start))
+	for i := range 20 {
+		r.note(i%2 == 0, start)
+	}
+	require.InDelta(t, 0.5, r.share(start), 0.05)
+	for range 100 {
+		r.note(false, start.Add(2*refusalMemory))
+	}
+	require.Less(t, r.share(start.Add(2*refusalMemory)), 0.05)
+	require.Zero(t, r.share(start.Add(20*refusalMemory)))
 }
