--- a/gateway/caller.go
+++ b/gateway/caller.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 
 	"github.com/quetzallug/quetzallug/upstream"
 )
@@ -17,7 +18,8 @@
 // callerLeft tells whether the caller has closed its connection. A process that is behind reads requests
 // whose callers have given up; net/http notices the end of a connection only some time after the request
 // was handed over.
-func callerLeft(ctx context.Context) bool {
+func callerLeft(r *http.Request) bool {
+	ctx := r.Context()
 	c, ok := ctx.Value(callerKey{}).(net.Conn)
 	return ctx.Err() != nil || ok && upstream.Ended(c)
 }
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -183,7 +183,7 @@
 func (q *request) serve() {
 	for {
 		now := time.Now()
-		if callerLeft(q.r.Context()) {
+		if callerLeft(q.r) {
 			q.done(outcomeGone, "")
 			return
 		}
--- a/upstream/socket.go
+++ b/upstream/socket.go
@@ -26,12 +26,15 @@
 // silent tells whether an idle connection is open and has nothing to read.
 func silent(c net.Conn) bool {
 	n, err, ok := peek(c)
-	return !ok || n <= 0 && (err == unix.EAGAIN || err == unix.EWOULDBLOCK)
+	return !ok || n <= 0 && nothingYet(err)
 }
 
+// nothingYet tells whether a read found an open connection without bytes.
+func nothingYet(err error) bool { return errors.Is(err, unix.EAGAIN) || errors.Is(err, unix.EWOULDBLOCK) }
+
 // peek looks at the next byte without taking it or waiting for it. It does not wait for another reader of
 // the connection either, as RawConn.Read would. ok is false if the connection is no socket.
-func peek(c net.Conn) (n int, err error, ok bool) { //nolint:revive,staticcheck // the error is a result here
+func peek(c net.Conn) (n int, err error, ok bool) { //nolint:staticcheck // the error is a result here
 	sc, isSocket := c.(syscall.Conn)
 	if !isSocket {
 		return 0, nil, false
@@ -55,7 +58,7 @@
 // unread.
 func Ended(c net.Conn) bool {
 	n, err, ok := peek(c)
-	return ok && (n == 0 && err == nil || err != nil && err != unix.EAGAIN && err != unix.EWOULDBLOCK && err != unix.EINTR)
+	return ok && n <= 0 && !nothingYet(err) && !errors.Is(err, unix.EINTR)
 }
 
 // keepAliveTimeout reads the timeout parameter of a Keep-Alive header.
