--- a/upstream/socket.go
+++ b/upstream/socket.go
@@ -30,11 +30,13 @@
 }
 
 // nothingYet tells whether a read found an open connection without bytes.
-func nothingYet(err error) bool { return errors.Is(err, unix.EAGAIN) || errors.Is(err, unix.EWOULDBLOCK) }
+func nothingYet(err error) bool {
+	return errors.Is(err, unix.EAGAIN) || errors.Is(err, unix.EWOULDBLOCK)
+}
 
 // peek looks at the next byte without taking it or waiting for it. It does not wait for another reader of
 // the connection either, as RawConn.Read would. ok is false if the connection is no socket.
-func peek(c net.Conn) (n int, err error, ok bool) { //nolint:staticcheck // the error is a result here
+func peek(c net.Conn) (n int, err error, ok bool) {
 	sc, isSocket := c.(syscall.Conn)
 	if !isSocket {
 		return 0, nil, false
