--- a/cmd/quetzallug-bench/mix.go
+++ b/cmd/quetzallug-bench/mix.go
@@ -53,8 +53,8 @@
 		},
 	}
 	f := cmd.Flags()
-	f.StringVar(&deployment, "deployment", "examples/mix/board.yaml", "file of the deployment")
-	f.StringSliceVar(&days, "days", []string{"examples/mix/days/flood.yaml"}, "files of the days")
+	f.StringVar(&deployment, "deployment", "mix/board.yaml", "file of the deployment")
+	f.StringSliceVar(&days, "days", []string{"mix/days/flood.yaml"}, "files of the days")
 	f.StringSliceVar(&policies, "policies", gatewaybench.Policies, "policies to play")
 	f.StringVar(&previous, "previous", "", "JSON file that an earlier version wrote with --data; empty for none")
 	f.IntVar(&seeds, "seeds", 3, "number of seeds")
--- a/internal/gatewaybench/loads_test.go
+++ b/internal/gatewaybench/loads_test.go
@@ -8,7 +8,7 @@
 )
 
 const (
-	examples = "../../examples/mix/"
+	examples = "../../mix/"
 	// sizeShare is the users' bound: the largest tenth of a kind is served at least half as often as all.
 	sizeShare = 0.5
 	// starvedShare is the users' bound: no kind is served less than a quarter as often as all requests.
