--- a/gateway/decider.go
+++ b/gateway/decider.go
@@ -34,7 +34,7 @@
 	Call    *Call
 	// Deadline is the earlier of the caller's and the route's.
 	Deadline time.Time
-	// keys are those of the prompt's parts; see Keys.
+	// keys are those of the prompt's parts; Prepare sets them.
 	keys []uint64
 	// tried backend servers are not chosen again.
 	tried []*live
--- a/internal/gatewaybench/engine.go
+++ b/internal/gatewaybench/engine.go
@@ -14,7 +14,7 @@
 	id         string
 	dataCentre string
 	role       external.Role
-	// away engines change their role or are dark.
+	// changing engines take no new work, dark ones do nothing and answer nothing.
 	changing bool
 	dark     bool
 	// life changes when the engine goes dark, which ends all that it had.
--- a/internal/gatewaybench/world.go
+++ b/internal/gatewaybench/world.go
@@ -19,7 +19,7 @@
 	// followTime is how long an entry takes to learn of a change of an engine's registration: half of the
 	// wait of a watch and of the pause after it.
 	followTime = time.Second
-	// callerPatience is how long a caller waits for the first event beyond its deadline's share.
+	// callerPatience is the least time that a caller waits for the first event.
 	callerPatience = 2 * time.Second
 	// impatientReturns is how often impatient callers return, at once.
 	impatientReturns = 4
