Estimate prefill times as a line and refuse large requests by the wait only

Change: a fitted line with a fixed part, in which late observations weigh little; the wait for unknown requests is an average of its own; decode engines count as 2.5 times slower instead of being learned from prefills that are biased. A request that is late for its own size only is served where the wait is below a quarter of the target, and wherever its class is served below 0.6 of its route's share.

TestRefusedShare goes with the count it tested; the count per size class that takes its place is tested by TestLargestRequestsGetTheirShare.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -17,7 +17,7 @@
 	server          *Server
 	forwarded       *ForwardedRequest
 	uncachedTokens  float64
-	tokensAhead     float64
+	backlog         Backlog
 	sentAt          time.Time
 	pendingReleased bool
 	// transferFrom has prefilled the prompt, which is transferred to server; nil if there is no
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -3,7 +3,6 @@
 import (
 	"math"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/quetzallug/quetzallug/external"
@@ -15,9 +14,9 @@
 	// a second of waiting. Above 1 it favours backend servers that have the prompt cached, even if
 	// the request waits a little longer there.
 	prefillWeight = 2
-	// decodePrefillWeight replaces prefillWeight on decode engines, where a prefill slows down
-	// every step of the answers being generated.
-	decodePrefillWeight = 5
+	// decodePrefillWeight is added to prefillWeight on decode engines all of whose slots are in use,
+	// and in proportion on others: a prefill slows down every step of the answers being generated.
+	decodePrefillWeight = 6
 	// transferTime is the expected time to transfer a prefilled prompt to another engine and to
 	// start the answer there.
 	transferTime = 4 * time.Millisecond
@@ -61,6 +60,8 @@
 	uncachedTokens float64
 	// timeToFirst is the expected time to the first event.
 	timeToFirst time.Duration
+	// wait is the part of timeToFirst that prompts ahead on the prefilling engine take.
+	wait time.Duration
 	// utilisation is the fraction of the server's slots in use.
 	utilisation float64
 	// excessPrefill is the part of timeToFirst by which the prefill takes longer than that of a
@@ -71,74 +72,6 @@
 	considered int
 }
 
-// prefillEstimator estimates, from observed requests, the prefill time per token of a service's
-// engines and the number of uncached tokens per request.
-type prefillEstimator struct {
-	mu sync.Mutex
-	// secondsPerToken is the time to prefill one prompt token, by role.
-	secondsPerToken map[external.EngineRole]float64
-	// meanUncached is the mean number of uncached prompt tokens per request.
-	meanUncached float64
-}
-
-const (
-	// initialSecondsPerToken is the estimate before the first observation: 100 tokens per
-	// millisecond, typical of an engine with eight accelerators.
-	initialSecondsPerToken = 1e-5
-	initialMeanUncached    = 1000
-	// estimateWeight is the weight of one observation in both estimates.
-	estimateWeight = 0.05
-	// minObservedTokens is the size of the smallest prefill that updates the time per token; fixed
-	// costs dominate below it.
-	minObservedTokens = 512
-	// maxObservationRatio limits the ratio between one observation and the current estimate.
-	maxObservationRatio = 4
-)
-
-func newPrefillEstimator() *prefillEstimator {
-	return &prefillEstimator{secondsPerToken: map[external.EngineRole]float64{}, meanUncached: initialMeanUncached}
-}
-
-// estimates returns the current estimates. secondsPerToken gives the prefill estimate for
-// EngineRolePrefill and the decode estimate for every other role.
-func (p *prefillEstimator) estimates() (secondsPerToken func(external.EngineRole) float64, meanUncached float64) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	prefill, decode := p.roleEstimate(external.EngineRolePrefill), p.roleEstimate(external.EngineRoleDecode)
-	return func(r external.EngineRole) float64 {
-		if r == external.EngineRolePrefill {
-			return prefill
-		}
-		return decode
-	}, p.meanUncached
-}
-
-// roleEstimate returns the seconds per token of a role, which is EngineRolePrefill or EngineRoleDecode. The
-// caller must hold p.mu.
-func (p *prefillEstimator) roleEstimate(r external.EngineRole) float64 {
-	if v, ok := p.secondsPerToken[r]; ok {
-		return v
-	}
-	return initialSecondsPerToken
-}
-
-// observe updates the estimates with a prompt of which the given number of uncached tokens was
-// prefilled after tokensAhead queued ones.
-func (p *prefillEstimator) observe(r external.EngineRole, tokens, tokensAhead float64, elapsed time.Duration) {
-	if r != external.EngineRolePrefill {
-		r = external.EngineRoleDecode
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.meanUncached += estimateWeight * (tokens - p.meanUncached)
-	if tokens < minObservedTokens {
-		return
-	}
-	old := p.roleEstimate(r)
-	measured := elapsed.Seconds() / (tokens + tokensAhead)
-	p.secondsPerToken[r] = old + estimateWeight*(min(max(measured, old/maxObservationRatio), old*maxObservationRatio)-old)
-}
-
 // candidates returns the servers that were not tried yet: the usable ones, or all of them if
 // includeUnusable is set.
 func candidates(servers []*Server, tried []*serverState, now time.Time, includeUnusable bool) ([]*Server, []view) {
@@ -207,7 +140,7 @@
 
 // choosePrompt returns the servers with the lowest cost: the expected time to the first event, plus
 // a weight for prefill work and penalties for failures and other data centres.
-func choosePrompt(servers []*Server, views []view, cachedTokens []float64, p *promptRequest, secondsPerToken func(external.EngineRole) float64, meanUncached float64, selector *decodeSelector) choice {
+func choosePrompt(servers []*Server, views []view, cachedTokens []float64, p *promptRequest, estimates prefillEstimates, selector *decodeSelector) choice {
 	if selector.best(p.dataCentre) < 0 {
 		return choice{reason: reasonNoServer}
 	}
@@ -215,12 +148,12 @@
 	best, cost := choice{reason: reasonNoServer}, math.Inf(1)
 	for i, s := range servers {
 		v := views[i]
-		tokenSeconds := secondsPerToken(s.Role)
+		prefill := estimates.forRole(s.Role)
 		uncachedTokens := max(1, float64(p.metadata.PromptTokens)-cachedTokens[i])
-		wait := (v.pendingTokens + float64(v.otherRequests)*meanUncached) * tokenSeconds
-		prefillTime := uncachedTokens * tokenSeconds
+		wait := (v.pendingTokens+float64(v.otherRequests)*estimates.meanUncached)*prefill.perToken + prefill.unseenWait
+		prefillTime := uncachedTokens * prefill.perToken
 		c := choice{server: s, uncachedTokens: uncachedTokens, reason: reasonOneServer}
-		timeToFirst := wait + prefillTime
+		timeToFirst := prefill.fixed + wait + prefillTime
 		penalty := v.failureRate * failurePenalty.Seconds()
 		if s.Role == external.EngineRolePrefill {
 			if uncachedTokens < shortPromptTokens && float64(p.metadata.PromptTokens) < 2*shortPromptTokens {
@@ -239,17 +172,18 @@
 			penalty += crossDataCentreTransferCost.Seconds() / 3
 		}
 		if s.Role == external.EngineRoleDecode {
-			penalty += (decodePrefillWeight - prefillWeight) * prefillTime
+			penalty += decodePrefillWeight * utilisation(s, v) * prefillTime
 		}
 		if total := timeToFirst + (prefillWeight-1)*prefillTime + penalty; total < cost {
 			c.timeToFirst = time.Duration(timeToFirst * float64(time.Second))
-			c.excessPrefill = time.Duration(max(0, uncachedTokens-meanUncached) * tokenSeconds * float64(time.Second))
+			c.wait = time.Duration(wait * float64(time.Second))
+			c.excessPrefill = time.Duration(max(0, uncachedTokens-estimates.meanUncached) * prefill.perToken * float64(time.Second))
 			best, cost = c, total
 		}
 	}
 	best.considered = len(servers)
 	if i := slices.Index(servers, best.server); i >= 0 {
-		best.utilisation = float64(views[i].inFlight+views[i].otherRequests) / float64(max(servers[i].Slots, 1))
+		best.utilisation = utilisation(servers[i], views[i])
 	}
 	return best
 }
@@ -264,6 +198,11 @@
 	return choice{server: servers[best], reason: reasonAlreadyPrefilled, considered: len(servers)}
 }
 
+// utilisation returns the fraction of the server's slots in use.
+func utilisation(s *Server, v view) float64 {
+	return float64(v.inFlight+v.otherRequests) / float64(max(s.Slots, 1))
+}
+
 // decodeDelay returns the expected delay of the first event, in seconds, from other requests that
 // generate on the server. When most slots are in use, requests also queue for a free one.
 func decodeDelay(s *Server, v view) float64 {
@@ -317,7 +256,7 @@
 // decodeCost returns the cost of generating, on the server, the answer to a prompt in a data centre,
 // in seconds. Pending prefills count at a tenth of their estimated time.
 func decodeCost(s *Server, v view, dataCentre string) float64 {
-	c := decodeDelay(s, v) + v.pendingTokens*initialSecondsPerToken/10 + v.failureRate*failurePenalty.Seconds()
+	c := decodeDelay(s, v) + v.pendingTokens*initialPerToken/10 + v.failureRate*failurePenalty.Seconds()
 	if s.DataCentre != dataCentre {
 		c += crossDataCentreTransferCost.Seconds()
 	}
--- a/gateway/decider.go
+++ b/gateway/decider.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"math"
 	"sync"
 	"time"
 
@@ -19,12 +18,13 @@
 
 	mu                sync.Mutex
 	prefillEstimators map[string]*prefillEstimator
-	refusalCounters   map[string]*refusalCounter
+
+	sizes sizeTrackers
 }
 
 // NewDecider returns a Decider for a process in a data centre.
 func NewDecider(dataCentre string, r *Roster, random Random) *Decider {
-	return &Decider{dataCentre: dataCentre, roster: r, prefixes: newPrefixTable(), random: random, prefillEstimators: make(map[string]*prefillEstimator), refusalCounters: make(map[string]*refusalCounter)}
+	return &Decider{dataCentre: dataCentre, roster: r, prefixes: newPrefixTable(), random: random, prefillEstimators: make(map[string]*prefillEstimator)}
 }
 
 // SelectionRequest is a request for which backend servers are to be selected.
@@ -93,16 +93,24 @@
 // backend server.
 func (d *Decider) RecordPrefillDropped(s *Server, tokens float64) { s.subtractPendingTokens(tokens) }
 
-// RecordPrefilled records that a prompt was prefilled. tokensAhead is the number of tokens that were
-// queued before it at sentAt.
-func (d *Decider) RecordPrefilled(q *SelectionRequest, s *Server, uncachedTokens, tokensAhead float64, sentAt, now time.Time) {
+// RecordPrefilled records that a prompt was prefilled. ahead is the backlog of the backend server
+// before the request was sent at sentAt.
+func (d *Decider) RecordPrefilled(q *SelectionRequest, s *Server, uncachedTokens float64, ahead Backlog, sentAt, now time.Time) {
 	s.subtractPendingTokens(uncachedTokens)
-	d.prefillEstimator(q.Service).observe(s.Role, uncachedTokens, tokensAhead, now.Sub(sentAt))
+	d.prefillEstimator(q.Service).observe(s.Role, uncachedTokens, ahead, now.Sub(sentAt), now)
+}
+
+// Backlog is the known work of a backend server that a new request waits for.
+type Backlog struct {
+	// PendingTokens is the number of prompt tokens that this process has sent and that are not
+	// prefilled yet.
+	PendingTokens float64
+	// OtherRequests is the number of requests from other gateway instances.
+	OtherRequests float64
 }
 
-// PendingTokens returns the number of prompt tokens that this process has sent to a backend server
-// and that are not prefilled yet.
-func (d *Decider) PendingTokens(s *Server, now time.Time) float64 { return s.view(now).pendingTokens }
+// Backlog returns the known work of a backend server.
+func (d *Decider) Backlog(s *Server, now time.Time) Backlog { return s.view(now).backlog() }
 
 // RecordActivity records that a backend server sent data. load is the load it reported, or nil.
 func (d *Decider) RecordActivity(s *Server, load *Load, now time.Time) { s.recordActivity(load, now) }
@@ -156,9 +164,9 @@
 	for i, s := range servers {
 		serverKeys[i] = s.key
 	}
-	secondsPerToken, meanUncached := d.prefillEstimator(q.Service).estimates()
+	estimates := d.prefillEstimator(q.Service).estimates(now)
 	cachedTokens := d.prefixes.cachedTokens(q.prefixKeys, q.Metadata.Parts, serverKeys, now)
-	return choosePrompt(servers, views, cachedTokens, &promptRequest{metadata: q.Metadata, prefixKeys: q.prefixKeys, dataCentre: d.dataCentre, random: d.random}, secondsPerToken, meanUncached, selector)
+	return choosePrompt(servers, views, cachedTokens, &promptRequest{metadata: q.Metadata, prefixKeys: q.prefixKeys, dataCentre: d.dataCentre, random: d.random}, estimates, selector)
 }
 
 func (d *Decider) prefillEstimator(service string) *prefillEstimator {
@@ -172,83 +180,21 @@
 	return p
 }
 
-// admit reports whether a request that was not sent yet should be served. The refused fraction of
-// the requests with long uncached prompts measures the degree of overload.
+// admit reports whether a request that was not sent yet should be served.
 func (d *Decider) admit(q *SelectionRequest, c *choice, now time.Time) bool {
-	if c.server == nil {
+	if c.server == nil || !q.Route.DeclaresPrompt || q.Route.TargetLatency <= 0 {
 		return true
 	}
-	r := d.refusalCounter(q.Service)
-	late := shouldRefuse(q, c, r.fraction(now), now)
-	if q.Route.DeclaresPrompt && c.uncachedTokens >= shortPromptTokens {
-		r.record(late, now)
-	}
-	return !late
-}
-
-func (d *Decider) refusalCounter(service string) *refusalCounter {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	r := d.refusalCounters[service]
-	if r == nil {
-		r = &refusalCounter{}
-		d.refusalCounters[service] = r
-	}
-	return r
-}
-
-// refusalCounter holds exponentially decaying counts of the requests that were offered and of those
-// that were refused.
-type refusalCounter struct {
-	mu               sync.Mutex
-	offered, refused float64
-	updatedAt        time.Time
-}
-
-const (
-	// refusalDecayTime is the time in which the counts decay to 1/e. Observed overloads last for
-	// seconds.
-	refusalDecayTime = 2 * time.Second
-	// minOfferedRequests is the number of recent requests below which the fraction is taken as
-	// zero.
-	minOfferedRequests = 5
-)
-
-func (r *refusalCounter) decay(now time.Time) {
-	if age := now.Sub(r.updatedAt); age > 0 {
-		f := math.Exp(-age.Seconds() / refusalDecayTime.Seconds())
-		r.offered, r.refused, r.updatedAt = r.offered*f, r.refused*f, now
-	}
-}
-
-func (r *refusalCounter) record(refused bool, now time.Time) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.decay(now)
-	r.offered++
-	if refused {
-		r.refused++
-	}
-}
-
-// fraction returns the fraction of recent requests that were refused.
-func (r *refusalCounter) fraction(now time.Time) float64 {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.decay(now)
-	if r.offered < minOfferedRequests {
-		return 0
-	}
-	return r.refused / r.offered
+	return d.sizes.decide(q.Route.Name, q.Metadata, now, func(allowedWait float64) bool {
+		return !shouldRefuse(q, c, allowedWait, now)
+	})
 }
 
 // shouldRefuse reports whether a request that was not sent yet should be refused: because its answer
 // would start so late that serving it delays requests that can still meet their target, or because
-// its answer would be long and the engine is nearly full.
-func shouldRefuse(q *SelectionRequest, c *choice, refusedFraction float64, now time.Time) bool {
-	if !q.Route.DeclaresPrompt || q.Route.TargetLatency <= 0 {
-		return false
-	}
+// its answer would be long and the engine is nearly full. allowedWait is the wait, as a fraction
+// of the target, up to which it is not refused for its own size.
+func shouldRefuse(q *SelectionRequest, c *choice, allowedWait float64, now time.Time) bool {
 	if c.timeToFirst > q.Deadline.Sub(now) {
 		return true
 	}
@@ -259,8 +205,15 @@
 	if c.uncachedTokens < shortPromptTokens {
 		return false
 	}
-	allowance := sizeAllowance * min(1, refusedFraction/fullAllowanceFraction)
-	return c.timeToFirst-time.Duration(allowance*float64(c.excessPrefill)) > time.Duration(lateFactor*float64(q.Route.TargetLatency))
+	limit := time.Duration(lateFactor * float64(q.Route.TargetLatency))
+	if c.timeToFirst <= limit {
+		return false
+	}
+	if c.timeToFirst-c.excessPrefill > limit {
+		return true
+	}
+	// The answer is late only because the prompt is large.
+	return c.wait > time.Duration(allowedWait*float64(q.Route.TargetLatency))
 }
 
 const (
@@ -272,14 +225,6 @@
 	// engines exceed their callers' deadlines. With 64 slots this applies to answers of 211 events,
 	// the longest of the known deployments, and a tenth of all answers is generated for nothing.
 	longOutputUtilisation = 0.9
-	// sizeAllowance is the fraction of a large prompt's excess prefill time that is ignored under
-	// heavy overload. Without it, large requests are refused for their own size: the largest tenth
-	// of the requests is served less than half as often as requests overall. The allowance grows
-	// with the fraction of refused requests up to fullAllowanceFraction, because in a lesser
-	// overload few large requests are refused anyway, and the full allowance would delay the
-	// requests behind them.
-	sizeAllowance         = 0.75
-	fullAllowanceFraction = 0.7
 )
 
 // lateFactor is the multiple of the target for the time to the first event above which a request is
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+
 	"io"
 	"net/http"
 	"os"
@@ -96,7 +97,9 @@
 	lastEventID string
 	events      int
 	timeToFirst time.Duration
-	lastChoice  choice
+	// prefillElapsed is how long the last successful prefill on another backend server took.
+	prefillElapsed time.Duration
+	lastChoice     choice
 	// cause is the cause of the last failed attempt.
 	cause         string
 	configVersion uint64
@@ -290,11 +293,11 @@
 		uncachedTokens = 0
 	}
 	v := c.server.view(now)
-	tokensAhead, delay := v.pendingTokens, time.Duration(decodeDelay(c.server, v)*float64(time.Second))
+	delay := time.Duration(decodeDelay(c.server, v) * float64(time.Second))
 	sentAt := time.Now()
 	c.server.recordSent(uncachedTokens, sentAt)
 	q.g.decider.prefixes.record(q.prefixKeys, c.server.key, sentAt)
-	a := &attempt{q: q, server: c.server, forwarded: s, uncachedTokens: uncachedTokens, tokensAhead: tokensAhead, sentAt: sentAt}
+	a := &attempt{q: q, server: c.server, forwarded: s, uncachedTokens: uncachedTokens, backlog: v.backlog(), sentAt: sentAt}
 	if s.PrefillSource != "" {
 		a.transferFrom, a.expectedDelay = q.prefillServer, delay
 	}
@@ -422,13 +425,14 @@
 	f := logrus.Fields{
 		"request": q.metadata.ID, "route": name, "service": q.service, "config": q.configVersion, "outcome": outcome,
 		"elapsed_ms": elapsed.Milliseconds(), "first_ms": q.timeToFirst.Milliseconds(), "sends": q.sends, "runs": q.runs,
-		"expected_ms": q.lastChoice.timeToFirst.Milliseconds(), "unread": int(q.lastChoice.uncachedTokens), "choice": q.lastChoice.reason, "considered": q.lastChoice.considered,
+		"expected_ms": q.lastChoice.timeToFirst.Milliseconds(), "wait_ms": q.lastChoice.wait.Milliseconds(), "unread": int(q.lastChoice.uncachedTokens), "prompt": q.metadata.PromptTokens, "choice": q.lastChoice.reason, "considered": q.lastChoice.considered,
 	}
 	if q.lastChoice.server != nil {
 		f["server"] = q.lastChoice.server.ID
 	}
 	if q.lastChoice.prefillServer != nil {
 		f["reader"] = q.lastChoice.prefillServer.ID
+		f["read_ms"] = q.prefillElapsed.Milliseconds()
 	}
 	if cause != "" {
 		f["cause"] = cause
--- a/gateway/prefill.go
+++ b/gateway/prefill.go
@@ -19,8 +19,8 @@
 // ok is false if the attempt ends here, with res as its result.
 func (q *request) prefill(c *choice) (source string, res attemptResult, ok bool) {
 	server := c.prefillServer
-	tokensAhead := server.view(time.Now()).pendingTokens
 	sentAt := time.Now()
+	ahead := q.g.decider.Backlog(server, sentAt)
 	server.recordSent(c.uncachedTokens, sentAt)
 	defer server.recordEnded()
 	defer server.subtractPendingTokens(c.uncachedTokens)
@@ -60,7 +60,8 @@
 		return "", resultNotRun, false
 	}
 	server.recordResult(0, now)
-	q.g.decider.prefillEstimator(q.service).observe(server.Role, c.uncachedTokens, tokensAhead, now.Sub(sentAt))
+	q.prefillElapsed = now.Sub(sentAt)
+	q.g.decider.prefillEstimator(q.service).observe(server.Role, c.uncachedTokens, ahead, now.Sub(sentAt), now)
 	return server.Address + "/" + handle, resultFinished, true
 }
 
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -238,6 +238,10 @@
 	usable         bool
 }
 
+func (v view) backlog() Backlog {
+	return Backlog{PendingTokens: v.pendingTokens, OtherRequests: float64(v.otherRequests)}
+}
+
 func (s *Server) view(now time.Time) view {
 	st := s.state
 	st.mu.Lock()
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -121,7 +121,7 @@
 		q.timeToFirst = now.Sub(q.started)
 	}
 	if !a.pendingReleased && a.uncachedTokens > 0 {
-		q.g.decider.prefillEstimator(q.service).observe(a.server.Role, a.uncachedTokens, a.tokensAhead, now.Sub(a.sentAt))
+		q.g.decider.prefillEstimator(q.service).observe(a.server.Role, a.uncachedTokens, a.backlog, now.Sub(a.sentAt), now)
 	}
 	a.releasePendingTokens()
 	a.recordTransfer(now)
--- a/internal/gatewaybench/day.go
+++ b/internal/gatewaybench/day.go
@@ -54,6 +54,9 @@
 	// TokensPerMS is the number of prompt tokens that a prefill engine processes per millisecond; a decode
 	// engine processes half as many.
 	TokensPerMS float64 `yaml:"tokens-per-ms"`
+	// PrefillFixed is the part of every prefill that does not depend on the prompt. The engine prefills other
+	// prompts meanwhile.
+	PrefillFixed Duration `yaml:"prefill-fixed"`
 	// FirstEventDelay is the fixed time from the start of decoding to the first event.
 	FirstEventDelay Duration `yaml:"first"`
 	// The interval between two events of a stream is EventBase plus EventPerRequest for each running request.
--- a/internal/gatewaybench/policy.go
+++ b/internal/gatewaybench/policy.go
@@ -145,11 +145,11 @@
 	query          *gateway.SelectionRequest
 	server         *gateway.Server
 	uncachedTokens float64
-	// tokensAhead is the number of prompt tokens pending at the server when the request was sent.
-	tokensAhead float64
-	sentAt      time.Time
-	prefilled   bool
-	closed      bool
+	// backlog is the known work of the server when the request was sent.
+	backlog   gateway.Backlog
+	sentAt    time.Time
+	prefilled bool
+	closed    bool
 	// prefillServer holds the prefilled prompt until its transfer to server is recorded; nil if there is none.
 	prefillServer *gateway.Server
 	// decodeDelay is what DecodeDelay returned when the request was sent.
@@ -160,7 +160,7 @@
 // when the request ends.
 func (p *gatewayPolicy) recordSent(r *request, query *gateway.SelectionRequest, server *gateway.Server, uncachedTokens float64) *sentRequest {
 	d, now := p.deciders[r.entry], p.sim.clock.Now()
-	sent := &sentRequest{decider: d, sim: p.sim, query: query, server: server, uncachedTokens: uncachedTokens, tokensAhead: d.PendingTokens(server, now), sentAt: now}
+	sent := &sentRequest{decider: d, sim: p.sim, query: query, server: server, uncachedTokens: uncachedTokens, backlog: d.Backlog(server, now), sentAt: now}
 	d.RecordSent(query, server, uncachedTokens, now)
 	r.onEnd = append(r.onEnd, sent.close)
 	return sent
@@ -170,7 +170,7 @@
 func (s *sentRequest) recordPrefilled() {
 	if !s.prefilled {
 		s.prefilled = true
-		s.decider.RecordPrefilled(s.query, s.server, s.uncachedTokens, s.tokensAhead, s.sentAt, s.sim.clock.Now())
+		s.decider.RecordPrefilled(s.query, s.server, s.uncachedTokens, s.backlog, s.sentAt, s.sim.clock.Now())
 	}
 }
 
