Bound what is read of a response, and reuse no connection that may hold a copy

Buffered answers were bounded at 16 MiB each, not together. A response without an ID was taken on a reused connection if it said "not run", also if it was a late copy of an earlier one, so that a request that runs was sent again; reports and orders took any response.

Change: 32 KiB a head, 64 KiB an event and an error body, 32 MiB of buffered responses in all. A connection whose response had no ID, and one of a report, order or release, is not used again; responses with an ID are no answer to these calls.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -105,6 +105,7 @@
 	switch {
 	case err == nil:
 		m := codec.ResponseMetadata(resp.StatusCode, resp.Header)
+		discardUnidentified(resp, m)
 		a.server.recordActivity(m.Load, now)
 		return resp, m, resultFinished
 	case q.r.Context().Err() != nil:
@@ -133,6 +134,23 @@
 	return m.ID == q.metadata.ID || (m.ID == "" && (fresh || m.NotRun || m.AddressReused))
 }
 
+// discardUnidentified ends the use of a connection after a response without an ID. A second copy of it may
+// arrive late, and the next request on the connection would take a copy that says "not run" as its own, and
+// run twice.
+func discardUnidentified(resp *upstream.Response, m ResponseMetadata) {
+	if m.ID == "" {
+		resp.DiscardConnection()
+	}
+}
+
+// isControlResponse reports whether a response can belong to a call that carries no request of a caller:
+// a late copy of a response to such a request has its ID.
+func isControlResponse(c Codec) upstream.ResponseMatcher {
+	return func(resp *http.Response, _ bool) bool {
+		return c.ResponseMetadata(resp.StatusCode, resp.Header).ID == ""
+	}
+}
+
 // failUnknown records a failure of the backend server and its cause. It returns resultUnknown,
 // because the request may have run.
 func (a *attempt) failUnknown(cause string) attemptResult {
@@ -159,12 +177,15 @@
 
 // forwardWhole forwards a response after receiving all of it.
 func (a *attempt) forwardWhole(resp *upstream.Response) attemptResult {
-	body, err := io.ReadAll(io.LimitReader(resp, maxResponseBody+1))
+	body, release, err := a.q.g.buffers.readAll(resp, maxResponseBody)
+	defer release()
 	switch {
 	case a.q.r.Context().Err() != nil:
 		a.q.finish(outcomeGone, "")
 		return resultFinished
-	case err != nil || len(body) > maxResponseBody:
+	case errors.Is(err, errResponseTooLarge):
+		return a.failUnknown("answer_too_large")
+	case err != nil:
 		return a.failUnknown("answer_not_whole")
 	}
 	a.server.recordResult(0, time.Now())
@@ -179,12 +200,14 @@
 const serverErrorWeight = 0.5
 
 func (a *attempt) handleErrorStatus(resp *upstream.Response, m ResponseMetadata) attemptResult {
-	body, err := io.ReadAll(io.LimitReader(resp, maxResponseBody+1))
+	body, release, err := a.q.g.buffers.readAll(resp, maxErrorBody)
+	// The body may be forwarded later, if no other attempt succeeds; it is small.
+	defer release()
 	switch {
 	case a.q.r.Context().Err() != nil:
 		a.q.finish(outcomeGone, "")
 		return resultFinished
-	case err != nil || len(body) > maxResponseBody || !m.FromServer:
+	case err != nil || !m.FromServer:
 		return a.failUnknown(fmt.Sprintf("status_%d_not_whole", resp.StatusCode))
 	}
 	full := &response{resp.StatusCode, resp.Header, body}
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -10,13 +10,15 @@
 )
 
 const (
-	// prefillWeight is the factor by which a second of prefilling counts in the cost compared with
-	// a second of waiting. Above 1 it favours backend servers that have the prompt cached, even if
-	// the request waits a little longer there.
-	prefillWeight = 2
-	// decodePrefillWeight is added to prefillWeight on decode engines all of whose slots are in use,
-	// and in proportion on others: a prefill slows down every step of the answers being generated.
-	decodePrefillWeight = 6
+	// idlePrefillWeight is the factor by which a second of prefilling counts in the cost compared with
+	// a second of waiting, while no prompts queue. Above 1 it favours backend servers that have the
+	// prompt cached, even if the request waits a little longer there.
+	idlePrefillWeight = 2
+	// maxQueueWeight limits what queued prompts add to idlePrefillWeight.
+	maxQueueWeight = 8
+	// decodePrefillWeight is added to the prefill weight on idle decode engines, and twice that on engines all
+	// of whose slots are in use: a prefill slows down every step of the answers being generated.
+	decodePrefillWeight = 3
 	// transferTime is the expected time to transfer a prefilled prompt to another engine and to
 	// start the answer there.
 	transferTime = 4 * time.Millisecond
@@ -146,11 +148,12 @@
 	}
 	creditAffinity(servers, cachedTokens, p)
 	best, cost := choice{reason: reasonNoServer}, math.Inf(1)
+	prefillWeight := idlePrefillWeight + queueWeight(servers, views, &estimates)
 	for i, s := range servers {
 		v := views[i]
 		prefill := estimates.forRole(s.Role)
 		uncachedTokens := max(1, float64(p.metadata.PromptTokens)-cachedTokens[i])
-		wait := (v.pendingTokens+float64(v.otherRequests)*estimates.meanUncached)*prefill.perToken + prefill.unseenWait
+		wait := prefill.wait(&v)
 		prefillTime := uncachedTokens * prefill.perToken
 		c := choice{server: s, uncachedTokens: uncachedTokens, reason: reasonOneServer}
 		timeToFirst := prefill.fixed + wait + prefillTime
@@ -172,7 +175,7 @@
 			penalty += crossDataCentreTransferCost.Seconds() / 3
 		}
 		if s.Role == external.EngineRoleDecode {
-			penalty += decodePrefillWeight * utilisation(s, v) * prefillTime
+			penalty += decodePrefillWeight * (1 + utilisation(s, v)) * prefillTime
 		}
 		if total := timeToFirst + (prefillWeight-1)*prefillTime + penalty; total < cost {
 			c.timeToFirst = time.Duration(timeToFirst * float64(time.Second))
@@ -188,6 +191,24 @@
 	return best
 }
 
+// queueWeight returns the mean number of prompts that queue at an engine. A wait delays one request, but a
+// prefill also those behind it. Without this weight, prompts that leave a busy affinity server are
+// prefilled again elsewhere, which makes all engines busier under load.
+func queueWeight(servers []*Server, views []view, estimates *prefillEstimates) float64 {
+	n, wait := 0, 0.0
+	for i, s := range servers {
+		if s.Role != external.EngineRoleDecode {
+			n++
+			wait += estimates.prefill.wait(&views[i])
+		}
+	}
+	meanPrefill := estimates.meanUncached * estimates.prefill.perToken
+	if n == 0 || meanPrefill <= 0 {
+		return 0
+	}
+	return min(wait/float64(n)/meanPrefill, maxQueueWeight)
+}
+
 // chooseDecodeServer returns the server that generates the answer to a prompt prefilled by
 // prefillServer.
 func chooseDecodeServer(servers []*Server, prefillServer *Server, selector *decodeSelector) choice {
--- a/gateway/decider.go
+++ b/gateway/decider.go
@@ -105,12 +105,16 @@
 	// PendingTokens is the number of prompt tokens that this process has sent and that are not
 	// prefilled yet.
 	PendingTokens float64
-	// OtherRequests is the number of requests from other gateway instances.
-	OtherRequests float64
+	// OtherTokens is an estimate of the same for the other gateway instances.
+	OtherTokens float64
 }
 
 // Backlog returns the known work of a backend server.
-func (d *Decider) Backlog(s *Server, now time.Time) Backlog { return s.view(now).backlog() }
+func (d *Decider) Backlog(s *Server, now time.Time) Backlog {
+	views := []view{s.view(now)}
+	addOtherTokens(views, d.prefillEstimator(s.Service).estimates(now).meanUncached)
+	return views[0].backlog()
+}
 
 // RecordActivity records that a backend server sent data. load is the load it reported, or nil.
 func (d *Decider) RecordActivity(s *Server, load *Load, now time.Time) { s.recordActivity(load, now) }
@@ -156,6 +160,8 @@
 	if !q.Route.DeclaresPrompt || len(q.Metadata.Parts) == 0 {
 		return chooseLeastLoaded(servers, views, d.dataCentre, d.random)
 	}
+	estimates := d.prefillEstimator(q.Service).estimates(now)
+	addOtherTokens(views, estimates.meanUncached)
 	selector := newDecodeSelector(servers, views, d.dataCentre, d.random)
 	if q.prefillServer != nil {
 		return chooseDecodeServer(servers, q.prefillServer, selector)
@@ -164,11 +170,18 @@
 	for i, s := range servers {
 		serverKeys[i] = s.key
 	}
-	estimates := d.prefillEstimator(q.Service).estimates(now)
 	cachedTokens := d.prefixes.cachedTokens(q.prefixKeys, q.Metadata.Parts, serverKeys, now)
 	return choosePrompt(servers, views, cachedTokens, &promptRequest{metadata: q.Metadata, prefixKeys: q.prefixKeys, dataCentre: d.dataCentre, random: d.random}, estimates, selector)
 }
 
+// addOtherTokens estimates the work of other gateway instances from the requests that backend servers
+// reported.
+func addOtherTokens(views []view, meanUncached float64) {
+	for i := range views {
+		views[i].otherTokens = float64(views[i].otherRequests) * meanUncached
+	}
+}
+
 func (d *Decider) prefillEstimator(service string) *prefillEstimator {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/gateway/estimate.go
+++ b/gateway/estimate.go
@@ -17,6 +17,11 @@
 	unseenWait float64
 }
 
+// wait returns the expected time until an engine begins to prefill a new prompt, in seconds.
+func (m *prefillModel) wait(v *view) float64 {
+	return max(0, (v.pendingTokens+v.otherTokens)*m.perToken+m.unseenWait)
+}
+
 // prefillEstimates are the current estimates for the engines of one service.
 type prefillEstimates struct {
 	// decode is the model of decode engines, prefill that of all others.
@@ -25,11 +30,11 @@
 	meanUncached float64
 }
 
-func (e *prefillEstimates) forRole(r external.EngineRole) prefillModel {
+func (e *prefillEstimates) forRole(r external.EngineRole) *prefillModel {
 	if r == external.EngineRoleDecode {
-		return e.decode
+		return &e.decode
 	}
-	return e.prefill
+	return &e.prefill
 }
 
 // prefillEstimator estimates, from observed requests, the prefill times of a service's engines and
@@ -108,7 +113,7 @@
 	m := p.model(r, now)
 	own := tokens + ahead.PendingTokens
 	expected := m.fixed + own*m.perToken
-	p.wait(r).add(elapsed.Seconds()-expected-ahead.OtherRequests*p.meanUncached*m.perToken, now)
+	p.wait(r).add(elapsed.Seconds()-expected-ahead.OtherTokens*m.perToken, now)
 	if r != external.EngineRoleDecode {
 		limit := maxObservationRatio * max(expected, initialFixed+own*initialPerToken)
 		p.fit.add(own, min(elapsed.Seconds(), limit))
@@ -126,7 +131,7 @@
 // add updates the average with the time that one prompt took beyond the expected one.
 func (w *unseenWait) add(extra float64, now time.Time) {
 	old := w.decayed(now)
-	extra = min(max(0, extra), maxUnseenWait)
+	extra = min(max(-maxUnseenWait, extra), maxUnseenWait)
 	w.seconds, w.updatedAt = old+unseenWaitWeight*(extra-old), now
 }
 
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -25,6 +25,11 @@
 	minTimeLeft = 10 * time.Millisecond
 	// maxResponseBody limits a response that is buffered before it is forwarded, in bytes.
 	maxResponseBody = 16 << 20
+	// maxErrorBody limits an error response, which is kept until no other attempt succeeds, in bytes.
+	maxErrorBody = 64 << 10
+	// maxBufferedBytes limits the buffered responses of the process together, in bytes. It is a third of
+	// the default memory limit.
+	maxBufferedBytes = 32 << 20
 	// minRetryAfter and maxRetryAfter limit the retry time told to a refused caller.
 	minRetryAfter = 100 * time.Millisecond
 	maxRetryAfter = 4 * time.Second
@@ -297,7 +302,7 @@
 	sentAt := time.Now()
 	c.server.recordSent(uncachedTokens, sentAt)
 	q.g.decider.prefixes.record(q.prefixKeys, c.server.key, sentAt)
-	a := &attempt{q: q, server: c.server, forwarded: s, uncachedTokens: uncachedTokens, backlog: v.backlog(), sentAt: sentAt}
+	a := &attempt{q: q, server: c.server, forwarded: s, uncachedTokens: uncachedTokens, backlog: q.g.decider.Backlog(c.server, now), sentAt: sentAt}
 	if s.PrefillSource != "" {
 		a.transferFrom, a.expectedDelay = q.prefillServer, delay
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -114,6 +114,8 @@
 	roster  *Roster
 	pool    *upstream.Pool
 	decider *Decider
+	// buffers bounds the memory of buffered responses.
+	buffers bufferBudget
 	metrics Metrics
 	log     logrus.FieldLogger
 
--- a/gateway/prefill.go
+++ b/gateway/prefill.go
@@ -37,6 +37,7 @@
 	body, err := io.ReadAll(io.LimitReader(resp, maxControlBody))
 	now := time.Now()
 	m := q.g.codec.ResponseMetadata(resp.StatusCode, resp.Header)
+	discardUnidentified(resp, m)
 	server.recordActivity(m.Load, now)
 	if q.r.Context().Err() != nil {
 		q.finish(outcomeGone, "")
@@ -112,11 +113,12 @@
 	method, target := g.codec.Release(handle)
 	resp, err := g.pool.Do(ctx, server.Address, &upstream.Request{
 		Method: method, Target: target, Host: server.Address, Header: http.Header{},
-	}, func(*http.Response, bool) bool { return true })
+	}, isControlResponse(g.codec))
 	if err != nil {
 		g.log.WithError(err).WithField("server", server.ID).Warn("cannot release an unused prefilled prompt")
 		return
 	}
+	resp.DiscardConnection()
 	_, _ = io.Copy(io.Discard, io.LimitReader(resp, maxDiscardedBody))
 	resp.Close(g.pool)
 }
--- a/gateway/roles.go
+++ b/gateway/roles.go
@@ -51,6 +51,8 @@
 	Report(body []byte) (EngineReport, error)
 	OrderRequest(o *RoleOrder) (*upstream.Request, error)
 	OrderResult(status int) OrderResult
+	// AnswersCaller reports whether a response belongs to a request of a caller.
+	AnswersCaller(h http.Header) bool
 }
 
 // Authority provides the right to give orders. It is implemented by *lease.Manager.
@@ -197,10 +199,11 @@
 func (r *RolePlanner) call(ctx context.Context, s *Server, req *upstream.Request) (int, []byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	resp, err := r.pool.Do(ctx, s.Address, req, func(*http.Response, bool) bool { return true })
+	resp, err := r.pool.Do(ctx, s.Address, req, func(resp *http.Response, _ bool) bool { return !r.orders.AnswersCaller(resp.Header) })
 	if err != nil {
 		return 0, nil, err
 	}
+	resp.DiscardConnection()
 	defer resp.Close(r.pool)
 	body, err := io.ReadAll(io.LimitReader(resp, maxControlBody))
 	return resp.StatusCode, body, err
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -231,6 +231,9 @@
 type view struct {
 	inFlight      int
 	otherRequests int
+	// otherTokens is the number of prompt tokens that other gateway instances have sent and that are not
+	// prefilled yet; set by addOtherTokens.
+	otherTokens   float64
 	pendingTokens float64
 	failureRate   float64
 	// transferExcess is the expected transfer time of a prompt beyond transferTime, in seconds.
@@ -239,7 +242,7 @@
 }
 
 func (v view) backlog() Backlog {
-	return Backlog{PendingTokens: v.pendingTokens, OtherRequests: float64(v.otherRequests)}
+	return Backlog{PendingTokens: v.pendingTokens, OtherTokens: v.otherTokens}
 }
 
 func (s *Server) view(now time.Time) view {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -13,8 +13,9 @@
 )
 
 const (
-	// maxEventSize limits one event of a stream, in bytes.
-	maxEventSize     = 1 << 20
+	// maxEventSize limits one event of a stream, in bytes. Events have some hundred bytes; as many streams
+	// as an instance serves at once must fit into its memory with their largest events.
+	maxEventSize     = 64 << 10
 	streamBufferSize = 4 << 10
 )
 
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -63,12 +63,39 @@
 	maxResponsesPerRequest = 4
 	// maxSkippedBytes limits the body size of a skipped response.
 	maxSkippedBytes = 1 << 20
+	// maxHeadBytes limits the status line and header of one response. Backend servers send a few hundred
+	// bytes; without a limit, one that sends without end fills the memory of the process.
+	maxHeadBytes = 32 << 10
 	// bodyWriteWait is how long Response.Close waits for the goroutine that writes the body to finish.
 	bodyWriteWait   = 20 * time.Millisecond
 	readBufferSize  = 4 << 10
 	writeBufferSize = 4 << 10
 )
 
+// ErrHeadTooLarge means that a response's status line and header exceed maxHeadBytes. It is wrapped in
+// ErrExchangeFailed.
+var ErrHeadTooLarge = errors.New("head of the answer too large")
+
+// headLimiter limits the bytes that are read from a connection while a response's head is expected. The
+// body is limited by its reader.
+type headLimiter struct {
+	net.Conn
+	limited bool
+	left    int
+}
+
+func (l *headLimiter) Read(b []byte) (int, error) {
+	if !l.limited {
+		return l.Conn.Read(b)
+	}
+	if l.left <= 0 {
+		return 0, ErrHeadTooLarge
+	}
+	n, err := l.Conn.Read(b[:min(len(b), l.left)])
+	l.left -= n
+	return n, err
+}
+
 // Request is an HTTP request to a backend server.
 type Request struct {
 	Method string
@@ -86,6 +113,8 @@
 	// stopCancel detaches the exchange from the context, whose end then no longer interrupts it. It
 	// returns false if the context has already ended.
 	stopCancel func() bool
+	// singleUse is true if the connection must not be reused.
+	singleUse bool
 	// complete is true once the whole body has been read.
 	complete bool
 	// err is the last error of Read, including io.EOF. It is currently not used.
@@ -113,6 +142,8 @@
 	addr   string
 	br     *bufio.Reader
 	bw     *bufio.Writer
+	// limiter is the source of br.
+	limiter *headLimiter
 	// reused is true if the connection has carried an earlier request.
 	reused bool
 	// idleUntil is the time after which the idle connection is no longer used.
@@ -271,7 +302,8 @@
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
 	p.addOpen(addr, 1)
-	return &conn{Conn: nc, pool: p, addr: addr, br: bufio.NewReaderSize(nc, readBufferSize), bw: bufio.NewWriterSize(nc, writeBufferSize)}, nil
+	limiter := &headLimiter{Conn: nc}
+	return &conn{Conn: nc, pool: p, addr: addr, limiter: limiter, br: bufio.NewReaderSize(limiter, readBufferSize), bw: bufio.NewWriterSize(nc, writeBufferSize)}, nil
 }
 
 // ResponseMatcher reports whether a response belongs to the request. firstRequest is true if the
@@ -311,7 +343,7 @@
 	}
 	req := &http.Request{Method: r.Method}
 	for range maxResponsesPerRequest {
-		resp, err := http.ReadResponse(c.br, req)
+		resp, err := c.readHead(req)
 		if err != nil {
 			return nil, fmt.Errorf("%w: %w", ErrExchangeFailed, err)
 		}
@@ -329,6 +361,17 @@
 	return nil, fmt.Errorf("%w: %w", ErrExchangeFailed, ErrResponseMismatch)
 }
 
+// readHead reads the status line and header of the next response.
+func (c *conn) readHead(req *http.Request) (*http.Response, error) {
+	c.limiter.limited, c.limiter.left = true, maxHeadBytes
+	resp, err := http.ReadResponse(c.br, req)
+	c.limiter.limited = false
+	if c.limiter.left <= 0 && err != nil {
+		err = ErrHeadTooLarge
+	}
+	return resp, err
+}
+
 // send writes a request. A body larger than maxInlineBodyBytes is written in the background, and its
 // result is sent to c.writeResult.
 func (c *conn) send(r *Request) error {
@@ -382,6 +425,10 @@
 	return n, err
 }
 
+// DiscardConnection keeps the connection from being reused. It must be called for responses that cannot be
+// told from a late second copy of themselves.
+func (r *Response) DiscardConnection() { r.singleUse = true }
+
 // Close ends the exchange. It returns the connection to the pool only if the whole response was read,
 // no data follows it and the whole request was written; otherwise it closes the connection.
 func (r *Response) Close(p *Pool) {
@@ -392,7 +439,7 @@
 	r.conn = nil
 	cancelled := !r.stopCancel()
 	// r.Response.Close is the field of http.Response. It is true if the backend server closes the connection.
-	if cancelled || !r.complete || r.Response.Close || c.br.Buffered() > 0 || !c.requestWritten() {
+	if cancelled || r.singleUse || !r.complete || r.Response.Close || c.br.Buffered() > 0 || !c.requestWritten() {
 		_ = c.Close()
 		return
 	}
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -282,3 +282,79 @@
 	require.NoError(t, remote.Close())
 	require.False(t, upstream.PeerClosed(local), "a connection that is not a socket counts as open")
 }
+
+// Guards against a backend server that sends a head without end: the process would read until its memory is
+// full. Each connection must be closed after a bounded number of bytes, with an error at once.
+func TestEndlessHeadsAreBounded(t *testing.T) {
+	const maxRead = 256 << 10 // the limit of a head, and what the sockets buffer
+	heads := map[string][2]string{
+		"status line":    {"HTTP/1.1 200 ", "O"},
+		"header line":    {"HTTP/1.1 200 OK\r\nA: ", "b"},
+		"header run":     {"HTTP/1.1 200 OK\r\n", "Name: value\r\n"},
+		"informational":  {"", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"},
+		"not HTTP":       {"", "\x00\xffnot an answer"},
+		"blank lines":    {"", "\r\n"},
+		"continued line": {"HTTP/1.1 200 OK\r\nA: b\r\n", " c\r\n"},
+	}
+	for name, head := range heads {
+		t.Run(name, func(t *testing.T) {
+			written := make(chan int64, 1)
+			addr := startServer(t, func(c *net.TCPConn, br *bufio.Reader) {
+				_ = c.SetWriteBuffer(16 << 10)
+				_, _ = readRequest(br)
+				n, _ := io.WriteString(c, head[0])
+				total, chunk := int64(n), strings.Repeat(head[1], 4096/len(head[1]))
+				for total < 64<<20 {
+					n, err := io.WriteString(c, chunk)
+					total += int64(n)
+					if err != nil {
+						break
+					}
+				}
+				written <- total
+			})
+			counted := int64(0)
+			p := upstream.NewPoolWithDial(func(ctx context.Context, network, addr string) (net.Conn, error) {
+				c, err := (&net.Dialer{}).DialContext(ctx, network, addr)
+				return &countingConn{Conn: c, read: &counted}, err
+			})
+			defer p.Close()
+			_, err := post(p, addr, "1", "")
+			require.ErrorIs(t, err, upstream.ErrExchangeFailed)
+			require.Less(t, <-written, int64(64<<20), "the connection was not closed")
+			require.Less(t, counted, int64(maxRead))
+		})
+	}
+}
+
+// countingConn counts the bytes that are read.
+type countingConn struct {
+	net.Conn
+	read *int64
+}
+
+func (c *countingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	*c.read += int64(n)
+	return n, err
+}
+
+// Guards against a late second copy of a response being taken for the response to the next request on its
+// connection: connections of responses that cannot be told from their copies are not used again.
+func TestConnectionsOfUnidentifiedResponsesAreNotReused(t *testing.T) {
+	addr := startServer(t, func(c *net.TCPConn, br *bufio.Reader) {
+		for id, ok := readRequest(br); ok; id, ok = readRequest(br) {
+			_, _ = io.WriteString(c, response(id, "text"))
+		}
+	})
+	p := upstream.NewPool()
+	defer p.Close()
+	for range 3 {
+		resp, err := p.Do(context.Background(), addr, &upstream.Request{Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}}, func(*http.Response, bool) bool { return true })
+		require.NoError(t, err)
+		resp.DiscardConnection()
+		_, _ = io.Copy(io.Discard, resp)
+		resp.Close(p)
+	}
+	require.Equal(t, int64(3), p.OpenedTotal())
+}
