--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -74,16 +74,16 @@
 	considered int
 }
 
-// candidates returns the servers that were not tried yet: the usable ones, or all of them if
-// includeUnusable is set.
-func candidates(servers []*Server, tried []*serverState, now time.Time, includeUnusable bool) ([]*Server, []view) {
+// candidates returns the servers that were not tried yet: the ones that are usable for requests with a
+// target, or all of them if includeUnusable is set.
+func candidates(servers []*Server, tried []*serverState, target time.Duration, now time.Time, includeUnusable bool) ([]*Server, []view) {
 	out := make([]*Server, 0, len(servers))
 	views := make([]view, 0, len(servers))
 	for _, s := range servers {
 		if slices.Contains(tried, s.state) {
 			continue
 		}
-		if v := s.view(now); v.usable || includeUnusable {
+		if v := s.view(now); v.usableFor(target) || includeUnusable {
 			out, views = append(out, s), append(views, v)
 		}
 	}
--- a/gateway/decider.go
+++ b/gateway/decider.go
@@ -156,7 +156,7 @@
 // chooseFrom selects among the usable backend servers that were not tried, or among all that were
 // not tried if includeUnusable is set.
 func (d *Decider) chooseFrom(q *SelectionRequest, now time.Time, all []*Server, includeUnusable bool) choice {
-	servers, views := candidates(all, q.tried, now, includeUnusable)
+	servers, views := candidates(all, q.tried, q.Route.TargetLatency, now, includeUnusable)
 	if !q.Route.DeclaresPrompt || len(q.Metadata.Parts) == 0 {
 		return chooseLeastLoaded(servers, views, d.dataCentre, d.random)
 	}
--- a/gateway/roleplan.go
+++ b/gateway/roleplan.go
@@ -306,7 +306,7 @@
 	count := map[string]int{}
 	var eligible []int
 	for i, s := range p.servers {
-		if s.Role == role && rp.effectiveRole(s, now) == role && p.views[i].usable {
+		if s.Role == role && rp.effectiveRole(s, now) == role && p.views[i].usableFor(0) {
 			count[s.DataCentre]++
 			if !now.Before(rp.pendingOrders[s.state].until) {
 				eligible = append(eligible, i)
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -71,9 +71,11 @@
 
 const (
 	// silenceTimeout is how long a backend server with requests in flight may send nothing before it
-	// counts as unusable. It is three times the longest target for the first event in the known
-	// installations, 200 ms.
+	// counts as unusable. It is longer than an ordinary server takes for any answer.
 	silenceTimeout = 600 * time.Millisecond
+	// silenceTargets is the same as a multiple of a route's target, where that is longer: an engine says
+	// nothing while it prefills a prompt, and the largest take about twice the target.
+	silenceTargets = 3
 	// loadReportLifetime is the age from which a load report is ignored.
 	loadReportLifetime = 2 * time.Second
 	// failureWeight is the weight of one result in the failure rate.
@@ -238,7 +240,14 @@
 	failureRate   float64
 	// transferExcess is the expected transfer time of a prompt beyond transferTime, in seconds.
 	transferExcess float64
-	usable         bool
+	// silentFor is how long the server has sent nothing although it has requests.
+	silentFor time.Duration
+	usable    bool
+}
+
+// usableFor reports whether a request with a target may be sent to the server.
+func (v *view) usableFor(target time.Duration) bool {
+	return v.usable && v.silentFor <= max(silenceTimeout, silenceTargets*target)
 }
 
 func (v view) backlog() Backlog {
@@ -253,8 +262,10 @@
 	if now.Sub(st.loadReportedAt) < loadReportLifetime {
 		v.otherRequests = st.otherRequests
 	}
-	silent := st.inFlight > 0 && now.Sub(st.lastActivity) > silenceTimeout
-	v.usable = !silent && !now.Before(st.ejectedUntil) && !now.Before(st.refusedUntil)
+	if st.inFlight > 0 {
+		v.silentFor = now.Sub(st.lastActivity)
+	}
+	v.usable = !now.Before(st.ejectedUntil) && !now.Before(st.refusedUntil)
 	return v
 }
 
--- a/gateway/status.go
+++ b/gateway/status.go
@@ -133,7 +133,7 @@
 		v := s.view(now)
 		st := ServerStatus{
 			Server: s.ID, Service: s.Service, Address: s.Address, DataCentre: s.DataCentre, Role: string(s.Role),
-			State: stateReady, Usable: v.usable && !s.Draining, InFlight: v.inFlight, OtherRequests: v.otherRequests, Slots: s.Slots,
+			State: stateReady, Usable: v.usableFor(0) && !s.Draining, InFlight: v.inFlight, OtherRequests: v.otherRequests, Slots: s.Slots,
 			PendingTokens: int(v.pendingTokens), FailureRate: v.failureRate, LoadAgeMS: age(s.reportedAt(), now),
 		}
 		switch {
