Contain panics of the store watch and the role plan

Cause: a panic in a background loop, after one unexpected entry of the store or one engine's report, ended the process and every request in it. Change: such a loop is logged with its stack, counted in quetzallug_gateway_panics and started again after a second. Requests were contained by net/http already.

--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -107,7 +107,9 @@
 	return gateway.NewStoreWatcher(a, t, r, log)
 }
 
-func runStoreWatcher(lc fx.Lifecycle, w *gateway.StoreWatcher) { runInBackground(lc, w.Run) }
+func runStoreWatcher(lc fx.Lifecycle, w *gateway.StoreWatcher, m *telemetry.Gateway, log logrus.FieldLogger) {
+	runInBackground(lc, containPanics("store watch", log, m.Panic, w.Run))
+}
 
 // leaseMarginDivisor is the ratio between the time to live of a lease and its safety margin.
 const leaseMarginDivisor = 7
@@ -133,7 +135,7 @@
 	// The guard includes the TTL of the lease, because a previous holder that has not noticed the loss of
 	// its lease may send orders until then.
 	planner := gateway.NewRolePlanner(s.Instance, s.LeaseTTL+s.OrderGuard, a, leases, t, r, p, m, log)
-	runInBackground(lc, planner.Run)
+	runInBackground(lc, containPanics("role plan", log, m.Panic, planner.Run))
 }
 
 // statusFunc returns the current status of the process.
--- a/internal/telemetry/gateway.go
+++ b/internal/telemetry/gateway.go
@@ -24,6 +24,7 @@
 	storeCalls   metric.Int64Counter
 	unreadConns  metric.Int64Counter
 	droppedConns metric.Int64Counter
+	panics       metric.Int64Counter
 
 	// optionCache holds the options of each combination of labels, by labelKey. There are few
 	// combinations, because no label has a value per request or caller.
@@ -46,6 +47,7 @@
 		orders:       b.counter("quetzallug_gateway_role_orders", "Orders to change an engine's role, by service and by role and outcome."),
 		storeCalls:   b.counter("quetzallug_gateway_store_calls", "Calls to the store, by operation and result."),
 		droppedConns: b.counter("quetzallug_gateway_dropped_connections", "Connections of callers closed because there were too many: idle ones, or new ones if none was idle."),
+		panics:       b.counter("quetzallug_gateway_panics", "Background loops that failed unexpectedly and were started again, by loop."),
 		unreadConns:  b.counter("quetzallug_gateway_unread_requests", "Connections of callers that ended before their request's header could be read."),
 	}
 	return g, b.err
@@ -96,6 +98,11 @@
 	return err
 }
 
+// Panic counts a background loop that failed unexpectedly.
+func (g *Gateway) Panic(loop string) {
+	g.panics.Add(context.Background(), 1, metric.WithAttributes(attribute.String("loop", loop)))
+}
+
 func boolValue(b bool) int64 {
 	if b {
 		return 1
