--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-
 	"io"
 	"net/http"
 	"os"
