Log how a stream was framed and what followed its last event

The lines request and attempt now have framing and tail_bytes, and a counter has the streams broken off by framing. No decision changes.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -101,6 +101,9 @@
 	lastEventID string
 	events      int
 	timeToFirst time.Duration
+	// framing is the framing of the last stream, and tailBytes the number of bytes after its last event.
+	framing   string
+	tailBytes int
 	// prefillElapsed is how long the last successful prefill on another backend server took.
 	prefillElapsed time.Duration
 	lastChoice     choice
@@ -279,6 +282,7 @@
 // request to the chosen backend server.
 func (q *request) attempt(c *choice, now time.Time) attemptResult {
 	s := &ForwardedRequest{Server: c.server, Priority: q.route.Priority, LastEventID: q.lastReceivedEventID()}
+	q.framing, q.tailBytes = "", 0
 	if c.prefillServer != nil {
 		q.prefills++
 		source, res, ok := q.prefill(c)
@@ -411,9 +415,17 @@
 	if c.prefillServer != nil {
 		f["reader"] = c.prefillServer.ID
 	}
+	q.addStreamFields(f)
 	q.g.log.WithFields(f).Info("attempt")
 }
 
+// addStreamFields adds how the last stream was framed and how many bytes followed its last event.
+func (q *request) addStreamFields(f logrus.Fields) {
+	if q.framing != "" {
+		f["framing"], f["tail_bytes"] = q.framing, q.tailBytes
+	}
+}
+
 // finish records and logs the end of a request.
 func (q *request) finish(outcome, cause string) {
 	elapsed := time.Since(q.started)
@@ -444,6 +456,7 @@
 	if q.events > 0 {
 		f["events"] = q.events
 	}
+	q.addStreamFields(f)
 	q.g.log.WithFields(f).Info("request")
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -133,6 +133,8 @@
 	FirstEvent(service, kind string, d time.Duration)
 	// EventGap records the time between two consecutive events of a stream.
 	EventGap(service string, d time.Duration)
+	// BrokenStream records a stream that a backend server broke off, and how its body was framed.
+	BrokenStream(service, framing string)
 	// Attempt records the result of sending a request to one backend server.
 	Attempt(service, outcome string)
 	// PromptTokens records the origin of the tokens of a prompt.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -59,6 +59,7 @@
 func (a *attempt) relayStream(resp *upstream.Response) attemptResult {
 	q := a.q
 	reader := &eventReader{br: bufio.NewReaderSize(resp, streamBufferSize)}
+	q.framing = framing(resp)
 	flush := http.NewResponseController(q.w)
 	var lastEventAt time.Time
 	for {
@@ -68,6 +69,9 @@
 			q.finish(outcomeGone, "")
 			return resultFinished
 		}
+		if err != nil {
+			q.tailBytes = len(event)
+		}
 		if err != nil && !errors.Is(err, io.EOF) {
 			return a.handleInterruption(err)
 		}
@@ -106,6 +110,24 @@
 	}
 }
 
+// Framings of a response body: what tells the gateway where it ends.
+const (
+	framingLength     = "length"
+	framingChunks     = "chunks"
+	framingConnection = "connection" // the body ends with the connection
+)
+
+// framing returns the framing of a response's body.
+func framing(resp *upstream.Response) string {
+	switch {
+	case resp.ContentLength >= 0:
+		return framingLength
+	case len(resp.TransferEncoding) > 0:
+		return framingChunks
+	}
+	return framingConnection
+}
+
 // isNewEvent reports whether an event comes after the last one that the caller received.
 func (q *request) isNewEvent(id string) bool {
 	if id == "" || q.lastEventID == "" {
@@ -133,6 +155,7 @@
 func (a *attempt) handleInterruption(err error) attemptResult {
 	q := a.q
 	a.server.recordResult(1, time.Now())
+	q.g.metrics.BrokenStream(q.service, q.framing)
 	q.cause = "stream_broken: " + err.Error()
 	if q.headerSent && !q.route.Resumable {
 		q.runs++
--- a/test/site/world_test.go
+++ b/test/site/world_test.go
@@ -156,6 +156,7 @@
 func (noopMetrics) Refusal(string, string)                        {}
 func (noopMetrics) FirstEvent(string, string, time.Duration)      {}
 func (noopMetrics) EventGap(string, time.Duration)                {}
+func (noopMetrics) BrokenStream(string, string)                   {}
 func (noopMetrics) Attempt(string, string)                        {}
 func (noopMetrics) PromptTokens(string, gateway.PromptTokens)     {}
 func (noopMetrics) RoleOrder(string, string, string)              {}
