Show cut streams that are delivered as complete with a failing test

The stand-in plays streams that only their connection ends, whole and cut, and bodies that a backend server ends inside an event. On the current code the caller gets status 200, the signature and a cut body, framed as complete.

--- a/standin/site/answers.go
+++ b/standin/site/answers.go
@@ -84,20 +84,39 @@
 		return
 	default:
 	}
+	out := io.Writer(rw)
+	flush := func() { _ = http.NewResponseController(rw).Flush() }
+	if fault == FaultUnframed || fault == FaultUnframedCut || fault == FaultUnframedNoEvent {
+		c, _, err := http.NewResponseController(rw).Hijack()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		out, flush = c, func() {}
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n")
+		_ = rw.Header().Write(c)
+		_, _ = io.WriteString(c, "\r\n")
+		if fault == FaultUnframedNoEvent {
+			return
+		}
+	}
 	for i := lastReceived + 1; i <= n; i++ {
 		if !sleep(ctx, w.cfg.ServiceTime) {
 			panic(http.ErrAbortHandler)
 		}
 		event := Event(run.ID, i)
-		if fault == FaultTruncate && i == (lastReceived+n+1)/2 {
-			_, _ = io.WriteString(rw, event[:len(event)/2])
-			_ = http.NewResponseController(rw).Flush()
-			panic(http.ErrAbortHandler)
+		if cut := fault == FaultTruncate || fault == FaultUnframedCut || fault == FaultFramedCut; cut && i == (lastReceived+n+1)/2 {
+			_, _ = io.WriteString(out, event[:len(event)/2])
+			flush()
+			if fault == FaultTruncate {
+				panic(http.ErrAbortHandler)
+			}
+			return
 		}
-		if _, err := io.WriteString(rw, event); err != nil {
+		if _, err := io.WriteString(out, event); err != nil {
 			return
 		}
-		_ = http.NewResponseController(rw).Flush()
+		flush()
 	}
 	run.Finished = true
 }
--- a/standin/site/worker.go
+++ b/standin/site/worker.go
@@ -16,8 +16,9 @@
 // Fault is the fault that a worker injects into one request.
 type Fault int
 
-// Faults of workers. FaultGarbage to FaultUnframed affect plain requests only. Prefills also ignore
-// FaultError, FaultLoseResponse, FaultHang and FaultTruncate.
+// Faults of workers. FaultGarbage to FaultWrongRequest, and FaultUnsigned, affect plain requests only, and
+// FaultUnframedCut to FaultFramedCut streams only. Prefills also ignore FaultError, FaultLoseResponse,
+// FaultHang, FaultTruncate and FaultUnframed.
 const (
 	FaultNone         Fault = iota
 	FaultRefuse             // refuses the request without running it
@@ -32,6 +33,9 @@
 	FaultUnsigned           // responds with 200 but without a signature
 	FaultUnframed           // sends the response without a length and closes the connection
 	FaultEarly              // sends the response before reading the request body
+	FaultUnframedCut        // sends a stream without a length or chunks and closes the connection inside an event
+	FaultUnframedNoEvent    // like FaultUnframedCut, but closes the connection before the first event
+	FaultFramedCut          // ends the body of a stream inside an event, with the last chunk
 )
 
 // Run is one request that a worker has started to run.
