Break off streams that end inside an event or before their first one

Cause: relayStream took the end of the body for the end of the answer and passed on what followed the last whole event. That holds for a body with a length or chunks that a sound server sent. A body with neither ends with its connection, and the connection of a crashed engine may end by FIN as well.

Change: checkEnd decides whether a stream may end where its body did. Inside an event it may not, whatever the framing; before its first event it may not if only the connection ends it. Such a stream is broken off: it goes on elsewhere if its route may resume, else the caller's connection is aborted.

--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"errors"
 	"io"
+	"mime"
 	"net/http"
 	"strconv"
 	"time"
@@ -19,7 +20,12 @@
 	streamBufferSize = 4 << 10
 )
 
-var errEventTooLarge = errors.New("event too large")
+var (
+	errEventTooLarge = errors.New("event too large")
+	// errEventCut and errNoEvent mean that a body ended where no whole stream ends.
+	errEventCut = errors.New("stream ended inside an event")
+	errNoEvent  = errors.New("connection ended before the first event")
+)
 
 // eventReader reads complete server-sent events, including the blank line that ends each.
 type eventReader struct {
@@ -27,8 +33,8 @@
 	buf []byte
 }
 
-// next returns one event and its ID. Trailing data without a blank line is returned with io.EOF,
-// which means that the response is complete.
+// next returns one event and its ID. Trailing data without a blank line is returned with io.EOF; checkEnd
+// decides whether the stream may end there.
 func (e *eventReader) next() (event []byte, id string, err error) {
 	e.buf = e.buf[:0]
 	for {
@@ -72,6 +78,11 @@
 		if err != nil {
 			q.tailBytes = len(event)
 		}
+		if errors.Is(err, io.EOF) {
+			if endErr := checkEnd(resp, event, !lastEventAt.IsZero()); endErr != nil {
+				return a.handleInterruption(endErr)
+			}
+		}
 		if err != nil && !errors.Is(err, io.EOF) {
 			return a.handleInterruption(err)
 		}
@@ -110,6 +121,40 @@
 	}
 }
 
+// checkEnd returns an error if a stream was broken off although its body has ended without a read error: a
+// backend server that crashes may close the connection of a body that only the connection ends, and one
+// that is faulty may end any body early. tail is what follows the last whole event.
+func checkEnd(resp *upstream.Response, tail []byte, anyEvent bool) error {
+	switch {
+	case !isEventStream(resp.Header):
+		return nil
+	case isInsideEvent(tail):
+		return errEventCut
+	case !anyEvent && framing(resp) == framingConnection:
+		return errNoEvent
+	}
+	return nil
+}
+
+// isEventStream reports whether a body holds events. A response without a type to a request for a stream is
+// taken for one.
+func isEventStream(h http.Header) bool {
+	mediaType, _, _ := mime.ParseMediaType(h.Get("Content-Type"))
+	return mediaType == "" || mediaType == "text/event-stream"
+}
+
+// isInsideEvent reports whether data without a whole event holds a part of one. Blank lines and comments
+// between events belong to none.
+func isInsideEvent(data []byte) bool {
+	for line := range bytes.Lines(data) {
+		text := bytes.TrimRight(line, "\r\n")
+		if len(text) > 0 && (text[0] != ':' || len(text) == len(line)) {
+			return true
+		}
+	}
+	return false
+}
+
 // Framings of a response body: what tells the gateway where it ends.
 const (
 	framingLength     = "length"
--- /dev/null
+++ b/gateway/stream_test.go
@@ -0,0 +1,48 @@
+package gateway
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/quetzallug/quetzallug/upstream"
+)
+
+// Guards against a body that ends inside an event being taken for a whole stream, and whole ones for broken ones.
+func TestEndsOfStreams(t *testing.T) {
+	for _, tc := range []struct {
+		name, contentType, tail string
+		length                  int64
+		chunked, anyEvent       bool
+		want                    error
+	}{
+		{name: "between events, connection", length: -1, anyEvent: true},
+		{name: "between events, chunks", length: -1, chunked: true, anyEvent: true},
+		{name: "no event, connection", length: -1, want: errNoEvent},
+		{name: "no event, chunks", length: -1, chunked: true},
+		{name: "no event, length", length: 0},
+		{name: "half a line", tail: "dat", length: -1, anyEvent: true, want: errEventCut},
+		{name: "half a line, length", tail: "dat", length: 90, anyEvent: true, want: errEventCut},
+		{name: "half a line, chunks", tail: "dat", length: -1, chunked: true, anyEvent: true, want: errEventCut},
+		{name: "no blank line", tail: "id: 4\ndata: x\n", length: -1, anyEvent: true, want: errEventCut},
+		{name: "version line only", tail: "weights: 3\r\n", length: -1, anyEvent: true, want: errEventCut},
+		{name: "blank lines", tail: "\r\n\n", length: -1, anyEvent: true},
+		{name: "comment", tail: ": still here\n", length: -1, anyEvent: true},
+		{name: "half a comment", tail: ": still", length: -1, anyEvent: true, want: errEventCut},
+		{name: "comments only, connection", tail: ": still here\n", length: -1, want: errNoEvent},
+		{name: "another type", contentType: "application/json; charset=utf-8", tail: "{}", length: 2},
+		{name: "events by type", contentType: "text/event-stream; charset=utf-8", tail: "{}", length: 2, want: errEventCut},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			resp := &upstream.Response{Response: &http.Response{ContentLength: tc.length, Header: http.Header{}}}
+			if tc.chunked {
+				resp.TransferEncoding = []string{"chunked"}
+			}
+			if tc.contentType != "" {
+				resp.Header.Set("Content-Type", tc.contentType)
+			}
+			require.Equal(t, tc.want, checkEnd(resp, []byte(tc.tail), tc.anyEvent))
+		})
+	}
+}
--- a/standin/site/worker.go
+++ b/standin/site/worker.go
@@ -38,6 +38,14 @@
 	FaultFramedCut          // ends the body of a stream inside an event, with the last chunk
 )
 
+// VaryCut replaces FaultTruncate of a request for a stream by one of the faults that cut streams, in turn.
+func VaryCut(f Fault, r *http.Request, n int) Fault {
+	if f != FaultTruncate || r.Header.Get("Quetzallug-Token-Count") == "" {
+		return f
+	}
+	return [...]Fault{FaultTruncate, FaultUnframedCut, FaultUnframedNoEvent, FaultFramedCut}[n%4]
+}
+
 // Run is one request that a worker has started to run.
 type Run struct {
 	ID        string // attempt ID
--- a/test/site/drawn_test.go
+++ b/test/site/drawn_test.go
@@ -194,9 +194,9 @@
 	case 0, 1, 2:
 		// FaultUnframed is the last fault before FaultEarly, which sends a plain response even to a stream request.
 		kind, every, count := site.Fault(randomBetween(rnd, 1, int(site.FaultUnframed))), randomBetween(rnd, 1, 4), 0
-		wk.SetFault(func(*http.Request) site.Fault {
+		wk.SetFault(func(r *http.Request) site.Fault {
 			if count++; count%every == 0 {
-				return kind
+				return site.VaryCut(kind, r, count/every)
 			}
 			return site.FaultNone
 		})
--- a/test/site/gateway_test.go
+++ b/test/site/gateway_test.go
@@ -84,6 +84,7 @@
 		"shed": site.FaultRefuse, "error": site.FaultError, "reset early": site.FaultResetEarly, "lost": site.FaultLoseResponse,
 		"hang": site.FaultHang, "truncate": site.FaultTruncate, "garbage": site.FaultGarbage, "extra": site.FaultExtra,
 		"foreign": site.FaultWrongRequest, "unsigned": site.FaultUnsigned, "unframed": site.FaultUnframed, "early": site.FaultEarly,
+		"unframed cut": site.FaultUnframedCut, "unframed no event": site.FaultUnframedNoEvent, "framed cut": site.FaultFramedCut,
 	}
 	for name, fault := range faults {
 		t.Run(name, func(t *testing.T) {
--- a/test/soak/deployment_test.go
+++ b/test/soak/deployment_test.go
@@ -219,9 +219,9 @@
 	switch faultKind {
 	case 0, 1, 2: // every n-th request to a worker meets workerFault
 		count := 0
-		w.SetFault(func(*http.Request) site.Fault {
+		w.SetFault(func(r *http.Request) site.Fault {
 			if count++; count%n == 0 {
-				return workerFault
+				return site.VaryCut(workerFault, r, count/n)
 			}
 			return site.FaultNone
 		})
