--- a/test/site/cutstream_test.go
+++ b/test/site/cutstream_test.go
@@ -1,8 +1,11 @@
 package site
 
 import (
+	"context"
+	"fmt"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -63,3 +66,22 @@
 		}
 	})
 }
+
+// Guards against a request whose body was cut being forwarded as if it were whole.
+func TestCutRequestBodiesAreNotForwarded(t *testing.T) {
+	runInBubble(t, func(t *testing.T, env *testEnv) {
+		n := startDefaultDeployment(env)
+		for name, text := range map[string]string{
+			"length": "Content-Length: 60\r\n\r\nhalf",
+			"chunks": "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+		} {
+			c, err := env.net.Dial(context.Background(), env.callerHost, n.address)
+			require.NoError(t, err)
+			_, err = fmt.Fprintf(c, "POST %sx HTTP/1.1\r\nHost: %s\r\nQuetzallug-Attempt-Id: %s\r\n%s", pathOnce, hostname, name, text)
+			require.NoError(t, err)
+			require.NoError(t, c.Close())
+			time.Sleep(3 * time.Second)
+			require.Empty(t, env.runsOf(name))
+		}
+	})
+}
