--- a/standin/site/worker.go
+++ b/standin/site/worker.go
@@ -20,22 +20,22 @@
 // FaultUnframedCut to FaultFramedCut streams only. Prefills also ignore FaultError, FaultLoseResponse,
 // FaultHang, FaultTruncate and FaultUnframed.
 const (
-	FaultNone         Fault = iota
-	FaultRefuse             // refuses the request without running it
-	FaultError              // runs the request and responds with 500
-	FaultResetEarly         // closes the connection without running the request
-	FaultLoseResponse       // runs the request and closes the connection without a response
-	FaultHang               // runs the request and sends nothing until the deadline or the caller's disconnect
-	FaultTruncate           // closes the connection in the middle of the response
-	FaultGarbage            // sends bytes that are not an HTTP response
-	FaultExtra              // sends the response twice
-	FaultWrongRequest       // sends the response to another request first
-	FaultUnsigned           // responds with 200 but without a signature
-	FaultUnframed           // sends the response without a length and closes the connection
-	FaultEarly              // sends the response before reading the request body
-	FaultUnframedCut        // sends a stream without a length or chunks and closes the connection inside an event
-	FaultUnframedNoEvent    // like FaultUnframedCut, but closes the connection before the first event
-	FaultFramedCut          // ends the body of a stream inside an event, with the last chunk
+	FaultNone            Fault = iota
+	FaultRefuse                // refuses the request without running it
+	FaultError                 // runs the request and responds with 500
+	FaultResetEarly            // closes the connection without running the request
+	FaultLoseResponse          // runs the request and closes the connection without a response
+	FaultHang                  // runs the request and sends nothing until the deadline or the caller's disconnect
+	FaultTruncate              // closes the connection in the middle of the response
+	FaultGarbage               // sends bytes that are not an HTTP response
+	FaultExtra                 // sends the response twice
+	FaultWrongRequest          // sends the response to another request first
+	FaultUnsigned              // responds with 200 but without a signature
+	FaultUnframed              // sends the response without a length and closes the connection
+	FaultEarly                 // sends the response before reading the request body
+	FaultUnframedCut           // sends a stream without a length or chunks and closes the connection inside an event
+	FaultUnframedNoEvent       // like FaultUnframedCut, but closes the connection before the first event
+	FaultFramedCut             // ends the body of a stream inside an event, with the last chunk
 )
 
 // VaryCut replaces FaultTruncate of a request for a stream by one of the faults that cut streams, in turn.
