Log the prompts that were on a backend server when it crashed

A broken response to a prompt now opens one connection to its server: a crashed process refuses it. The line of a crash has the requests that were on the server and the names of their prompts' parts; attempt lines of broken responses have the parts, and a counter has the crashes. No decision changes.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -112,7 +112,7 @@
 		q.finish(outcomeGone, "")
 		return nil, ResponseMetadata{}, resultFinished
 	case errors.Is(err, upstream.ErrNotSent):
-		a.server.recordUnreachable(now)
+		q.recordUnreachable(a.server, err)
 		q.cause = "unreachable"
 		if q.ctx.Err() != nil {
 			return nil, ResponseMetadata{}, resultNotRun
@@ -123,6 +123,7 @@
 		q.cause = "deadline"
 		return nil, ResponseMetadata{}, resultUnknown
 	default:
+		q.recordBroken(a.server)
 		return nil, ResponseMetadata{}, a.failUnknown(err.Error())
 	}
 }
@@ -162,7 +163,7 @@
 func (a *attempt) handleRefusal(resp *upstream.Response, m ResponseMetadata) attemptResult {
 	_, _ = io.Copy(io.Discard, io.LimitReader(resp, maxDiscardedBody))
 	if m.AddressReused {
-		a.server.recordUnreachable(time.Now())
+		a.q.recordUnreachable(a.server, nil)
 		a.q.cause = "another_server_at_address"
 		return resultNotRun
 	}
--- /dev/null
+++ b/gateway/crash.go
@@ -0,0 +1,135 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+const (
+	// probeTimeout limits the connection that tells a crash from a broken response. The host of a crashed
+	// process refuses it at once.
+	probeTimeout = 300 * time.Millisecond
+	// crashCollectTime is how long the broken requests of a crashed backend server are collected. All of its
+	// connections end at the same moment.
+	crashCollectTime = 20 * time.Millisecond
+	// crashMemory is how long a backend server that still accepts connections after a broken response may
+	// turn out to have crashed.
+	crashMemory = time.Second
+	// maxBrokenServers and maxBrokenRequests limit what is kept until a crash is confirmed.
+	maxBrokenServers  = 256
+	maxBrokenRequests = 64
+	// maxLoggedRequests limits the requests in one log line.
+	maxLoggedRequests = 8
+)
+
+// brokenRequest is a request with a prompt whose response a backend server broke off.
+type brokenRequest struct {
+	id string
+	// parts holds the names of the parts of the prompt.
+	parts []string
+}
+
+// brokenServer collects the broken requests of a backend server until it is known whether it crashed.
+type brokenServer struct {
+	requests []brokenRequest
+	// gone is closed once the backend server is known to have ended.
+	gone     chan struct{}
+	goneOnce sync.Once
+}
+
+// crashWatch tells backend servers that crash while they process prompts from those that only break off
+// responses: a crashed process refuses connections. It is safe for concurrent use.
+type crashWatch struct {
+	probe   func(ctx context.Context, addr string) error
+	metrics Metrics
+	log     logrus.FieldLogger
+
+	mu     sync.Mutex
+	broken map[*serverState]*brokenServer
+}
+
+func newCrashWatch(probe func(context.Context, string) error, m Metrics, log logrus.FieldLogger) *crashWatch {
+	return &crashWatch{probe: probe, metrics: m, log: log, broken: make(map[*serverState]*brokenServer)}
+}
+
+// recordBroken records a broken response and finds out whether the backend server has crashed.
+func (w *crashWatch) recordBroken(s *Server, r brokenRequest) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	b := w.broken[s.state]
+	if b == nil {
+		if len(w.broken) >= maxBrokenServers {
+			return
+		}
+		b = &brokenServer{gone: make(chan struct{})}
+		w.broken[s.state] = b
+		go w.confirm(s, b)
+	}
+	if len(b.requests) < maxBrokenRequests {
+		b.requests = append(b.requests, r)
+	}
+}
+
+// recordGone records that a backend server refuses connections, or that its address belongs to another one.
+func (w *crashWatch) recordGone(s *Server) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if b := w.broken[s.state]; b != nil {
+		b.goneOnce.Do(func() { close(b.gone) })
+	}
+}
+
+// confirm waits until it is known whether a backend server has crashed.
+func (w *crashWatch) confirm(s *Server, b *brokenServer) {
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	crashed := errors.Is(w.probe(ctx, s.Address), syscall.ECONNREFUSED)
+	if !crashed {
+		select {
+		case <-b.gone:
+			crashed = true
+		case <-time.After(crashMemory):
+		}
+	}
+	if crashed {
+		time.Sleep(crashCollectTime)
+	}
+	w.mu.Lock()
+	delete(w.broken, s.state)
+	requests := b.requests
+	w.mu.Unlock()
+	if crashed {
+		w.report(s, requests)
+	}
+}
+
+func (w *crashWatch) report(s *Server, requests []brokenRequest) {
+	w.metrics.Crash(s.Service)
+	prompts := make(map[string][]string, min(len(requests), maxLoggedRequests))
+	for _, r := range requests[:min(len(requests), maxLoggedRequests)] {
+		prompts[r.id] = r.parts
+	}
+	w.log.WithFields(logrus.Fields{
+		"server": s.ID, "service": s.Service, "address": s.Address, "requests": len(requests), "prompts": prompts,
+	}).Warn("backend server crashed while it processed prompts")
+}
+
+// recordBroken records that the response to a request with a prompt was broken off.
+func (q *request) recordBroken(s *Server) {
+	if len(q.metadata.Parts) > 0 {
+		q.g.crashes.recordBroken(s, brokenRequest{id: q.metadata.ID, parts: q.g.codec.PartNames(q.r)})
+	}
+}
+
+// recordUnreachable records that a backend server cannot be reached, or has left its address.
+func (q *request) recordUnreachable(s *Server, err error) {
+	s.recordUnreachable(time.Now())
+	if err == nil || errors.Is(err, syscall.ECONNREFUSED) {
+		q.g.crashes.recordGone(s)
+	}
+}
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -416,6 +416,9 @@
 		f["reader"] = c.prefillServer.ID
 	}
 	q.addStreamFields(f)
+	if res == resultUnknown && len(q.metadata.Parts) > 0 {
+		f["parts"] = q.g.codec.PartNames(q.r)
+	}
 	q.g.log.WithFields(f).Info("attempt")
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -83,6 +83,8 @@
 	Answer(received http.Header) http.Header
 	// ResponseMetadata decodes the metadata of a response.
 	ResponseMetadata(status int, h http.Header) ResponseMetadata
+	// PartNames returns the names of the parts of a prompt as the caller sent them, in order.
+	PartNames(r *http.Request) []string
 	// Handle decodes the handle of a prefilled prompt from a response body.
 	Handle(body []byte) (string, error)
 	// Release returns the method and target of the request that releases a handle.
@@ -116,6 +118,7 @@
 	decider *Decider
 	// buffers bounds the memory of buffered responses.
 	buffers bufferBudget
+	crashes *crashWatch
 	metrics Metrics
 	log     logrus.FieldLogger
 
@@ -135,6 +138,8 @@
 	EventGap(service string, d time.Duration)
 	// BrokenStream records a stream that a backend server broke off, and how its body was framed.
 	BrokenStream(service, framing string)
+	// Crash records a backend server that crashed while it processed prompts of this process.
+	Crash(service string)
 	// Attempt records the result of sending a request to one backend server.
 	Attempt(service, outcome string)
 	// PromptTokens records the origin of the tokens of a prompt.
@@ -156,7 +161,7 @@
 func New(cfg Config, codec Codec, tables *route.ActiveTable, roster *Roster, pool *upstream.Pool, m Metrics, log logrus.FieldLogger) *Gateway {
 	return &Gateway{
 		cfg: cfg, codec: codec, tables: tables, roster: roster, pool: pool, decider: NewDecider(cfg.DataCentre, roster, rand.Float64),
-		metrics: m, log: log, retryBudgets: make(map[string]*retry.WindowBudget),
+		crashes: newCrashWatch(pool.Probe, m, log), metrics: m, log: log, retryBudgets: make(map[string]*retry.WindowBudget),
 	}
 }
 
--- a/gateway/prefill.go
+++ b/gateway/prefill.go
@@ -47,7 +47,7 @@
 		q.tried = append(q.tried, server.state)
 		q.cause = "prompt_refused"
 		if m.AddressReused {
-			server.recordUnreachable(now)
+			q.recordUnreachable(server, nil)
 		} else {
 			server.recordRefusal(now)
 		}
@@ -74,10 +74,13 @@
 		q.finish(outcomeGone, "")
 		return resultFinished
 	case errors.Is(err, upstream.ErrNotSent):
-		server.recordUnreachable(now)
+		q.recordUnreachable(server, err)
 		q.cause = "reader_unreachable"
 		return resultNotSent
 	default:
+		if q.ctx.Err() == nil {
+			q.recordBroken(server)
+		}
 		server.recordResult(1, now)
 		q.cause = "reader_broken"
 		return resultNotRun
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -199,6 +199,9 @@
 // resumed is abandoned.
 func (a *attempt) handleInterruption(err error) attemptResult {
 	q := a.q
+	if q.ctx.Err() == nil {
+		q.recordBroken(a.server)
+	}
 	a.server.recordResult(1, time.Now())
 	q.g.metrics.BrokenStream(q.service, q.framing)
 	q.cause = "stream_broken: " + err.Error()
--- a/internal/memnet/memnet.go
+++ b/internal/memnet/memnet.go
@@ -10,6 +10,7 @@
 	"net"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -23,7 +24,7 @@
 )
 
 var (
-	errRefused = errors.New("connection refused")
+	errRefused = syscall.ECONNREFUSED
 	errReset   = errors.New("connection reset")
 )
 
--- a/internal/telemetry/gateway.go
+++ b/internal/telemetry/gateway.go
@@ -19,6 +19,7 @@
 	eventGap     metric.Float64Histogram
 	attempts     metric.Int64Counter
 	broken       metric.Int64Counter
+	crashes      metric.Int64Counter
 	refusals     metric.Int64Counter
 	promptTokens metric.Float64Counter
 	orders       metric.Int64Counter
@@ -44,6 +45,7 @@
 		eventGap:     b.durationHistogram("quetzallug_gateway_pause", "Time between two events of a stream."),
 		attempts:     b.counter("quetzallug_gateway_attempts", "Requests sent to backend servers, by service and outcome."),
 		broken:       b.counter("quetzallug_gateway_broken_streams", "Streams that a backend server broke off, by service and by what frames them: length, chunks or connection."),
+		crashes:      b.counter("quetzallug_gateway_server_crashes", "Backend servers that crashed while they processed prompts of this process, by service."),
 		refusals:     b.counter("quetzallug_gateway_refusals", "Requests refused before they ran, by service and reason."),
 		promptTokens: b.floatCounter("quetzallug_gateway_prompt_tokens", "Prompt tokens by service and where they came from: kept, read or moved, as the choice of the backend server expected it."),
 		orders:       b.counter("quetzallug_gateway_role_orders", "Orders to change an engine's role, by service and by role and outcome."),
@@ -151,6 +153,11 @@
 	g.broken.Add(context.Background(), 1, g.optionsOf("service", service, "framing", framing).add...)
 }
 
+// Crash implements gateway.Metrics.
+func (g *Gateway) Crash(service string) {
+	g.crashes.Add(context.Background(), 1, g.optionsOf("service", service).add...)
+}
+
 // Refusal implements gateway.Metrics.
 func (g *Gateway) Refusal(service, reason string) {
 	g.refusals.Add(context.Background(), 1, g.optionsOf("service", service, "reason", reason).add...)
--- a/test/site/world_test.go
+++ b/test/site/world_test.go
@@ -157,6 +157,7 @@
 func (noopMetrics) FirstEvent(string, string, time.Duration)      {}
 func (noopMetrics) EventGap(string, time.Duration)                {}
 func (noopMetrics) BrokenStream(string, string)                   {}
+func (noopMetrics) Crash(string)                                  {}
 func (noopMetrics) Attempt(string, string)                        {}
 func (noopMetrics) PromptTokens(string, gateway.PromptTokens)     {}
 func (noopMetrics) RoleOrder(string, string, string)              {}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -306,6 +306,15 @@
 	return &conn{Conn: nc, pool: p, addr: addr, limiter: limiter, br: bufio.NewReaderSize(limiter, readBufferSize), bw: bufio.NewWriterSize(nc, writeBufferSize)}, nil
 }
 
+// Probe opens a connection to an address and closes it.
+func (p *Pool) Probe(ctx context.Context, addr string) error {
+	c, err := p.dial(ctx, "tcp", addr)
+	if err != nil {
+		return err
+	}
+	return c.Close()
+}
+
 // ResponseMatcher reports whether a response belongs to the request. firstRequest is true if the
 // connection has carried no earlier request.
 type ResponseMatcher func(resp *http.Response, firstRequest bool) bool
