Quarantine the most specific of tied parts, and probe several parts at once

Found by TestHarmlessPartsAreServedAgain: without other traffic, the part that crashes and the part that all prompts share are on the same crashed servers. Both were quarantined, and no request with both could become the probe until the quarantine was forgotten. Now one of several equal suspects is quarantined, the one that fewest requests had and that stands last in the prompt; a request whose quarantined parts are all due may be the probe for all of them. A server that still accepts connections is asked a second time after a second. Refused requests log the part; the status has the quarantined parts.

--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -18,7 +18,7 @@
 	// connections end at the same moment.
 	crashCollectTime = 20 * time.Millisecond
 	// crashMemory is how long a backend server that still accepts connections after a broken response may
-	// turn out to have crashed.
+	// turn out to have crashed: another request is refused there, or a second connection at the end.
 	crashMemory = time.Second
 	// maxBrokenServers and maxBrokenRequests limit what is kept until a crash is confirmed.
 	maxBrokenServers  = 256
@@ -88,14 +88,13 @@
 
 // confirm waits until it is known whether a backend server has crashed.
 func (w *crashWatch) confirm(s *Server, b *brokenServer) {
-	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
-	defer cancel()
-	crashed := errors.Is(w.probe(ctx, s.Address), syscall.ECONNREFUSED)
+	crashed := w.refusesConnections(s)
 	if !crashed {
 		select {
 		case <-b.gone:
 			crashed = true
 		case <-time.After(crashMemory):
+			crashed = w.refusesConnections(s)
 		}
 	}
 	if crashed {
@@ -111,6 +110,12 @@
 	}
 }
 
+func (w *crashWatch) refusesConnections(s *Server) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	return errors.Is(w.probe(ctx, s.Address), syscall.ECONNREFUSED)
+}
+
 func (w *crashWatch) report(s *Server, requests []brokenRequest) {
 	w.metrics.Crash(s.Service)
 	prompts := make(map[string][]string, min(len(requests), maxLoggedRequests))
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -80,7 +80,9 @@
 	sharedParts []uint64
 	// isProbe is true if the request is the probe for a quarantined part. It is sent once.
 	isProbe bool
-	body    []byte
+	// quarantinedPart is the part for which the request was refused; empty if it was not.
+	quarantinedPart string
+	body            []byte
 
 	tried []*serverState
 	// sends counts the earlier, unsuccessful attempts, except those that could not connect to a
@@ -471,6 +473,9 @@
 	if q.events > 0 {
 		f["events"] = q.events
 	}
+	if q.quarantinedPart != "" {
+		f["part"] = q.quarantinedPart
+	}
 	q.addStreamFields(f)
 	q.g.log.WithFields(f).Info("request")
 }
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -189,21 +189,23 @@
 
 func partKey(id uint64) string { return fmt.Sprintf("%s%016x", partsPrefix, id) }
 
-// claimProbe reports whether a request may be sent as the probe for a quarantined part. At most one request
-// of the whole installation may, because the claim is a write of the entry.
-func (q *Quarantine) claimProbe(ctx context.Context, part quarantine.Part) bool {
-	w, ok := q.tracker.ProbeWrite(part.ID, time.Now())
-	if !ok {
-		return false
-	}
+// claimProbe reports whether a request may be sent as the probe for its quarantined parts. At most one request
+// of the whole installation may in a term, because the claim is a write of each entry.
+func (q *Quarantine) claimProbe(ctx context.Context, parts []quarantine.Part) bool {
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
-	version, err := q.swapEntry(ctx, &w)
-	if err != nil {
-		q.log.WithError(err).WithField("part", part.Name).Info("no probe of a quarantined part")
-		return false
+	for _, part := range parts {
+		w, ok := q.tracker.ProbeWrite(part.ID, time.Now())
+		if !ok {
+			return false
+		}
+		version, err := q.swapEntry(ctx, &w)
+		if err != nil {
+			q.log.WithError(err).WithField("part", part.Name).Info("no probe of a quarantined part")
+			return false
+		}
+		q.tracker.MergeEntry(w.Entry, version, time.Now())
 	}
-	q.tracker.MergeEntry(w.Entry, version, time.Now())
 	return true
 }
 
@@ -305,11 +307,12 @@
 	if !v.Blocked {
 		return true
 	}
-	if v.Probe && q.sends == 0 && q.g.quarantine.claimProbe(q.ctx, v.Part) {
+	if len(v.Due) > 0 && q.sends == 0 && q.g.quarantine.claimProbe(q.ctx, v.Due) {
 		q.isProbe = true
 		q.g.log.WithFields(logrus.Fields{"request": q.metadata.ID, "part": v.Part.Name}).Warn("probe of a quarantined prompt part")
 		return true
 	}
+	q.quarantinedPart = v.Part.Name
 	cause := q.joinCause(causeQuarantined)
 	if q.runs == 0 && !q.headerSent {
 		q.refuse(cause, v.RetryAfter)
--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -62,7 +62,7 @@
 	if err != nil {
 		return err
 	}
-	t := &table{header: []string{"INSTANCE", "DATA CENTRE", "READY", "CONFIG", "STORE AGE", "ORDERS", "SERVICE", "SERVERS", "USABLE", "IN FLIGHT", "UNREAD TOKENS", "RETRIES LEFT"}}
+	t := &table{header: []string{"INSTANCE", "DATA CENTRE", "READY", "CONFIG", "STORE AGE", "ORDERS", "SERVICE", "SERVERS", "USABLE", "IN FLIGHT", "UNREAD TOKENS", "RETRIES LEFT", "QUARANTINED"}}
 	views := make([]gatewayStatusView, 0, len(responses))
 	for _, r := range responses {
 		s := r.value
@@ -73,11 +73,11 @@
 		}
 		row := []string{s.Instance, s.DataCentre, ready, strconv.FormatUint(s.Config, 10), formatAge(s.StoreAgeMS), strconv.FormatBool(s.Orders)}
 		if len(s.Services) == 0 {
-			t.add(append(row, "", "", "", "", "", "")...)
+			t.add(append(row, "", "", "", "", "", "", "")...)
 		}
 		for _, v := range s.Services {
 			t.add(append(slices.Clone(row), v.Service, strconv.Itoa(v.Servers), strconv.Itoa(v.Usable), strconv.Itoa(v.InFlight),
-				strconv.Itoa(v.PendingTokens), strconv.Itoa(int(v.RetryBudgetLeft)))...)
+				strconv.Itoa(v.PendingTokens), strconv.Itoa(int(v.RetryBudgetLeft)), strconv.Itoa(len(s.Quarantined)))...)
 		}
 	}
 	return a.emit(views, t)
--- a/quarantine/records.go
+++ b/quarantine/records.go
@@ -77,6 +77,7 @@
 	maxNameBytes       = 64
 	maxPartsPerCrash   = 16
 	maxCrashesReported = 32
+	maxPartsReported   = 64
 	maxServersPerPart  = 16
 )
 
--- a/quarantine/shared.go
+++ b/quarantine/shared.go
@@ -60,9 +60,9 @@
 			continue
 		}
 		last.sequence = c.Sequence
-		for _, p := range c.Parts {
+		for i, p := range c.Parts {
 			if !t.answeredLately(p.ID, now) {
-				t.addEvidence(p, c.Server, observation{request: c.Request, at: now}, now)
+				t.addEvidence(p, c.Server, observation{request: c.Request, at: now, position: i}, now)
 			}
 		}
 	}
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -8,6 +8,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"sync"
@@ -43,15 +44,18 @@
 
 // observation is one crash as evidence against a part.
 type observation struct {
-	request string
-	at      time.Time
-	own     bool
+	request  string
+	at       time.Time
+	own      bool
+	position int
 }
 
 // suspect holds the crashes under a part since it was last answered, by backend server.
 type suspect struct {
 	part    Part
 	crashes map[string]observation
+	// position is where the part stood in the last of these prompts.
+	position int
 	// sightings counts the requests with the part that were on these servers.
 	sightings int
 }
@@ -157,11 +161,12 @@
 
 // Verdict tells what to do with a request.
 type Verdict struct {
-	// Part is the quarantined part; meaningful if Blocked.
+	// Part is a quarantined part; meaningful if Blocked.
 	Part    Part
 	Blocked bool
-	// Probe is true if the term is over, so that this request may become the probe.
-	Probe bool
+	// Due lists the quarantined parts if all their terms are over, so that this request may become the
+	// probe for them.
+	Due []Part
 	// RetryAfter is the rest of the term.
 	RetryAfter time.Duration
 }
@@ -182,8 +187,7 @@
 		if left := h.until.Sub(now); left > 0 {
 			return Verdict{Part: h.Part, Blocked: true, RetryAfter: left}
 		}
-		// A probe with two quarantined parts would not tell which one crashes.
-		v = Verdict{Part: h.Part, Blocked: true, Probe: !v.Blocked, RetryAfter: minRetryAfter}
+		v = Verdict{Part: h.Part, Blocked: true, Due: append(v.Due, h.Part), RetryAfter: minRetryAfter}
 	}
 	return v
 }
@@ -236,11 +240,11 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var parts []Part
-	for _, p := range c.Parts[:min(len(c.Parts), maxPartsPerCrash)] {
+	for i, p := range c.Parts[:min(len(c.Parts), maxPartsPerCrash)] {
 		p.Name = p.Name[:min(len(p.Name), maxNameBytes)]
 		if !t.answeredLately(p.ID, now) {
 			parts = append(parts, p)
-			t.addEvidence(p, c.Server, observation{request: c.Request, at: now, own: true}, now)
+			t.addEvidence(p, c.Server, observation{request: c.Request, at: now, own: true, position: i}, now)
 		}
 	}
 	if len(parts) == 0 {
@@ -250,14 +254,24 @@
 	t.sequence++
 	c.Sequence = t.sequence
 	t.report = append(t.report, ownCrash{c, now})
-	if n := len(t.report) - maxCrashesReported; n > 0 {
-		t.report = slices.Delete(t.report, 0, n)
-	}
+	t.trimReport()
 	t.reportChanged = true
 	t.evaluate(now)
 	t.signal()
 }
 
+// trimReport keeps the newest crashes of the report.
+func (t *Tracker) trimReport() {
+	first, parts := len(t.report), 0
+	for first > 0 && len(t.report)-first < maxCrashesReported {
+		if parts += len(t.report[first-1].Parts); parts > maxPartsReported {
+			break
+		}
+		first--
+	}
+	t.report = slices.Delete(t.report, 0, first)
+}
+
 // addEvidence records a crash under a part.
 func (t *Tracker) addEvidence(p Part, server string, o observation, now time.Time) {
 	if h := t.entries[p.ID]; h != nil && !h.Lifted {
@@ -276,6 +290,7 @@
 		t.suspects[p.ID] = s
 	}
 	s.sightings++
+	s.position = o.position
 	if old, ok := s.crashes[server]; ok && (old.own || !o.own) {
 		return
 	}
@@ -356,27 +371,27 @@
 		if len(most) == 0 {
 			return
 		}
-		for _, s := range mostSuspicious(most, t.lastAnswer) {
-			if !t.quarantine(s, now) {
-				return
-			}
+		if !t.quarantine(mostSuspicious(most, t.lastAnswer), now) {
+			return
 		}
 	}
 }
 
-// mostSuspicious selects among suspects with equally many crashes: those that were never answered, if there
-// are any, and of these those that fewest requests had. A part that all requests share is on each crashed
-// server, too.
-func mostSuspicious(suspects []*suspect, lastAnswer func(uint64) (time.Time, bool)) []*suspect {
-	never := slices.DeleteFunc(slices.Clone(suspects), func(s *suspect) bool {
-		_, ok := lastAnswer(s.part.ID)
-		return ok
+// mostSuspicious selects among suspects with equally many crashes: one that was never answered, if there is
+// any, and of these one that fewest requests had, because a part that all requests share is on each crashed
+// server, too. A later part of a prompt is shared by fewer requests than those before it.
+func mostSuspicious(suspects []*suspect, lastAnswer func(uint64) (time.Time, bool)) *suspect {
+	return slices.MinFunc(suspects, func(a, b *suspect) int {
+		_, aAnswered := lastAnswer(a.part.ID)
+		_, bAnswered := lastAnswer(b.part.ID)
+		if aAnswered != bAnswered {
+			if aAnswered {
+				return 1
+			}
+			return -1
+		}
+		return cmp.Or(cmp.Compare(a.sightings, b.sightings), cmp.Compare(b.position, a.position), cmp.Compare(a.part.ID, b.part.ID))
 	})
-	if len(never) > 0 {
-		suspects = never
-	}
-	fewest := slices.MinFunc(suspects, func(a, b *suspect) int { return a.sightings - b.sightings }).sightings
-	return slices.DeleteFunc(suspects, func(s *suspect) bool { return s.sightings > fewest })
 }
 
 // quarantine quarantines a part. It returns false if there are too many.
