--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -59,8 +59,9 @@
 	return &crashWatch{probe: probe, onCrash: onCrash, metrics: m, log: log, broken: make(map[*serverState]*brokenServer)}
 }
 
-// recordBroken records a broken response and finds out whether the backend server has crashed.
-func (w *crashWatch) recordBroken(s *Server, r brokenRequest) {
+// recordBroken records a broken response and finds out, after the end of ctx if need be, whether the backend
+// server has crashed.
+func (w *crashWatch) recordBroken(ctx context.Context, s *Server, r brokenRequest) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	b := w.broken[s.state]
@@ -70,7 +71,7 @@
 		}
 		b = &brokenServer{gone: make(chan struct{})}
 		w.broken[s.state] = b
-		go w.confirm(s, b)
+		go w.confirm(context.WithoutCancel(ctx), s, b)
 	}
 	if len(b.requests) < maxBrokenRequests {
 		b.requests = append(b.requests, r)
@@ -87,14 +88,14 @@
 }
 
 // confirm waits until it is known whether a backend server has crashed.
-func (w *crashWatch) confirm(s *Server, b *brokenServer) {
-	crashed := w.refusesConnections(s)
+func (w *crashWatch) confirm(ctx context.Context, s *Server, b *brokenServer) {
+	crashed := w.refusesConnections(ctx, s)
 	if !crashed {
 		select {
 		case <-b.gone:
 			crashed = true
 		case <-time.After(crashMemory):
-			crashed = w.refusesConnections(s)
+			crashed = w.refusesConnections(ctx, s)
 		}
 	}
 	if crashed {
@@ -110,8 +111,8 @@
 	}
 }
 
-func (w *crashWatch) refusesConnections(s *Server) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+func (w *crashWatch) refusesConnections(ctx context.Context, s *Server) bool {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	return errors.Is(w.probe(ctx, s.Address), syscall.ECONNREFUSED)
 }
@@ -130,7 +131,7 @@
 // recordBroken records that the response to a request with a prompt was broken off.
 func (q *request) recordBroken(s *Server) {
 	if len(q.metadata.Parts) > 0 {
-		q.g.crashes.recordBroken(s, brokenRequest{id: q.metadata.ID, parts: q.g.codec.PartNames(q.r), shared: q.sharedParts})
+		q.g.crashes.recordBroken(q.ctx, s, brokenRequest{id: q.metadata.ID, parts: q.g.codec.PartNames(q.r), shared: q.sharedParts})
 	}
 }
 
