Weigh crashes at the same moment as one

Each instance reports which servers crashed together, what several have seen is joined, and a part weighs by its share in the servers of a moment.

--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -14,9 +14,9 @@
 	// probeTimeout limits the connection that tells a crash from a broken response. The host of a crashed
 	// process refuses it at once.
 	probeTimeout = 300 * time.Millisecond
-	// crashCollectTime is how long the broken requests of a crashed backend server are collected. All of its
-	// connections end at the same moment.
-	crashCollectTime = 20 * time.Millisecond
+	// crashCollectTime is how long broken requests and further crashes are collected after a crash. All
+	// connections of a process end at the same moment, and so do all processes of a host or rack.
+	crashCollectTime = 30 * time.Millisecond
 	// crashMemory is how long a backend server that still accepts connections after a broken response may
 	// turn out to have crashed: another request is refused there, or a second connection at the end.
 	crashMemory = time.Second
@@ -37,6 +37,7 @@
 
 // brokenServer collects the broken requests of a backend server until it is known whether it crashed.
 type brokenServer struct {
+	server   *Server
 	requests []brokenRequest
 	// gone is closed once the backend server is known to have ended.
 	gone     chan struct{}
@@ -46,17 +47,20 @@
 // crashWatch tells backend servers that crash while they process prompts from those that only break off
 // responses: a crashed process refuses connections. It is safe for concurrent use.
 type crashWatch struct {
-	probe   func(ctx context.Context, addr string) error
-	onCrash func(s *Server, requests []brokenRequest)
+	probe func(ctx context.Context, addr string) error
+	// onCrash is called with the backend servers that crashed together.
+	onCrash func(crashed []*brokenServer)
 	metrics Metrics
-	log     logrus.FieldLogger
+	logger  logrus.FieldLogger
 
 	mu     sync.Mutex
 	broken map[*serverState]*brokenServer
+	// crashed holds the crashes that are being collected.
+	crashed []*brokenServer
 }
 
-func newCrashWatch(probe func(context.Context, string) error, onCrash func(*Server, []brokenRequest), m Metrics, log logrus.FieldLogger) *crashWatch {
-	return &crashWatch{probe: probe, onCrash: onCrash, metrics: m, log: log, broken: make(map[*serverState]*brokenServer)}
+func newCrashWatch(probe func(context.Context, string) error, onCrash func([]*brokenServer), m Metrics, log logrus.FieldLogger) *crashWatch {
+	return &crashWatch{probe: probe, onCrash: onCrash, metrics: m, logger: log, broken: make(map[*serverState]*brokenServer)}
 }
 
 // recordBroken records a broken response and finds out, after the end of ctx if need be, whether the backend
@@ -69,9 +73,9 @@
 		if len(w.broken) >= maxBrokenServers {
 			return
 		}
-		b = &brokenServer{gone: make(chan struct{})}
+		b = &brokenServer{server: s, gone: make(chan struct{})}
 		w.broken[s.state] = b
-		go w.confirm(context.WithoutCancel(ctx), s, b)
+		go w.confirm(context.WithoutCancel(ctx), b)
 	}
 	if len(b.requests) < maxBrokenRequests {
 		b.requests = append(b.requests, r)
@@ -88,27 +92,41 @@
 }
 
 // confirm waits until it is known whether a backend server has crashed.
-func (w *crashWatch) confirm(ctx context.Context, s *Server, b *brokenServer) {
-	crashed := w.refusesConnections(ctx, s)
+func (w *crashWatch) confirm(ctx context.Context, b *brokenServer) {
+	crashed := w.refusesConnections(ctx, b.server)
 	if !crashed {
 		select {
 		case <-b.gone:
 			crashed = true
 		case <-time.After(crashMemory):
-			crashed = w.refusesConnections(ctx, s)
+			crashed = w.refusesConnections(ctx, b.server)
 		}
 	}
-	if crashed {
-		time.Sleep(crashCollectTime)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !crashed {
+		delete(w.broken, b.server.state)
+		return
+	}
+	if len(w.crashed) == 0 {
+		time.AfterFunc(crashCollectTime, w.reportCrashes)
 	}
+	w.crashed = append(w.crashed, b)
+}
+
+// reportCrashes reports the crashes that were collected.
+func (w *crashWatch) reportCrashes() {
 	w.mu.Lock()
-	delete(w.broken, s.state)
-	requests := b.requests
+	crashed := w.crashed
+	w.crashed = nil
+	for _, b := range crashed {
+		delete(w.broken, b.server.state)
+	}
 	w.mu.Unlock()
-	if crashed {
-		w.report(s, requests)
-		w.onCrash(s, requests)
+	for _, b := range crashed {
+		w.log(b, len(crashed))
 	}
+	w.onCrash(crashed)
 }
 
 func (w *crashWatch) refusesConnections(ctx context.Context, s *Server) bool {
@@ -117,14 +135,16 @@
 	return errors.Is(w.probe(ctx, s.Address), syscall.ECONNREFUSED)
 }
 
-func (w *crashWatch) report(s *Server, requests []brokenRequest) {
+// log logs one of a number of crashes at the same moment.
+func (w *crashWatch) log(b *brokenServer, together int) {
+	s, requests := b.server, b.requests
 	w.metrics.Crash(s.Service)
 	prompts := make(map[string][]string, min(len(requests), maxLoggedRequests))
 	for _, r := range requests[:min(len(requests), maxLoggedRequests)] {
 		prompts[r.id] = r.parts
 	}
-	w.log.WithFields(logrus.Fields{
-		"server": s.ID, "service": s.Service, "address": s.Address, "requests": len(requests), "prompts": prompts,
+	w.logger.WithFields(logrus.Fields{
+		"server": s.ID, "service": s.Service, "address": s.Address, "requests": len(requests), "prompts": prompts, "together": together,
 	}).Warn("backend server crashed while it processed prompts")
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -163,7 +163,7 @@
 func New(cfg Config, codec Codec, tables *route.ActiveTable, roster *Roster, pool *upstream.Pool, quarantined *Quarantine, m Metrics, log logrus.FieldLogger) *Gateway {
 	return &Gateway{
 		cfg: cfg, codec: codec, tables: tables, roster: roster, pool: pool, decider: NewDecider(cfg.DataCentre, roster, rand.Float64),
-		crashes: newCrashWatch(pool.Probe, quarantined.recordCrash, m, log), quarantine: quarantined, metrics: m, log: log, retryBudgets: make(map[string]*retry.WindowBudget),
+		crashes: newCrashWatch(pool.Probe, quarantined.recordCrashes, m, log), quarantine: quarantined, metrics: m, log: log, retryBudgets: make(map[string]*retry.WindowBudget),
 	}
 }
 
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -269,16 +270,21 @@
 	q.tracker.KeepEntries(listed, time.Now())
 }
 
-// recordCrash records the requests that were on a backend server as it crashed.
-func (q *Quarantine) recordCrash(s *Server, requests []brokenRequest) {
-	server := fmt.Sprintf("%s/%d", s.ID, s.Born)
+// recordCrashes records the requests that were on backend servers as these crashed together.
+func (q *Quarantine) recordCrashes(crashed []*brokenServer) {
 	now := time.Now()
-	for _, r := range requests {
-		c := quarantine.Crash{Server: server, Request: r.id}
-		for i, id := range r.shared[:min(len(r.shared), len(r.parts))] {
-			c.Parts = append(c.Parts, quarantine.Part{ID: id, Name: r.parts[i]})
+	names := make([]string, len(crashed))
+	for i, b := range crashed {
+		names[i] = fmt.Sprintf("%s/%d", b.server.ID, b.server.Born)
+	}
+	for i, b := range crashed {
+		for _, r := range b.requests {
+			c := quarantine.Crash{Server: names[i], Request: r.id, Beside: slices.Delete(slices.Clone(names), i, i+1)}
+			for n, id := range r.shared[:min(len(r.shared), len(r.parts))] {
+				c.Parts = append(c.Parts, quarantine.Part{ID: id, Name: r.parts[n]})
+			}
+			q.tracker.RecordCrash(c, now)
 		}
-		q.tracker.RecordCrash(c, now)
 	}
 }
 
--- a/quarantine/records.go
+++ b/quarantine/records.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 )
 
@@ -21,6 +22,9 @@
 	// Server identifies one run of the backend server.
 	Server  string `json:"server"`
 	Request string `json:"request"`
+	// Beside lists other backend servers that crashed at the same moment: at most one of them because of
+	// this request.
+	Beside []string `json:"beside,omitempty"`
 	// Parts are the parts of the request's prompt that may have caused the crash.
 	Parts []Part `json:"parts"`
 }
@@ -91,6 +95,9 @@
 	}
 	for i := range r.Crashes {
 		c := &r.Crashes[i]
+		if len(c.Beside) > maxServersPerPart || slices.ContainsFunc(c.Beside, func(s string) bool { return len(s) > 2*maxNameBytes }) {
+			return fmt.Errorf("%w: crash %d beside %d others, or with names that are too long", ErrInvalid, c.Sequence, len(c.Beside))
+		}
 		if len(c.Parts) > maxPartsPerCrash || len(c.Server) > 2*maxNameBytes || len(c.Request) > 2*maxNameBytes {
 			return fmt.Errorf("%w: crash %d has %d parts or names that are too long", ErrInvalid, c.Sequence, len(c.Parts))
 		}
--- a/quarantine/shared.go
+++ b/quarantine/shared.go
@@ -60,6 +60,7 @@
 			continue
 		}
 		last.sequence = c.Sequence
+		t.moments.join(c.Server, c.Beside, now)
 		for i, p := range c.Parts {
 			if !t.answeredLately(p.ID, now) {
 				t.addEvidence(p, c.Server, observation{request: c.Request, at: now, position: i}, now)
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -17,9 +17,12 @@
 )
 
 const (
-	// minCrashes is how many backend servers must have crashed under a part that was never answered. The
-	// users' bound counts from the fifth; three tell a part from coincidence, because a part that is in
-	// use is answered between two crashes.
+	// crashWeight is the weight of a backend server that crashes alone; most numbers of servers that crash
+	// together divide it.
+	crashWeight = 5040
+	// minCrashes is how often backend servers must have crashed alone under a part that was never answered.
+	// The users' bound counts from the fifth crash; three tell a part from coincidence, because a part that
+	// is in use is answered between two crashes.
 	minCrashes = 3
 	// minCrashesIfAnswered is the same for a part that was answered before.
 	minCrashesIfAnswered = 5
@@ -60,16 +63,18 @@
 	sightings int
 }
 
-// unexplained returns the numbers of crashes that no quarantined part explains, and of the requests on them.
-func (s *suspect) unexplained(explained map[string]bool) (crashes, requests int) {
+// unexplained returns the weight of the crashes that no quarantined part explains, and the number of requests on
+// them. Servers that crash at the same moment have one cause, so that together they weigh as much as one that
+// crashes alone, and a part that was on a few of them only is hardly that cause.
+func (s *suspect) unexplained(explained map[string]bool, m *moments, sizes map[string]int) (weight, requests int) {
 	seen := make(map[string]bool, len(s.crashes))
 	for server, o := range s.crashes {
 		if !explained[server] {
-			crashes++
 			seen[o.request] = true
+			weight += crashWeight / max(1, sizes[m.of(server)])
 		}
 	}
-	return crashes, len(seen)
+	return weight, len(seen)
 }
 
 func (s *suspect) hasOwn() bool {
@@ -106,6 +111,7 @@
 	mu       sync.Mutex
 	suspects map[uint64]*suspect
 	entries  map[uint64]*held
+	moments  moments
 	// answered holds when a request with a part was last answered here, in two generations: parts that are
 	// not answered while a generation is filled are dropped.
 	answered, answeredBefore map[uint64]time.Time
@@ -239,6 +245,8 @@
 func (t *Tracker) RecordCrash(c Crash, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	c.Beside = c.Beside[:min(len(c.Beside), maxServersPerPart)]
+	t.moments.join(c.Server, c.Beside, now)
 	var parts []Part
 	for i, p := range c.Parts[:min(len(c.Parts), maxPartsPerCrash)] {
 		p.Name = p.Name[:min(len(p.Name), maxNameBytes)]
@@ -331,6 +339,7 @@
 }
 
 func (t *Tracker) expireEvidence(now time.Time) {
+	t.moments.expire(now)
 	for id, s := range t.suspects {
 		maps.DeleteFunc(s.crashes, func(_ string, o observation) bool { return now.Sub(o.at) > evidenceLifetime })
 		if len(s.crashes) == 0 {
@@ -343,6 +352,7 @@
 // quarantined part explains does not count against the parts that were beside it.
 func (t *Tracker) evaluate(now time.Time) {
 	t.expireEvidence(now)
+	sizes := t.moments.sizes()
 	for {
 		explained := make(map[string]bool)
 		for _, h := range t.entries {
@@ -353,18 +363,18 @@
 			}
 		}
 		var most []*suspect
-		crashes := 0
+		weight := 0
 		for _, s := range t.suspects {
 			need := minCrashes
 			if _, ok := t.lastAnswer(s.part.ID); ok {
 				need = minCrashesIfAnswered
 			}
-			n, requests := s.unexplained(explained)
-			if n < max(need, crashes) || requests < minRequests {
+			n, requests := s.unexplained(explained, &t.moments, sizes)
+			if n < max(need*crashWeight, weight) || requests < minRequests {
 				continue
 			}
-			if n > crashes {
-				most, crashes = nil, n
+			if n > weight {
+				most, weight = nil, n
 			}
 			most = append(most, s)
 		}
--- a/quarantine/tracker_test.go
+++ b/quarantine/tracker_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -104,6 +105,43 @@
 				tr.RecordCrash(crash(i, fmt.Sprint("s", i), common), second(i))
 			}
 		}, true, false},
+		"one of two servers that crash together, five times": {func(tr *Tracker) {
+			for i := range 5 {
+				c := crash(i, fmt.Sprint("r", i), bad)
+				c.Beside = []string{fmt.Sprintf("i-%d/1", 100+i)}
+				tr.RecordCrash(c, second(i))
+			}
+		}, false, false},
+		"both servers that crash together, three times": {func(tr *Tracker) {
+			for i := range 6 {
+				c := crash(i, fmt.Sprint("r", i), bad)
+				c.Beside = []string{fmt.Sprintf("i-%d/1", i^1)}
+				tr.RecordCrash(c, second(i/2))
+			}
+		}, true, false},
+		"servers that crash together, twice": {func(tr *Tracker) {
+			for i := range 8 {
+				c := crash(i, fmt.Sprint("r", i), bad)
+				c.Beside = []string{"i-0/1", "i-1/1", "i-2/1", "i-3/1"}
+				if i >= 4 {
+					c.Beside = []string{"i-4/1", "i-5/1", "i-6/1", "i-7/1"}
+				}
+				tr.RecordCrash(c, second(i/4))
+			}
+		}, false, false},
+		"servers that crash together as two instances see it": {func(tr *Tracker) {
+			for i, beside := range [][]string{{"i-1/1"}, {"i-0/1"}, {"i-3/1"}, {"i-2/1"}} {
+				c := crash(i, fmt.Sprint("r", i), bad)
+				c.Beside = beside
+				tr.RecordCrash(c, second(1))
+			}
+			c := crash(1, "other", rare)
+			c.Beside = []string{"i-2/1"}
+			tr.MergeReport("b", &Report{Session: 2, Crashes: []Crash{c}}, second(1))
+			c.Sequence, c.Beside = 1, []string{"i-2/1"}
+			tr.MergeReport("b", &Report{Session: 2, Crashes: []Crash{c}}, second(1))
+			tr.RecordCrash(crash(9, "r9", bad), second(2))
+		}, false, false},
 		"only requests with both parts": {func(tr *Tracker) {
 			for i := range 3 {
 				tr.RecordCrash(crash(i, fmt.Sprint("r", i), common, bad), second(i))
@@ -394,12 +432,26 @@
 	contactBound = 3 * time.Second
 )
 
-func (f *fleetPlay) crashServer(s int, now time.Time) {
-	for _, r := range f.running[s] {
-		f.instances[r.instance].RecordCrash(Crash{Server: fmt.Sprintf("i-%d/%d", s, f.lives[s]), Request: r.id, Parts: r.parts}, now)
+// crashServers crashes servers at the same moment. Each instance sees those that had its requests.
+func (f *fleetPlay) crashServers(now time.Time, servers ...int) {
+	seen := make(map[int][]string)
+	name := func(s int) string { return fmt.Sprintf("i-%d/%d", s, f.lives[s]) }
+	for _, s := range servers {
+		for _, r := range f.running[s] {
+			if !slices.Contains(seen[r.instance], name(s)) {
+				seen[r.instance] = append(seen[r.instance], name(s))
+			}
+		}
+	}
+	for _, s := range servers {
+		for _, r := range f.running[s] {
+			f.instances[r.instance].RecordCrash(Crash{Server: name(s), Request: r.id, Parts: r.parts, Beside: seen[r.instance]}, now)
+		}
+	}
+	for _, s := range servers {
+		f.running[s], f.upAt[s] = nil, now.Add(serverAway)
+		f.lives[s]++
 	}
-	f.running[s], f.upAt[s] = nil, now.Add(serverAway)
-	f.lives[s]++
 }
 
 // share writes what instances have to share and delivers what others wrote.
@@ -473,9 +525,12 @@
 				if crashed {
 					crashes = append(crashes, now)
 				}
-				f.crashServer(s, now)
+				f.crashServers(now, s)
 			}
 		}
+		if tick%400 == 200 {
+			f.crashServers(now, f.rnd.Perm(servers)[:max(1, servers/2)]...)
+		}
 		for range 2 + instances/2 {
 			f.send(tick, now, &badAfterBound, &soundRefused, &sound, crashes)
 		}
