Record the crashes of a moment together, and ignore those of many servers

In a large fleet a crash of all engines was evaluated once for each request on them, thousands of times, on a small share of a core. Crashes of eight and more servers at one moment are no evidence, because no request is sent to so many. A write that meets a conflict is repeated at once; a store that is away is logged once.

--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -46,8 +46,10 @@
 	kv       external.KV
 	tracker  *quarantine.Tracker
 	log      logrus.FieldLogger
-	// reportVersion is the version of this instance's report; used by Run only.
+	// reportVersion is the version of this instance's report, and failing is true while writes fail; both are
+	// used by Run only.
 	reportVersion uint64
+	failing       bool
 }
 
 // NewQuarantine returns a Quarantine that shares its state through kv.
@@ -87,20 +89,25 @@
 	if q.tracker.Active() {
 		next = quarantineTickInterval
 	}
-	if err := q.writeReport(ctx); err != nil {
-		q.log.WithError(err).Info("report of crashes not written yet")
-		next = quarantineRetryDelay
-	}
+	err := q.writeReport(ctx)
 	due, at := q.tracker.Writes(time.Now())
 	for i := range due {
-		if err := q.writeEntry(ctx, &due[i]); err != nil {
-			q.log.WithError(err).WithField("part", due[i].Entry.Name).Info("quarantine not written yet")
-			next = quarantineRetryDelay
-		}
+		err = errors.Join(err, q.writeEntry(ctx, &due[i]))
 	}
 	if !at.IsZero() {
 		next = min(next, max(time.Until(at), quarantineSpacing))
 	}
+	if err != nil {
+		next = quarantineRetryDelay
+	}
+	if failing := err != nil; failing != q.failing && ctx.Err() == nil {
+		q.failing = failing
+		if failing {
+			q.log.WithError(err).Warn("quarantine not written to the store; trying again")
+		} else {
+			q.log.Info("quarantine written to the store again")
+		}
+	}
 	return next
 }
 
@@ -123,13 +130,17 @@
 	if err != nil {
 		return err
 	}
-	version, err := q.write(ctx, reportsPrefix+q.instance, q.reportVersion, value, "", quarantine.ReportLifetime)
-	if err != nil {
-		// The key may be that of this instance's last run, or a write with an unknown outcome took effect.
+	key := reportsPrefix + q.instance
+	version, err := q.write(ctx, key, q.reportVersion, value, "", quarantine.ReportLifetime)
+	if errors.Is(err, external.ErrConflict) || errors.Is(err, external.ErrOutcomeUnknown) {
+		// The key is of this instance's last run, it has lapsed, or an earlier write took effect.
 		q.reportVersion = 0
-		if e, getErr := q.kv.Get(ctx, reportsPrefix+q.instance); getErr == nil {
+		if e, getErr := q.kv.Get(ctx, key); getErr == nil {
 			q.reportVersion = e.Version
 		}
+		version, err = q.write(ctx, key, q.reportVersion, value, "", quarantine.ReportLifetime)
+	}
+	if err != nil {
 		return err
 	}
 	q.reportVersion = version
@@ -277,15 +288,17 @@
 	for i, b := range crashed {
 		names[i] = fmt.Sprintf("%s/%d", b.server.ID, b.server.Born)
 	}
+	var crashes []quarantine.Crash
 	for i, b := range crashed {
 		for _, r := range b.requests {
 			c := quarantine.Crash{Server: names[i], Request: r.id, Beside: slices.Delete(slices.Clone(names), i, i+1)}
 			for n, id := range r.shared[:min(len(r.shared), len(r.parts))] {
 				c.Parts = append(c.Parts, quarantine.Part{ID: id, Name: r.parts[n]})
 			}
-			q.tracker.RecordCrash(c, now)
+			crashes = append(crashes, c)
 		}
 	}
+	q.tracker.RecordCrashes(crashes, now)
 }
 
 // causeQuarantined is the cause of refusals of requests with a quarantined part.
--- a/quarantine/moments.go
+++ b/quarantine/moments.go
@@ -6,7 +6,7 @@
 )
 
 // maxMoments limits the backend servers of which it is known what crashed with them.
-const maxMoments = 1024
+const maxMoments = 4096
 
 // moments tells which backend servers crashed together. Each instance sees only those that had its requests,
 // so that what several have seen is joined. The zero value is empty.
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -32,6 +32,9 @@
 	// answeredMemory is how long before a crash an answer still acquits a part: it is longer than the time
 	// between two answers with a part that many requests share.
 	answeredMemory = 10 * time.Second
+	// maxTogether is the number of servers from which crashes at one moment are no evidence: no request is
+	// sent to so many in a moment.
+	maxTogether = 8
 	// evidenceLifetime is how long a crash counts.
 	evidenceLifetime = 3 * time.Minute
 	// adoptDelay is how long an instance that has not seen the crashes itself leaves it to others to
@@ -240,12 +243,23 @@
 	t.logEvent(EventLifted, h.Entry)
 }
 
-// RecordCrash records a crash that this instance has seen. c.Parts must not contain the last part of the
-// prompt, which belongs to the request alone.
-func (t *Tracker) RecordCrash(c Crash, now time.Time) {
+// RecordCrashes records crashes that this instance has seen at one moment, one for each request that was on a
+// crashed server. Their parts must not contain the last part of a prompt, which belongs to the request alone.
+func (t *Tracker) RecordCrashes(crashes []Crash, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	c.Beside = c.Beside[:min(len(c.Beside), maxServersPerPart)]
+	for _, c := range crashes {
+		if len(c.Beside) < maxTogether {
+			t.recordCrash(c, now)
+		}
+	}
+	if t.reportChanged {
+		t.evaluate(now)
+		t.signal()
+	}
+}
+
+func (t *Tracker) recordCrash(c Crash, now time.Time) {
 	t.moments.join(c.Server, c.Beside, now)
 	var parts []Part
 	for i, p := range c.Parts[:min(len(c.Parts), maxPartsPerCrash)] {
@@ -264,8 +278,6 @@
 	t.report = append(t.report, ownCrash{c, now})
 	t.trimReport()
 	t.reportChanged = true
-	t.evaluate(now)
-	t.signal()
 }
 
 // trimReport keeps the newest crashes of the report.
--- a/quarantine/tracker_test.go
+++ b/quarantine/tracker_test.go
@@ -24,6 +24,8 @@
 	return Crash{Server: fmt.Sprintf("i-%d/1", server), Request: request, Parts: parts}
 }
 
+func record(t *Tracker, c Crash, now time.Time) { t.RecordCrashes([]Crash{c}, now) }
+
 func ids(parts ...Part) []uint64 {
 	out := make([]uint64, len(parts))
 	for i, p := range parts {
@@ -44,27 +46,27 @@
 		"three servers under one part": {func(tr *Tracker) {
 			tr.Answered(ids(common), start)
 			for i := range 3 {
-				tr.RecordCrash(crash(i, fmt.Sprint("r", i), common, bad), second(i))
+				record(tr, crash(i, fmt.Sprint("r", i), common, bad), second(i))
 			}
 		}, true, false},
 		"two servers": {func(tr *Tracker) {
 			for i := range 2 {
-				tr.RecordCrash(crash(i, fmt.Sprint("r", i), bad), second(i))
+				record(tr, crash(i, fmt.Sprint("r", i), bad), second(i))
 			}
 		}, false, false},
 		"one request on three servers": {func(tr *Tracker) {
 			for i := range 3 {
-				tr.RecordCrash(crash(i, "r", bad), second(i))
+				record(tr, crash(i, "r", bad), second(i))
 			}
 		}, false, false},
 		"three requests on one server": {func(tr *Tracker) {
 			for i := range 3 {
-				tr.RecordCrash(crash(1, fmt.Sprint("r", i), bad), start)
+				record(tr, crash(1, fmt.Sprint("r", i), bad), start)
 			}
 		}, false, false},
 		"answered between the crashes": {func(tr *Tracker) {
 			for i := range 5 {
-				tr.RecordCrash(crash(i, fmt.Sprint("r", i), bad), second(i))
+				record(tr, crash(i, fmt.Sprint("r", i), bad), second(i))
 				if i == 1 || i == 3 {
 					tr.Answered(ids(bad), second(i))
 				}
@@ -73,52 +75,65 @@
 		"answered shortly before the crashes": {func(tr *Tracker) {
 			tr.Answered(ids(common), start)
 			for i := range 6 {
-				tr.RecordCrash(crash(i, fmt.Sprint("r", i), common), second(1))
+				record(tr, crash(i, fmt.Sprint("r", i), common), second(1))
 			}
 		}, false, false},
 		"answered long before, four servers": {func(tr *Tracker) {
 			tr.Answered(ids(bad), start)
 			for i := range 4 {
-				tr.RecordCrash(crash(i, fmt.Sprint("r", i), bad), second(20+i))
+				record(tr, crash(i, fmt.Sprint("r", i), bad), second(20+i))
 			}
 		}, false, false},
 		"answered long before, five servers": {func(tr *Tracker) {
 			tr.Answered(ids(bad), start)
 			for i := range 5 {
-				tr.RecordCrash(crash(i, fmt.Sprint("r", i), bad), second(20+i))
+				record(tr, crash(i, fmt.Sprint("r", i), bad), second(20+i))
 			}
 		}, true, false},
 		"crashes long ago": {func(tr *Tracker) {
 			for i := range 3 {
-				tr.RecordCrash(crash(i, fmt.Sprint("r", i), bad), second(i*100))
+				record(tr, crash(i, fmt.Sprint("r", i), bad), second(i*100))
 			}
 		}, false, false},
 		"a part of all requests, nothing answered yet": {func(tr *Tracker) {
 			for i := range 3 {
-				tr.RecordCrash(crash(i, fmt.Sprint("r", i), common, bad), second(i))
-				tr.RecordCrash(crash(i, fmt.Sprint("s", i), common), second(i))
+				record(tr, crash(i, fmt.Sprint("r", i), common, bad), second(i))
+				record(tr, crash(i, fmt.Sprint("s", i), common), second(i))
 			}
 		}, true, false},
 		"the common part on further servers": {func(tr *Tracker) {
 			for i := range 6 {
-				tr.RecordCrash(crash(i, fmt.Sprint("r", i), common, bad), second(i))
-				tr.RecordCrash(crash(i, fmt.Sprint("s", i), common), second(i))
+				record(tr, crash(i, fmt.Sprint("r", i), common, bad), second(i))
+				record(tr, crash(i, fmt.Sprint("s", i), common), second(i))
 			}
 		}, true, false},
 		"one of two servers that crash together, five times": {func(tr *Tracker) {
 			for i := range 5 {
 				c := crash(i, fmt.Sprint("r", i), bad)
 				c.Beside = []string{fmt.Sprintf("i-%d/1", 100+i)}
-				tr.RecordCrash(c, second(i))
+				record(tr, c, second(i))
 			}
 		}, false, false},
 		"both servers that crash together, three times": {func(tr *Tracker) {
 			for i := range 6 {
 				c := crash(i, fmt.Sprint("r", i), bad)
 				c.Beside = []string{fmt.Sprintf("i-%d/1", i^1)}
-				tr.RecordCrash(c, second(i/2))
+				record(tr, c, second(i/2))
 			}
 		}, true, false},
+		"many servers that crash together, ten times": {func(tr *Tracker) {
+			for i := range 10 {
+				var beside []string
+				for n := range maxTogether {
+					beside = append(beside, fmt.Sprintf("i-%d/1", 100*(i+1)+n))
+				}
+				for n := range maxTogether {
+					c := crash(100*(i+1)+n, fmt.Sprint("r", i, n), bad)
+					c.Beside = beside
+					record(tr, c, second(i))
+				}
+			}
+		}, false, false},
 		"servers that crash together, twice": {func(tr *Tracker) {
 			for i := range 8 {
 				c := crash(i, fmt.Sprint("r", i), bad)
@@ -126,31 +141,31 @@
 				if i >= 4 {
 					c.Beside = []string{"i-4/1", "i-5/1", "i-6/1", "i-7/1"}
 				}
-				tr.RecordCrash(c, second(i/4))
+				record(tr, c, second(i/4))
 			}
 		}, false, false},
 		"servers that crash together as two instances see it": {func(tr *Tracker) {
 			for i, beside := range [][]string{{"i-1/1"}, {"i-0/1"}, {"i-3/1"}, {"i-2/1"}} {
 				c := crash(i, fmt.Sprint("r", i), bad)
 				c.Beside = beside
-				tr.RecordCrash(c, second(1))
+				record(tr, c, second(1))
 			}
 			c := crash(1, "other", rare)
 			c.Beside = []string{"i-2/1"}
 			tr.MergeReport("b", &Report{Session: 2, Crashes: []Crash{c}}, second(1))
 			c.Sequence, c.Beside = 1, []string{"i-2/1"}
 			tr.MergeReport("b", &Report{Session: 2, Crashes: []Crash{c}}, second(1))
-			tr.RecordCrash(crash(9, "r9", bad), second(2))
+			record(tr, crash(9, "r9", bad), second(2))
 		}, false, false},
 		"only requests with both parts": {func(tr *Tracker) {
 			for i := range 3 {
-				tr.RecordCrash(crash(i, fmt.Sprint("r", i), common, bad), second(i))
+				record(tr, crash(i, fmt.Sprint("r", i), common, bad), second(i))
 			}
 		}, true, false},
 		"another part crashes other servers": {func(tr *Tracker) {
 			for i := range 3 {
-				tr.RecordCrash(crash(i, fmt.Sprint("r", i), bad), second(i))
-				tr.RecordCrash(crash(10+i, fmt.Sprint("s", i), common), second(i))
+				record(tr, crash(i, fmt.Sprint("r", i), bad), second(i))
+				record(tr, crash(10+i, fmt.Sprint("s", i), common), second(i))
 			}
 		}, true, true},
 	} {
@@ -171,7 +186,7 @@
 func quarantined(t *testing.T) *Tracker {
 	tr := New("a", 1)
 	for i := range 3 {
-		tr.RecordCrash(crash(i, fmt.Sprint("r", i), bad), start)
+		record(tr, crash(i, fmt.Sprint("r", i), bad), start)
 	}
 	require.True(t, blocked(tr, bad, start))
 	return tr
@@ -198,7 +213,7 @@
 	require.Empty(t, tr.Check(ids(bad), now).Due)
 	require.Equal(t, 2*firstTerm, tr.Check(ids(bad), now).RetryAfter)
 
-	tr.RecordCrash(crash(9, "probe", bad), now)
+	record(tr, crash(9, "probe", bad), now)
 	require.True(t, blocked(tr, bad, now.Add(2*firstTerm-time.Second)))
 	now = now.Add(2 * firstTerm)
 	w, ok = tr.ProbeWrite(bad.ID, now)
@@ -221,7 +236,7 @@
 func TestProbesOfSeveralParts(t *testing.T) {
 	tr := quarantined(t)
 	for i := range 3 {
-		tr.RecordCrash(crash(20+i, fmt.Sprint("q", i), rare), start.Add(time.Second))
+		record(tr, crash(20+i, fmt.Sprint("q", i), rare), start.Add(time.Second))
 	}
 	now := start.Add(firstTerm)
 	require.Equal(t, []Part{bad}, tr.Check(ids(bad), now).Due)
@@ -284,7 +299,7 @@
 	t.Run("a part is quarantined again after it was lifted", func(t *testing.T) {
 		b.MergeEntry(Entry{Part: bad, Lifted: true}, 9, later)
 		for i := range 3 {
-			b.RecordCrash(crash(30+i, fmt.Sprint("x", i), bad), later)
+			record(b, crash(30+i, fmt.Sprint("x", i), bad), later)
 		}
 		require.True(t, blocked(b, bad, later))
 		due, _ := b.Writes(later)
@@ -297,7 +312,7 @@
 	var reports []Report
 	for i := range 3 {
 		tr := New(fmt.Sprint("n", i), 1)
-		tr.RecordCrash(crash(i, fmt.Sprint("r", i), bad), start)
+		record(tr, crash(i, fmt.Sprint("r", i), bad), start)
 		r, sequence, changed := tr.Report(start)
 		require.True(t, changed)
 		tr.ReportWritten(sequence)
@@ -332,7 +347,7 @@
 	require.Empty(t, tr.suspects, "its own report")
 
 	tr = New("n0", 1)
-	tr.RecordCrash(crash(1, "r", bad, rare), start)
+	record(tr, crash(1, "r", bad, rare), start)
 	tr.Answered(ids(rare), start.Add(time.Second))
 	r, _, _ := tr.Report(start.Add(time.Second))
 	require.Equal(t, []Part{bad}, r.Crashes[0].Parts, "an answered part is no longer reported")
@@ -345,7 +360,7 @@
 	tr := New("a", 1)
 	for i := range 5000 {
 		p := Part{uint64(100 + i), strings.Repeat("n", 500)}
-		tr.RecordCrash(crash(i, "r", p), start)
+		record(tr, crash(i, "r", p), start)
 		tr.MergeReport(fmt.Sprint("n", i), &Report{Session: 1, Crashes: []Crash{{Sequence: 1, Server: "s", Request: "r", Parts: []Part{p}}}}, start)
 		tr.Answered([]uint64{uint64(1 << 40 * (i + 1))}, start)
 	}
@@ -364,18 +379,18 @@
 		many[i] = Part{uint64(5_000_000 + i), "m"}
 	}
 	for i := range 20 {
-		tr.RecordCrash(crash(i, "r", many...), start)
+		record(tr, crash(i, "r", many...), start)
 	}
 	r, _, _ = tr.Report(start)
 	require.Len(t, r.Crashes, maxPartsReported/maxPartsPerCrash)
 	// A part with several crashes is not dropped for new ones.
 	tr = New("a", 1)
-	tr.RecordCrash(crash(1, "r1", bad), start)
-	tr.RecordCrash(crash(2, "r2", bad), start)
+	record(tr, crash(1, "r1", bad), start)
+	record(tr, crash(2, "r2", bad), start)
 	for i := range 1000 {
-		tr.RecordCrash(crash(3, "r", Part{uint64(100 + i), "x"}), start.Add(time.Second))
+		record(tr, crash(3, "r", Part{uint64(100 + i), "x"}), start.Add(time.Second))
 	}
-	tr.RecordCrash(crash(4, "r3", bad), start.Add(2*time.Second))
+	record(tr, crash(4, "r3", bad), start.Add(2*time.Second))
 	require.True(t, blocked(tr, bad, start.Add(2*time.Second)))
 }
 
@@ -445,7 +460,7 @@
 	}
 	for _, s := range servers {
 		for _, r := range f.running[s] {
-			f.instances[r.instance].RecordCrash(Crash{Server: name(s), Request: r.id, Parts: r.parts, Beside: seen[r.instance]}, now)
+			record(f.instances[r.instance], Crash{Server: name(s), Request: r.id, Parts: r.parts, Beside: seen[r.instance]}, now)
 		}
 	}
 	for _, s := range servers {
