--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -31,8 +31,8 @@
 	// quarantineSpacing is the least time between two rounds of writes, so that the crashes of one moment
 	// share a write.
 	quarantineSpacing = 50 * time.Millisecond
-	// quarantineRetryDelay is the delay after a round that failed, and expireInterval that between
-	// rounds while there is anything to expire.
+	// quarantineRetryDelay is the delay after a round that failed, and quarantineTickInterval that between
+	// rounds while there is anything that expires.
 	quarantineRetryDelay   = 400 * time.Millisecond
 	quarantineTickInterval = time.Second
 	// maxQuarantineRecord limits a record of another instance, in bytes.
--- a/quarantine/records.go
+++ b/quarantine/records.go
@@ -79,6 +79,7 @@
 
 const (
 	maxNameBytes       = 64
+	maxIDBytes         = 128
 	maxPartsPerCrash   = 16
 	maxCrashesReported = 32
 	maxPartsReported   = 64
@@ -95,10 +96,10 @@
 	}
 	for i := range r.Crashes {
 		c := &r.Crashes[i]
-		if len(c.Beside) > maxServersPerPart || slices.ContainsFunc(c.Beside, func(s string) bool { return len(s) > 2*maxNameBytes }) {
+		if len(c.Beside) > maxServersPerPart || slices.ContainsFunc(c.Beside, func(s string) bool { return len(s) > maxIDBytes }) {
 			return fmt.Errorf("%w: crash %d beside %d others, or with names that are too long", ErrInvalid, c.Sequence, len(c.Beside))
 		}
-		if len(c.Parts) > maxPartsPerCrash || len(c.Server) > 2*maxNameBytes || len(c.Request) > 2*maxNameBytes {
+		if len(c.Parts) > maxPartsPerCrash || len(c.Server) > maxIDBytes || len(c.Request) > maxIDBytes {
 			return fmt.Errorf("%w: crash %d has %d parts or names that are too long", ErrInvalid, c.Sequence, len(c.Parts))
 		}
 		for _, p := range c.Parts {
@@ -116,7 +117,7 @@
 		return fmt.Errorf("%w: entry of part %q with %d probes and %d servers", ErrInvalid, e.Name[:min(len(e.Name), maxNameBytes)], e.Probes, len(e.Servers))
 	}
 	for _, s := range e.Servers {
-		if len(s) > 2*maxNameBytes {
+		if len(s) > maxIDBytes {
 			return fmt.Errorf("%w: name of a server has %d bytes", ErrInvalid, len(s))
 		}
 	}
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -261,18 +261,21 @@
 
 func (t *Tracker) recordCrash(c Crash, now time.Time) {
 	t.moments.join(c.Server, c.Beside, now)
+	c.Request = c.Request[:min(len(c.Request), maxIDBytes)]
 	var parts []Part
-	for i, p := range c.Parts[:min(len(c.Parts), maxPartsPerCrash)] {
+	for _, p := range c.Parts {
 		p.Name = p.Name[:min(len(p.Name), maxNameBytes)]
 		if !t.answeredLately(p.ID, now) {
 			parts = append(parts, p)
-			t.addEvidence(p, c.Server, observation{request: c.Request, at: now, own: true, position: i}, now)
 		}
 	}
 	if len(parts) == 0 {
 		return
 	}
-	c.Parts = parts
+	c.Parts = parts[max(0, len(parts)-maxPartsPerCrash):]
+	for i, p := range c.Parts {
+		t.addEvidence(p, c.Server, observation{request: c.Request, at: now, own: true, position: i}, now)
+	}
 	t.sequence++
 	c.Sequence = t.sequence
 	t.report = append(t.report, ownCrash{c, now})
@@ -296,8 +299,8 @@
 func (t *Tracker) addEvidence(p Part, server string, o observation, now time.Time) {
 	if h := t.entries[p.ID]; h != nil && !h.Lifted {
 		// The crash is explained by the part from now on, also against other parts.
-		if len(h.Servers) < maxServersPerPart && !slices.Contains(h.Servers, server) {
-			h.Servers = append(h.Servers, server)
+		if !slices.Contains(h.Servers, server) {
+			h.Servers = append(h.Servers[max(0, len(h.Servers)+1-maxServersPerPart):], server)
 		}
 		return
 	}
--- a/quarantine/tracker_test.go
+++ b/quarantine/tracker_test.go
@@ -383,6 +383,16 @@
 	}
 	r, _, _ = tr.Report(start)
 	require.Len(t, r.Crashes, maxPartsReported/maxPartsPerCrash)
+	long := crash(1, strings.Repeat("r", 1000), many...)
+	record(tr, long, start)
+	r, _, _ = tr.Report(start)
+	require.NoError(t, r.Validate())
+	tr = quarantined(t)
+	for i := range 100 {
+		record(tr, crash(i, "r", bad), start)
+	}
+	due, _ := tr.Writes(start)
+	require.NoError(t, due[0].Entry.Validate())
 	// A part with several crashes is not dropped for new ones.
 	tr = New("a", 1)
 	record(tr, crash(1, "r1", bad), start)
