--- a/gateway/feed.go
+++ b/gateway/feed.go
@@ -108,31 +108,32 @@
 	}
 }
 
-// list loads the current state and returns the revision from which to watch.
+// allKeys is the prefix of all keys.
+const allKeys = ""
+
+// list loads the current state with one list, because each is a billed call, and returns the revision from
+// which to watch.
 func (f *StoreWatcher) list(ctx context.Context) (uint64, error) {
-	config, revision, err := f.source.List(ctx, f.source.ConfigKey())
+	entries, revision, err := f.source.List(ctx, allKeys)
 	if err != nil {
 		return 0, err
 	}
-	for _, e := range config {
-		f.applyConfig(external.KVEvent{KVEntry: e})
-	}
-	servers, _, err := f.source.List(ctx, f.source.ServersPrefix())
-	if err != nil {
-		return 0, err
+	var servers, records []external.KVEntry
+	for _, e := range entries {
+		switch {
+		case e.Key == f.source.ConfigKey():
+			f.applyConfig(external.KVEvent{KVEntry: e})
+		case strings.HasPrefix(e.Key, f.source.ServersPrefix()):
+			servers = append(servers, e)
+		case strings.HasPrefix(e.Key, quarantinePrefix):
+			records = append(records, e)
+		}
 	}
 	f.replaceServers(servers)
-	records, _, err := f.source.List(ctx, quarantinePrefix)
-	if err != nil {
-		return 0, err
-	}
 	f.quarantine.replace(records)
 	return revision, nil
 }
 
-// allKeys is the prefix of all keys.
-const allKeys = ""
-
 func (f *StoreWatcher) watch(ctx context.Context, revision uint64) {
 	for ctx.Err() == nil {
 		events, next, err := f.source.Watch(ctx, allKeys, revision)
