--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"bufio"
+	"io"
 	"net/http"
 	"testing"
 
@@ -46,3 +48,31 @@
 		})
 	}
 }
+
+// repeated is an endless body that repeats a text.
+type repeated struct {
+	text string
+	read int
+}
+
+func (r *repeated) Read(b []byte) (int, error) {
+	for i := range b {
+		b[i] = r.text[(r.read+i)%len(r.text)]
+	}
+	r.read += len(b)
+	return len(b), nil
+}
+
+// Guards against an event without end, which would fill the memory of the process.
+func TestEndlessEventsAreBounded(t *testing.T) {
+	for name, text := range map[string]string{"line": "x", "lines": "data: x\n", "comments": ": x\n"} {
+		t.Run(name, func(t *testing.T) {
+			body := &repeated{text: text}
+			reader := &eventReader{br: bufio.NewReaderSize(io.MultiReader(body), streamBufferSize)}
+			_, _, err := reader.next()
+			require.ErrorIs(t, err, errEventTooLarge)
+			require.LessOrEqual(t, body.read, maxEventSize+2*streamBufferSize)
+			require.LessOrEqual(t, cap(reader.buf), 4*maxEventSize)
+		})
+	}
+}
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -298,35 +298,64 @@
 	}
 	for name, head := range heads {
 		t.Run(name, func(t *testing.T) {
-			written := make(chan int64, 1)
-			addr := startServer(t, func(c *net.TCPConn, br *bufio.Reader) {
-				_ = c.SetWriteBuffer(16 << 10)
-				_, _ = readRequest(br)
-				n, _ := io.WriteString(c, head[0])
-				total, chunk := int64(n), strings.Repeat(head[1], 4096/len(head[1]))
-				for total < 64<<20 {
-					n, err := io.WriteString(c, chunk)
-					total += int64(n)
-					if err != nil {
-						break
-					}
-				}
-				written <- total
-			})
-			counted := int64(0)
-			p := upstream.NewPoolWithDial(func(ctx context.Context, network, addr string) (net.Conn, error) {
-				c, err := (&net.Dialer{}).DialContext(ctx, network, addr)
-				return &countingConn{Conn: c, read: &counted}, err
-			})
-			defer p.Close()
-			_, err := post(p, addr, "1", "")
+			counted, err := postToEndless(t, head[0], head[1])
 			require.ErrorIs(t, err, upstream.ErrExchangeFailed)
-			require.Less(t, <-written, int64(64<<20), "the connection was not closed")
 			require.Less(t, counted, int64(maxRead))
 		})
 	}
 }
 
+// Guards against endless bytes behind a sound head: in what frames the body, or in a response that is skipped.
+func TestEndlessFramingIsBounded(t *testing.T) {
+	const chunked = "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for name, tc := range map[string]struct {
+		start, repeated string
+		maxRead         int64
+	}{
+		"chunk size":      {chunked, "0", 256 << 10},
+		"chunk extension": {chunked + "4;", "x", 256 << 10},
+		"trailer line":    {chunked + "0\r\nA: ", "b", 256 << 10},
+		"trailer run":     {chunked + "0\r\n", "Name: value\r\n", 256 << 10},
+		"skipped body":    {"HTTP/1.1 200 OK\r\nId: other\r\n\r\n", "x", 2 << 20},
+		"skipped chunks":  {"HTTP/1.1 200 OK\r\nId: other\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n", 16 << 20},
+	} {
+		t.Run(name, func(t *testing.T) {
+			counted, err := postToEndless(t, tc.start, tc.repeated)
+			require.Error(t, err)
+			require.Less(t, counted, tc.maxRead)
+		})
+	}
+}
+
+// postToEndless sends a request to a server that responds with start and then with repeated until the
+// connection is closed. It returns the number of bytes that were read and the error of the request.
+func postToEndless(t *testing.T, start, repeated string) (int64, error) {
+	written := make(chan int64, 1)
+	addr := startServer(t, func(c *net.TCPConn, br *bufio.Reader) {
+		_ = c.SetWriteBuffer(16 << 10)
+		_, _ = readRequest(br)
+		n, _ := io.WriteString(c, start)
+		total, chunk := int64(n), strings.Repeat(repeated, 4096/len(repeated))
+		for total < 64<<20 {
+			n, err := io.WriteString(c, chunk)
+			total += int64(n)
+			if err != nil {
+				break
+			}
+		}
+		written <- total
+	})
+	counted := int64(0)
+	p := upstream.NewPoolWithDial(func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := (&net.Dialer{}).DialContext(ctx, network, addr)
+		return &countingConn{Conn: c, read: &counted}, err
+	})
+	defer p.Close()
+	_, err := post(p, addr, "1", "")
+	require.Less(t, <-written, int64(64<<20), "the connection was not closed")
+	return counted, err
+}
+
 // countingConn counts the bytes that are read.
 type countingConn struct {
 	net.Conn
