--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -9,8 +9,6 @@
 	"strconv"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"github.com/quetzallug/quetzallug/route"
 )
 
@@ -415,71 +413,6 @@
 	q.w.WriteHeader(status)
 }
 
-// logAttempt logs an attempt that did not answer the request. Successful attempts are logged by
-// finish only.
-func (q *request) logAttempt(c *choice, res attemptResult, sentAt time.Time) {
-	f := logrus.Fields{
-		"request": q.metadata.ID, "route": q.route.Name, "service": q.service, "config": q.configVersion, "attempt": q.sends + q.connectFailures + 1,
-		"result": res.String(), "cause": q.cause, "took_ms": time.Since(sentAt).Milliseconds(), "choice": c.reason,
-		"events": q.events, "left_ms": time.Until(q.deadline).Milliseconds(), "budget_left": int(q.g.retryBudget(q.service).Remaining(time.Now())),
-	}
-	if c.server != nil {
-		f["server"] = c.server.ID
-	}
-	if c.prefillServer != nil {
-		f["reader"] = c.prefillServer.ID
-	}
-	q.addStreamFields(f)
-	if res == resultUnknown && len(q.metadata.Parts) > 0 {
-		f["parts"] = q.g.codec.PartNames(q.r)
-	}
-	q.g.log.WithFields(f).Info("attempt")
-}
-
-// addStreamFields adds how the last stream was framed and how many bytes followed its last event.
-func (q *request) addStreamFields(f logrus.Fields) {
-	if q.framing != "" {
-		f["framing"], f["tail_bytes"] = q.framing, q.tailBytes
-	}
-}
-
-// finish records and logs the end of a request.
-func (q *request) finish(outcome, cause string) {
-	elapsed := time.Since(q.started)
-	name := ""
-	if q.route != nil {
-		name = q.route.Name
-	}
-	kind := q.kind()
-	q.g.metrics.Request(q.service, kind, outcome, elapsed)
-	if q.timeToFirst > 0 {
-		q.g.metrics.FirstEvent(q.service, kind, q.timeToFirst)
-	}
-	f := logrus.Fields{
-		"request": q.metadata.ID, "route": name, "service": q.service, "config": q.configVersion, "outcome": outcome,
-		"elapsed_ms": elapsed.Milliseconds(), "first_ms": q.timeToFirst.Milliseconds(), "sends": q.sends, "runs": q.runs,
-		"expected_ms": q.lastChoice.timeToFirst.Milliseconds(), "wait_ms": q.lastChoice.wait.Milliseconds(), "unread": int(q.lastChoice.uncachedTokens), "prompt": q.metadata.PromptTokens, "choice": q.lastChoice.reason, "considered": q.lastChoice.considered,
-	}
-	if q.lastChoice.server != nil {
-		f["server"] = q.lastChoice.server.ID
-	}
-	if q.lastChoice.prefillServer != nil {
-		f["reader"] = q.lastChoice.prefillServer.ID
-		f["read_ms"] = q.prefillElapsed.Milliseconds()
-	}
-	if cause != "" {
-		f["cause"] = cause
-	}
-	if q.events > 0 {
-		f["events"] = q.events
-	}
-	if q.quarantinedPart != "" {
-		f["part"] = q.quarantinedPart
-	}
-	q.addStreamFields(f)
-	q.g.log.WithFields(f).Info("request")
-}
-
 // Kinds of requests.
 const (
 	kindUnknown    = "unknown" // no route
