--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -160,10 +160,10 @@
 }
 
 // New returns a Gateway.
-func New(cfg Config, codec Codec, tables *route.ActiveTable, roster *Roster, pool *upstream.Pool, quarantined *Quarantine, m Metrics, log logrus.FieldLogger) *Gateway {
+func New(cfg Config, codec Codec, tables *route.ActiveTable, roster *Roster, pool *upstream.Pool, q *Quarantine, m Metrics, log logrus.FieldLogger) *Gateway {
 	return &Gateway{
 		cfg: cfg, codec: codec, tables: tables, roster: roster, pool: pool, decider: NewDecider(cfg.DataCentre, roster, rand.Float64),
-		crashes: newCrashWatch(pool.Probe, quarantined.recordCrashes, m, log), quarantine: quarantined, metrics: m, log: log, retryBudgets: make(map[string]*retry.WindowBudget),
+		crashes: newCrashWatch(pool.Probe, q.recordCrashes, m, log), quarantine: q, metrics: m, log: log, retryBudgets: make(map[string]*retry.WindowBudget),
 	}
 }
 
--- a/test/site/quarantine_test.go
+++ b/test/site/quarantine_test.go
@@ -90,10 +90,12 @@
 					})
 				}
 				for round := range 4 {
-					responses := make([]*response, 16)
+					responses := make([]*response, 24)
 					var calls sync.WaitGroup
 					for i := range responses {
 						calls.Go(func() { responses[i] = env.callCrashing(n, 100*round+i) })
+						// Far enough apart that crashes would not count as one moment.
+						time.Sleep(60 * time.Millisecond)
 					}
 					calls.Wait()
 					for _, r := range responses {
