--- a/test/site/crashingpart_test.go
+++ b/test/site/crashingpart_test.go
@@ -75,16 +75,15 @@
 	}
 	host := f.env.newHost(id)
 	var once sync.Once
-	var srv *http.Server
 	var wk *site.Worker
 	wk = site.NewWorker(site.WorkerConfig{
 		ID: id, Service: "llm", Address: address, Zone: "z", Slots: 48, Stage: stage, ServiceTime: 5 * time.Millisecond,
 		PrefillTimePerToken: 4 * time.Microsecond, RoleSwitch: 3 * time.Second,
 		Fault: f.fault(func() {
-			once.Do(func() { time.AfterFunc(crashDelay, func() { f.crash(wk, host, srv, address, stage) }) })
+			once.Do(func() { time.AfterFunc(crashDelay, func() { f.crashNow(wk) }) })
 		}),
 	})
-	srv = f.env.serve(host, address, wk)
+	srv := f.env.serve(host, address, wk)
 	f.env.mu.Lock()
 	f.env.workers = append(f.env.workers, wk)
 	f.env.mu.Unlock()
@@ -130,6 +129,16 @@
 	return f.harmlessAfter > 0 && len(f.crashes) >= f.harmlessAfter
 }
 
+// crashNow crashes a worker, unless it has crashed before.
+func (f *fragileFleet) crashNow(wk *site.Worker) {
+	f.mu.Lock()
+	crash := f.living[wk]
+	f.mu.Unlock()
+	if crash != nil {
+		crash()
+	}
+}
+
 func (f *fragileFleet) crash(wk *site.Worker, host *memnet.Host, srv *http.Server, address, stage string) {
 	f.mu.Lock()
 	delete(f.living, wk)
--- a/test/site/quarantine_test.go
+++ b/test/site/quarantine_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -116,10 +117,10 @@
 		f := newFragileFleet(env, 6, nil)
 		nodes := []*gatewayNode{env.addGateway("edge-1"), env.addGateway("edge-2")}
 		f.settleRoles()
-		count := 0
+		var count atomic.Int64
 		call := func() *response {
-			count++
-			return env.call(nodes[count%2], request{path: pathStream + "x", prompt: fmt.Sprintf("f0:50,m%d:60,u%d:100", count%10, count), events: 8})
+			n := count.Add(1)
+			return env.call(nodes[n%2], request{path: pathStream + "x", prompt: fmt.Sprintf("f0:50,m%d:60,u%d:100", n%10, n), events: 8})
 		}
 		for range 4 {
 			served := 0
--- a/test/site/world_test.go
+++ b/test/site/world_test.go
@@ -11,6 +11,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -85,6 +86,8 @@
 	srv := &http.Server{Handler: handler, ErrorLog: nil}
 	l := env.net.Listen(h, addr)
 	go func() { _ = srv.Serve(l) }()
+	env.mu.Lock()
+	defer env.mu.Unlock()
 	env.cleanups = append(env.cleanups, func() { _ = srv.Close() })
 	return srv
 }
@@ -297,8 +300,11 @@
 
 // runsOf returns the runs of a request on all workers, without prefills.
 func (env *testEnv) runsOf(id string) []site.Run {
+	env.mu.Lock()
+	workers := slices.Clone(env.workers)
+	env.mu.Unlock()
 	var out []site.Run
-	for _, wk := range env.workers {
+	for _, wk := range workers {
 		for _, r := range wk.Runs() {
 			if r.ID == id && !r.Prefill {
 				out = append(out, r)
