--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -26,10 +26,10 @@
 
 var cases = map[string]play{
 	"same-address":    playSameAddress,
-	"spliced-stream":  playSplicedStream,
 	"drained-decoder": playDrainedDecoder,
 	"leaving-callers": playLeavingCallers,
 	"large-bodies":    playLargeBodies,
+	"late-beat":       playLateBeat,
 }
 
 func main() { os.Exit(run()) }
