--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -27,14 +27,17 @@
 var cases = map[string]play{
 	"same-address":    playSameAddress,
 	"drained-decoder": playDrainedDecoder,
-	"leaving-callers": playLeavingCallers,
 	"large-bodies":    playLargeBodies,
 	"late-beat":       playLateBeat,
+	"unframed-crash":  playUnframedCrash,
 }
 
 func main() { os.Exit(run()) }
 
 func run() int {
+	if len(os.Args) == 4 && os.Args[1] == workerProcess {
+		return runWorkerProcess(os.Args[2], os.Args[3])
+	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin CASE FOLDER")
 		return exitNotRun
--- a/review/standin/streams.go
+++ b/review/standin/streams.go
@@ -61,7 +61,7 @@
 		drainBound = 2 * time.Second
 		// linger is how much longer than the bound a draining worker serves.
 		linger       = 1500 * time.Millisecond
-		rounds       = 6
+		rounds       = 11
 		roundTime    = 9 * time.Second
 		slowFor      = 5 * time.Second
 		slowBy       = 4
