--- a/review/standin/unframed.go
+++ b/review/standin/unframed.go
@@ -19,16 +19,31 @@
 	"github.com/quetzallug/quetzallug/standin/site"
 )
 
-// The streams of the worker processes.
+// The answers of the worker processes: streams, and plain ones that come in a few parts.
 const (
 	unframedEvents   = 40
 	unframedInterval = 20 * time.Millisecond
+	plainParts       = 4
+	plainInterval    = 10 * time.Millisecond
 	// workerProcess is the first argument of a worker process; its ID and the address to listen on follow.
 	workerProcess = "worker-process"
 )
 
-// runWorkerProcess is a worker in a process of its own. Its answers are streams that have no length and end with their
-// channel. It writes to its output the address that it listens on, and a line for each run that begins and ends.
+// plainPart returns a part of a plain answer of 800 bytes.
+func plainPart(id string, n int) string {
+	return fmt.Sprintf("%-199s\n", fmt.Sprintf("part %d of %s", n, id))
+}
+
+// wholePlain returns a whole plain answer.
+func wholePlain(id string) string {
+	var b strings.Builder
+	for n := range plainParts {
+		b.WriteString(plainPart(id, n))
+	}
+	return b.String()
+}
+
+// runWorkerProcess is a worker in a process of its own. Its answers have no length and end with their channel. It writes to its output the address that it listens on, and a line for each run that begins and ends.
 func runWorkerProcess(id, address string) int {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
@@ -61,29 +76,38 @@
 		return
 	}
 	fmt.Println("runs", request)
-	_, err = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n",
-		header("Attempt-Id"), request, header("Response-Signature"), site.Signature(id, request))
-	for n := 1; err == nil && n <= unframedEvents; n++ {
-		time.Sleep(unframedInterval)
-		_, err = io.WriteString(c, site.Event(request, n))
+	parts, interval, contentType, part := unframedEvents, unframedInterval, "text/event-stream", func(n int) string { return site.Event(request, n+1) }
+	if strings.HasPrefix(r.URL.Path, orderPrefix) {
+		parts, interval, contentType, part = plainParts, plainInterval, "text/plain", func(n int) string { return plainPart(request, n) }
+	}
+	_, err = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\nContent-Type: %s\r\nConnection: close\r\n\r\n",
+		header("Attempt-Id"), request, header("Response-Signature"), site.Signature(id, request), contentType)
+	for n := 0; err == nil && n < parts; n++ {
+		time.Sleep(interval)
+		_, err = io.WriteString(c, part(n))
 	}
 	fmt.Println("ends", request, err == nil)
 }
 
+const (
+	orderPrefix  = "/order/"
+	streamPrefix = "/ask/"
+)
+
 // process is a worker process as the script knows it.
 type process struct {
-	s           *system
-	id, address string
-	cmd         *exec.Cmd
+	s                    *system
+	id, address, service string
+	cmd                  *exec.Cmd
 }
 
 // startProcess starts a worker process and registers it.
-func (s *system) startProcess(id, address string, ran *runs) (*process, error) {
+func (s *system) startProcess(id, address, service string, ran *runs) (*process, error) {
 	self, err := os.Executable()
 	if err != nil {
 		return nil, err
 	}
-	p := &process{s: s, id: id, cmd: exec.Command(self, workerProcess, id, address)}
+	p := &process{s: s, id: id, service: service, cmd: exec.Command(self, workerProcess, id, address)}
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	out, err := p.cmd.StdoutPipe()
 	if err != nil {
@@ -107,10 +131,10 @@
 		}
 	}()
 	s.store.Put(path.Join("servers", id), map[string]any{
-		"service": "llm", "address": p.address, "zone": "z", "version": "v1", "slots": 48, "state": "ready", "cold-remaining-ms": 0,
+		"service": service, "address": p.address, "zone": "z", "version": "v1", "slots": 48, "state": "ready", "cold-remaining-ms": 0,
 		"seq": 1, "born": time.Now().UnixMilli(),
 	})
-	s.note("worker %s at %s registers, process %d", id, p.address, p.cmd.Process.Pid)
+	s.note("worker %s of %s at %s registers, process %d", id, service, p.address, p.cmd.Process.Pid)
 	return p, nil
 }
 
@@ -122,13 +146,13 @@
 	}
 }
 
-// playUnframedCrash kills a worker process in the middle of streams that have no length and end with their channel. A
-// client may get a stream that ends early, but none that looks complete.
+// playUnframedCrash kills a worker process in the middle of answers that have no length and end with their channel. A
+// client may get an answer that ends early, but none that looks complete.
 func playUnframedCrash(s *system) (bool, error) {
 	const (
-		workers  = 4
+		workers  = 4 // of each service
 		gateways = 2
-		crashes  = 8
+		crashes  = 10
 		// Every so often a worker crashes. It is down for downFor; then one starts at its address, under another ID.
 		crashEvery = 5 * time.Second
 		downFor    = 2 * time.Second
@@ -139,10 +163,11 @@
 		return false, err
 	}
 	ran := &runs{}
-	all := make([]*process, workers)
+	// The services take turns: every other worker is one of llm.
+	all := make([]*process, 2*workers)
 	for i := range all {
 		var err error
-		if all[i], err = s.startProcess(fmt.Sprintf("i-%d", i), s.address(100+i)+":0", ran); err != nil {
+		if all[i], err = s.startProcess(fmt.Sprintf("i-%d", i), s.address(100+i)+":0", []string{"llm", "api"}[i%2], ran); err != nil {
 			return false, err
 		}
 	}
@@ -150,48 +175,67 @@
 		return false, err
 	}
 	var wg sync.WaitGroup
-	var whole, cut, others, wrong atomic.Int64
+	results := map[string]*unframedCounts{streamPrefix: {}, orderPrefix: {}}
 	end := time.Now().Add((crashes + 1) * crashEvery)
 	for _, g := range s.gateways {
-		c := &channels{address: g.front}
-		wg.Go(func() {
-			for time.Now().Before(end) {
-				wg.Go(func() {
-					a := c.do(&call{method: http.MethodPost, target: "/ask/a", limit: 5 * time.Second, header: prompt(79, 141, unframedEvents), body: "b"})
-					want := wholeStream(a.id, unframedEvents)
-					s.note("client got %d for %s, %d bytes of %d (%v)", a.status, a.id, len(a.body), len(want), a.err)
-					switch {
-					case a.err == nil && a.status == http.StatusOK && a.body == want:
-						whole.Add(1)
-					case a.err == nil && a.status == http.StatusOK:
-						wrong.Add(1)
-						s.note("ORDER: %s ended as complete (length %q, signature %q) after %d of %d events; it ran on %s", a.id, a.header.Get("Content-Length"), a.header.Get(header("Response-Signature")),
-							strings.Count(a.body, "\n\n"), unframedEvents, strings.Join(ran.of(a.id), " and "))
-					case a.status == http.StatusOK:
-						cut.Add(1)
-					default:
-						others.Add(1)
-					}
-				})
-				time.Sleep(time.Duration(40+rand.IntN(40)) * time.Millisecond)
-			}
-		})
+		for prefix, counts := range results {
+			c := &channels{address: g.front}
+			wg.Go(func() {
+				for time.Now().Before(end) {
+					wg.Go(func() { s.askUnframed(c, prefix, counts, ran) })
+					time.Sleep(time.Duration(20+rand.IntN(20)) * time.Millisecond)
+				}
+			})
+		}
 	}
 	if s.trouble {
 		for i := range crashes {
 			time.Sleep(crashEvery - downFor)
-			old := all[i%workers]
-			s.note("worker %s crashes", old.id)
+			old := all[i%len(all)]
+			s.note("worker %s of %s crashes", old.id, old.service)
 			old.kill()
 			time.AfterFunc(gone, func() { s.store.Remove(path.Join("servers", old.id)) })
 			time.Sleep(downFor)
 			var err error
-			if all[i%workers], err = s.startProcess(fmt.Sprintf("i-%d-%d", i%workers, i), old.address, ran); err != nil {
+			if all[i%len(all)], err = s.startProcess(fmt.Sprintf("i-%d-%d", i%len(all), i), old.address, old.service, ran); err != nil {
 				return false, err
 			}
 		}
 	}
 	wg.Wait()
-	s.note("%d streams whole, %d cut and seen to be so, %d cut and complete to the client, %d other answers", whole.Load(), cut.Load(), wrong.Load(), others.Load())
-	return wrong.Load() > 0, nil
+	wrong := int64(0)
+	for prefix, n := range results {
+		s.note("%s: %d answers whole, %d cut and seen to be so, %d cut and complete to the client, %d others", prefix, n.whole.Load(), n.cut.Load(), n.wrong.Load(), n.others.Load())
+		wrong += n.wrong.Load()
+	}
+	return wrong > 0, nil
+}
+
+// unframedCounts counts what clients got.
+type unframedCounts struct{ whole, cut, others, wrong atomic.Int64 }
+
+// askUnframed sends one request and checks its answer.
+func (s *system) askUnframed(c *channels, prefix string, counts *unframedCounts, ran *runs) {
+	r := &call{method: http.MethodPost, target: prefix + "a", limit: 5 * time.Second, body: "b"}
+	if prefix == streamPrefix {
+		r.header = prompt(79, 141, unframedEvents)
+	}
+	a := c.do(r)
+	want, rule := wholePlain(a.id), "MIXED"
+	if prefix == streamPrefix {
+		want, rule = wholeStream(a.id, unframedEvents), "ORDER"
+	}
+	s.note("client got %d for %s, %d bytes of %d (%v)", a.status, a.id, len(a.body), len(want), a.err)
+	switch {
+	case a.err == nil && a.status == http.StatusOK && a.body == want:
+		counts.whole.Add(1)
+	case a.err == nil && a.status == http.StatusOK:
+		counts.wrong.Add(1)
+		s.note("%s: %s ended as complete (length %q, signature %q) after %d of %d bytes; it ran on %s", rule, a.id, a.header.Get("Content-Length"),
+			a.header.Get(header("Response-Signature")), len(a.body), len(want), strings.Join(ran.of(a.id), " and "))
+	case a.status == http.StatusOK:
+		counts.cut.Add(1)
+	default:
+		counts.others.Add(1)
+	}
 }
