--- a/review/standin/system.go
+++ b/review/standin/system.go
@@ -48,7 +48,7 @@
 }
 
 func newSystem(folder string, trouble bool) (*system, error) {
-	s := &system{folder: folder, root: filepath.Dir(filepath.Dir(folder)), trouble: trouble, started: time.Now(), store: site.NewStore(), net: 10 + rand.IntN(200)}
+	s := &system{folder: folder, root: filepath.Dir(filepath.Dir(folder)), trouble: trouble, started: time.Now(), store: site.NewStore()}
 	var err error
 	if s.record, err = os.Create(filepath.Join(folder, "record.txt")); err != nil {
 		return nil, err
@@ -56,6 +56,9 @@
 	if s.scratch, err = os.MkdirTemp("", "review"); err != nil {
 		return nil, err
 	}
+	if err = s.takeNet(); err != nil {
+		return nil, err
+	}
 	if s.storeAt, err = s.serve(s.address(1)+":0", s.store); err != nil {
 		return nil, err
 	}
@@ -63,6 +66,19 @@
 	return s, nil
 }
 
+// takeNet chooses loopback addresses that no other run on this machine uses: gateways have a fixed port for their metrics.
+func (s *system) takeNet() error {
+	const lockPort = ":9464"
+	for range 50 {
+		s.net = 10 + rand.IntN(200)
+		if l, err := net.Listen("tcp", s.address(2)+lockPort); err == nil {
+			s.closers = append(s.closers, func() { _ = l.Close() })
+			return nil
+		}
+	}
+	return errors.New("no free loopback addresses")
+}
+
 // address returns the loopback address of a machine.
 func (s *system) address(machine int) string { return fmt.Sprintf("127.%d.1.%d", s.net, machine) }
 
