--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -96,16 +96,18 @@
 func (a *attempt) roundTrip() (*upstream.Response, ResponseMetadata, attemptResult) {
 	q := a.q
 	a.forwarded.Remaining = time.Until(q.deadline)
+	q.lastStatus, q.lastNotRun = 0, false
 	codec := q.g.codec
 	resp, err := q.g.pool.Do(q.ctx, a.server.Address, &upstream.Request{
 		Method: q.r.Method, Target: q.r.RequestURI, Host: q.r.Host,
-		Header: codec.Header(q.r.Header, a.forwarded), Body: q.body,
+		Header: codec.Header(q.r.Header, a.forwarded), Body: q.body, Sends: &q.connections,
 	}, q.isResponseToRequest)
 	now := time.Now()
 	switch {
 	case err == nil:
 		m := codec.ResponseMetadata(resp.StatusCode, resp.Header)
 		discardUnidentified(resp, m)
+		q.recordStatus(resp, m)
 		a.server.recordActivity(m.Load, now)
 		return resp, m, resultFinished
 	case q.r.Context().Err() != nil:
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/quetzallug/quetzallug/route"
+	"github.com/quetzallug/quetzallug/upstream"
 )
 
 const (
@@ -83,6 +84,12 @@
 	body            []byte
 
 	tried []*serverState
+	// connections records the connections that the request was sent on, also for prefills.
+	connections upstream.Sends
+	// lastStatus is the status of the last response of a backend server, and lastNotRun whether it stated
+	// that the request did not run. They are zero if there was no response.
+	lastStatus int
+	lastNotRun bool
 	// sends counts the earlier, unsuccessful attempts, except those that could not connect to a
 	// backend server.
 	sends int
--- a/gateway/prefill.go
+++ b/gateway/prefill.go
@@ -25,10 +25,11 @@
 	defer server.recordEnded()
 	defer server.subtractPendingTokens(c.uncachedTokens)
 	q.g.decider.prefixes.record(q.prefixKeys, server.key, sentAt)
+	q.lastStatus, q.lastNotRun = 0, false
 	forwarded := &ForwardedRequest{Server: server, Remaining: time.Until(q.deadline), Priority: q.route.Priority, Prefill: true}
 	resp, err := q.g.pool.Do(q.ctx, server.Address, &upstream.Request{
 		Method: q.r.Method, Target: q.r.RequestURI, Host: q.r.Host,
-		Header: q.g.codec.Header(q.r.Header, forwarded), Body: q.body,
+		Header: q.g.codec.Header(q.r.Header, forwarded), Body: q.body, Sends: &q.connections,
 	}, q.isResponseToRequest)
 	if err != nil {
 		return "", q.handlePrefillError(server, err), false
@@ -38,6 +39,7 @@
 	now := time.Now()
 	m := q.g.codec.ResponseMetadata(resp.StatusCode, resp.Header)
 	discardUnidentified(resp, m)
+	q.recordStatus(resp, m)
 	server.recordActivity(m.Load, now)
 	if q.r.Context().Err() != nil {
 		q.finish(outcomeGone, "")
--- a/gateway/requestlog.go
+++ b/gateway/requestlog.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"github.com/quetzallug/quetzallug/upstream"
 )
 
 // logAttempt logs an attempt that did not answer the request. Successful attempts are logged by
@@ -20,6 +22,7 @@
 	if c.prefillServer != nil {
 		f["reader"] = c.prefillServer.ID
 	}
+	q.addServerFields(f, c.server)
 	q.addStreamFields(f)
 	if res == resultUnknown && len(q.metadata.Parts) > 0 {
 		f["parts"] = q.g.codec.PartNames(q.r)
@@ -27,6 +30,28 @@
 	q.g.log.WithFields(f).Info("attempt")
 }
 
+// recordStatus keeps what the log tells of the last response.
+func (q *request) recordStatus(resp *upstream.Response, m ResponseMetadata) {
+	q.lastStatus, q.lastNotRun = resp.StatusCode, m.NotRun || m.AddressReused
+}
+
+// addServerFields adds the run and address of a backend server, the connection of the last send and the
+// status of the last response.
+func (q *request) addServerFields(f logrus.Fields, s *Server) {
+	if s != nil {
+		f["address"], f["born"] = s.Address, s.Born
+	}
+	if send := q.connections.Last(); send.Use > 0 {
+		f["connection"], f["connection_use"] = send.Connection, send.Use
+	}
+	if q.lastStatus != 0 {
+		f["status"], f["not_run"] = q.lastStatus, q.lastNotRun
+	}
+	if q.lastEventID != "" {
+		f["last_event"] = q.lastEventID
+	}
+}
+
 // addStreamFields adds how the last stream was framed and how many bytes followed its last event.
 func (q *request) addStreamFields(f logrus.Fields) {
 	if q.framing != "" {
@@ -67,6 +92,7 @@
 	if q.quarantinedPart != "" {
 		f["part"] = q.quarantinedPart
 	}
+	q.addServerFields(f, q.lastChoice.server)
 	q.addStreamFields(f)
 	q.g.log.WithFields(f).Info("request")
 }
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -104,6 +104,37 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// Sends, if not nil, records the connection that carries the request.
+	Sends *Sends
+}
+
+// Sends records which connections carried the sends of one request. It is not safe for concurrent use.
+type Sends struct {
+	connections []uint64
+	last        Send
+}
+
+// Send tells which connection carried a request, and how many requests the connection has carried with it.
+type Send struct {
+	Connection uint64
+	Use        int
+}
+
+// Last returns the last send. It is zero if no connection was available for it.
+func (s *Sends) Last() Send { return s.last }
+
+// reset forgets the last send.
+func (s *Sends) reset() {
+	if s != nil {
+		s.last = Send{}
+	}
+}
+
+func (s *Sends) add(c *conn) {
+	if s != nil {
+		s.connections = append(s.connections, c.number)
+		s.last = Send{c.number, c.uses}
+	}
 }
 
 // Response is a response whose body is read with Read. The caller must call Close once.
@@ -128,7 +159,7 @@
 	mu sync.Mutex
 	// idle holds the idle connections by address, the most recently used last.
 	idle map[string][]*conn
-	// openedTotal is the number of connections opened since the pool was created.
+	// openedTotal is the number of connections opened since the pool was created. It also numbers them.
 	openedTotal int64
 	// openByAddr is the number of open connections by address, both idle and in use.
 	openByAddr map[string]int
@@ -144,8 +175,10 @@
 	bw     *bufio.Writer
 	// limiter is the source of br.
 	limiter *headLimiter
-	// reused is true if the connection has carried an earlier request.
-	reused bool
+	// number identifies the connection in the logs of this process.
+	number uint64
+	// uses is the number of requests that the connection has carried.
+	uses int
 	// idleUntil is the time after which the idle connection is no longer used.
 	idleUntil time.Time
 	// writeResult receives the result of writing a large request body. It is nil if the request was
@@ -187,13 +220,19 @@
 	return p.openByAddr[addr]
 }
 
-// addOpen adds delta to the number of open connections to an address. A positive delta also increases
-// the number of opened connections.
-func (p *Pool) addOpen(addr string, delta int) {
+// recordOpened records a new connection to an address and returns its number.
+func (p *Pool) recordOpened(addr string) uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.openedTotal++
+	p.openByAddr[addr]++
+	return uint64(p.openedTotal)
+}
+
+func (p *Pool) recordClosed(addr string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.openedTotal += int64(max(0, delta))
-	if p.openByAddr[addr] += delta; p.openByAddr[addr] == 0 {
+	if p.openByAddr[addr]--; p.openByAddr[addr] == 0 {
 		delete(p.openByAddr, addr)
 	}
 }
@@ -203,7 +242,7 @@
 	if c.closed.Swap(true) {
 		return nil
 	}
-	c.pool.addOpen(c.addr, -1)
+	c.pool.recordClosed(c.addr)
 	return c.Conn.Close()
 }
 
@@ -272,7 +311,6 @@
 		// Unread data on an idle connection belongs to no request, and an end of file means that the
 		// backend server has closed the connection.
 		if now.Before(c.idleUntil) && isOpenAndIdle(c.Conn) {
-			c.reused = true
 			return c
 		}
 		_ = c.Close()
@@ -301,9 +339,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	p.addOpen(addr, 1)
 	limiter := &headLimiter{Conn: nc}
-	return &conn{Conn: nc, pool: p, addr: addr, limiter: limiter, br: bufio.NewReaderSize(limiter, readBufferSize), bw: bufio.NewWriterSize(nc, writeBufferSize)}, nil
+	return &conn{Conn: nc, pool: p, addr: addr, number: p.recordOpened(addr), limiter: limiter, br: bufio.NewReaderSize(limiter, readBufferSize), bw: bufio.NewWriterSize(nc, writeBufferSize)}, nil
 }
 
 // Probe opens a connection to an address and closes it.
@@ -322,6 +359,7 @@
 // Do sends a request once and returns its response. Responses to other requests, which a backend server
 // may send late, are skipped.
 func (p *Pool) Do(ctx context.Context, addr string, r *Request, matches ResponseMatcher) (*Response, error) {
+	r.Sends.reset()
 	c, err := p.getConn(ctx, addr)
 	if err != nil {
 		return nil, err
@@ -330,6 +368,8 @@
 		p.putIdle(c, maxIdleTime)
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, ctx.Err())
 	}
+	c.uses++
+	r.Sends.add(c)
 	// A deadline in the past interrupts reads and writes.
 	stopCancel := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	resp, err := c.exchange(r, matches) //nolint:bodyclose // Response.Close ends the exchange
@@ -359,7 +399,7 @@
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
-		if matches(resp, !c.reused) {
+		if matches(resp, c.uses == 1) {
 			return resp, nil
 		}
 		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxSkippedBytes))
