test/soak: play what sound servers and clients don't do, with worker processes

Workers of the soak were handlers in the test's process behind a forwarder: none died as a process does, none came back at its address under another ID, refusals were not sent twice, answers without a length did not end between events, and no caller ended only its own side. site.ProcessWorker serves bare connections in a process of its own and can do all that.

--- a/cmd/quetzallug-standin/commands.go
+++ b/cmd/quetzallug-standin/commands.go
@@ -1,8 +1,13 @@
 package main
 
 import (
+	"context"
+	"encoding/json"
+	"errors"
 	"fmt"
+	"net"
 	"net/http"
+	"os"
 	"strings"
 
 	"github.com/sirupsen/logrus"
@@ -14,6 +19,7 @@
 	"github.com/quetzallug/quetzallug/standin/engine"
 	"github.com/quetzallug/quetzallug/standin/instances"
 	"github.com/quetzallug/quetzallug/standin/kv"
+	"github.com/quetzallug/quetzallug/standin/site"
 	"github.com/quetzallug/quetzallug/standin/weights"
 )
 
@@ -31,7 +37,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newKV(log), newInstances(log), newWeights(log), newEngine(log), newBackend(log))
+	root.AddCommand(newKV(log), newInstances(log), newWeights(log), newEngine(log), newBackend(log), newSiteWorker())
 	return root
 }
 
@@ -65,6 +71,35 @@
 	return cmd
 }
 
+// newSiteWorker returns the command of a worker of the users' platform, whose faults are set by its
+// configuration.
+func newSiteWorker() *cobra.Command {
+	var listen, config string
+	cmd := &cobra.Command{
+		Use: "site-worker", Short: "worker of the users' platform that breaks HTTP on demand", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			var cfg site.ProcessConfig
+			decoder := json.NewDecoder(strings.NewReader(config))
+			decoder.DisallowUnknownFields()
+			if err := decoder.Decode(&cfg); err != nil {
+				return fmt.Errorf("--config: %w", err)
+			}
+			l, err := (&net.ListenConfig{}).Listen(cmd.Context(), "tcp", listen)
+			if err != nil {
+				return fmt.Errorf("listen on %q: %w", listen, err)
+			}
+			defer context.AfterFunc(cmd.Context(), func() { _ = l.Close() })()
+			if err := site.NewProcessWorker(cfg, os.Stdout).Serve(l); !errors.Is(err, net.ErrClosed) {
+				return err
+			}
+			return nil
+		},
+	}
+	cmd.Flags().StringVar(&listen, "listen", "127.0.0.1:0", "address to listen on")
+	cmd.Flags().StringVar(&config, "config", "{}", "identity and rates of faults, as JSON")
+	return cmd
+}
+
 func nothingToClose() error { return nil }
 
 func newKV(log *logrus.Logger) *cobra.Command {
--- a/test/soak/cause_test.go
+++ b/test/soak/cause_test.go
@@ -24,7 +24,7 @@
 	require.NoError(t, testcluster.Build("../..", bin))
 	d := newDeployment(t, filepath.Join(bin, "quetzallugd"), dir)
 	d.waitReady()
-	l := newLoadGenerator(d)
+	l := newLoadGenerator(t, d.gateways)
 	send := func(kind string) string {
 		c, err := net.Dial("tcp", d.gateways[0].address)
 		require.NoError(t, err)
--- a/test/soak/crashingpart_test.go
+++ b/test/soak/crashingpart_test.go
@@ -102,8 +102,8 @@
 	d := newDeployment(t, filepath.Join(bin, "quetzallugd"), dir)
 	defer d.stop()
 	d.waitReady()
-	load := newLoadGenerator(d)
-	load.start()
+	load := newLoadGenerator(t, d.gateways)
+	load.start(callerCount)
 	time.Sleep(2 * time.Second)
 	c := &crashes{}
 	for _, w := range d.workers {
@@ -122,8 +122,8 @@
 		time.Sleep(spacing)
 	}
 	d.waitReady()
-	load.waitForRecovery()
-	load.stop()
+	load.waitForRecovery(d.refreshRegistrations)
+	load.stop(d.runs)
 	c.mu.Lock()
 	t.Logf("%d crashes, %d arrivals", len(c.at), len(c.arrivals))
 	require.NotEmpty(t, c.at)
--- a/test/soak/deployment_test.go
+++ b/test/soak/deployment_test.go
@@ -63,9 +63,16 @@
 	readyAddress string
 }
 
-func newDeployment(t *testing.T, program, dir string) *deployment {
+// newDeploymentWithoutWorkers starts a store that holds a configuration.
+func newDeploymentWithoutWorkers(t *testing.T) *deployment {
 	d := &deployment{t: t, store: site.NewStore()}
 	d.storeForwarder = d.startForwarder(d.serve(d.store))
+	d.writeConfig()
+	return d
+}
+
+func newDeployment(t *testing.T, program, dir string) *deployment {
+	d := newDeploymentWithoutWorkers(t)
 	for i := range plainWorkerCount {
 		d.addWorker(site.WorkerConfig{ID: fmt.Sprintf("i-api-%d", i), Service: "api", Slots: 16, ServiceTime: 5 * time.Millisecond})
 	}
@@ -79,7 +86,6 @@
 			PrefillTimePerToken: time.Microsecond, RoleSwitch: roleSwitchTime,
 		})
 	}
-	d.writeConfig()
 	for i := range gatewayCount {
 		d.addGateway(program, dir, fmt.Sprintf("edge-%d", i))
 	}
@@ -111,16 +117,17 @@
 	d.workers = append(d.workers, w)
 }
 
-func (d *deployment) addGateway(program, dir, name string) {
+// addGateway starts a gateway with the flags of all gateways and further ones.
+func (d *deployment) addGateway(program, dir, name string, further ...string) {
 	address, err := testcluster.FreeAddress()
 	require.NoError(d.t, err)
 	ready, err := testcluster.FreeAddress()
 	require.NoError(d.t, err)
-	p, err := testcluster.NewProcess(name, program, filepath.Join(dir, name+".log"), []string{
+	p, err := testcluster.NewProcess(name, program, filepath.Join(dir, name+".log"), append([]string{
 		"gateway", "--instance", name, "--data-centre", "z", "--listen", address, "--ready-listen", ready,
 		"--adapter-address", d.storeForwarder.Address(), "--retry-share", "0.2", "--order-guard", orderGuard.String(),
 		"--lame-duck", "300ms", "--grace", "6s",
-	})
+	}, further...))
 	require.NoError(d.t, err)
 	d.gateways = append(d.gateways, &gatewayProcess{Process: p, address: address, readyAddress: ready})
 }
--- a/test/soak/load_test.go
+++ b/test/soak/load_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -19,7 +20,8 @@
 
 const (
 	callerCount = 24
-	callTimeout = 4 * time.Second
+	// callTimeout is how long after a caller's deadline its connection may still be open.
+	callTimeout = 2 * time.Second
 	// requiredSuccesses is the number of consecutive successes of each kind after which the deployment
 	// counts as recovered.
 	requiredSuccesses = 20
@@ -29,7 +31,13 @@
 
 // loadGenerator sends requests on persistent connections until it is stopped, and checks the responses.
 type loadGenerator struct {
-	d      *deployment
+	t        *testing.T
+	gateways []*gatewayProcess
+	// halfClose is the rate of requests after which the caller ends its own side of the connection and reads on.
+	halfClose float64
+	// timeLeft is how long callers wait.
+	timeLeft time.Duration
+
 	cancel context.CancelFunc
 	ctx    context.Context
 	wg     sync.WaitGroup
@@ -50,22 +58,23 @@
 	succeeded bool
 }
 
-func newLoadGenerator(d *deployment) *loadGenerator {
-	l := &loadGenerator{d: d, consecutive: map[string]int{}, outcomes: map[string]int{}}
+func newLoadGenerator(t *testing.T, gateways []*gatewayProcess) *loadGenerator {
+	l := &loadGenerator{t: t, gateways: gateways, timeLeft: 2 * time.Second, consecutive: map[string]int{}, outcomes: map[string]int{}}
 	l.ctx, l.cancel = context.WithCancel(context.Background())
 	return l
 }
 
-func (l *loadGenerator) start() {
-	for i := range callerCount {
+func (l *loadGenerator) start(callers int) {
+	for i := range callers {
 		l.wg.Go(func() { l.runCaller(i) })
 	}
 }
 
-func (l *loadGenerator) stop() {
+// stop ends the load and compares the results with the runs of each request.
+func (l *loadGenerator) stop(runs func() map[string]int) {
 	l.cancel()
 	l.wg.Wait()
-	l.checkRuns()
+	l.checkRuns(runs())
 }
 
 // runCaller sends requests of one kind and reuses its connection for as long as the gateway allows.
@@ -74,7 +83,7 @@
 	var reader *bufio.Reader
 	for l.ctx.Err() == nil {
 		if c == nil {
-			g := l.d.gateways[rand.IntN(len(l.d.gateways))]
+			g := l.gateways[rand.IntN(len(l.gateways))]
 			var err error
 			if c, err = net.DialTimeout("tcp", g.address, time.Second); err != nil {
 				c = nil
@@ -104,9 +113,9 @@
 	events := 0
 	body := strings.Repeat("b", rand.IntN(6000))
 	r, err := http.NewRequest(http.MethodPost, "http://a.example"+target, strings.NewReader(body))
-	require.NoError(l.d.t, err)
+	require.NoError(l.t, err)
 	r.Header.Set("Quetzallug-Attempt-Id", id)
-	r.Header.Set("Quetzallug-Deadline-Ms", "2000")
+	r.Header.Set("Quetzallug-Deadline-Ms", fmt.Sprint(l.timeLeft.Milliseconds()))
 	if kind == "resume" || kind == "stream" {
 		events = 1 + rand.IntN(8)
 		uniqueTokens := 100 + rand.IntN(2000)
@@ -114,11 +123,16 @@
 		r.Header.Set("Quetzallug-Token-Count", fmt.Sprintf("%d,%d", 3000+uniqueTokens, events))
 		r.Header.Set("Quetzallug-Prefix-Hash", fmt.Sprintf("a%d:1000,b%d:2000,c%s:%d", rand.IntN(3), rand.IntN(20), id, uniqueTokens))
 	}
-	_ = c.SetDeadline(time.Now().Add(callTimeout))
+	_ = c.SetDeadline(time.Now().Add(l.timeLeft + callTimeout))
 	if err := r.Write(c); err != nil {
 		l.record(result{id: id, kind: kind}, "write failed")
 		return false
 	}
+	halfClosed := rand.Float64() < l.halfClose
+	if tcp, ok := c.(*net.TCPConn); ok && halfClosed {
+		time.Sleep(time.Duration(rand.IntN(40)) * time.Millisecond)
+		_ = tcp.CloseWrite()
+	}
 	resp, err := http.ReadResponse(reader, r)
 	if err != nil {
 		l.record(result{id: id, kind: kind}, "failed before the response")
@@ -130,7 +144,11 @@
 		l.record(result{id: id, kind: kind}, "failed within the response")
 		return false
 	}
-	refused := resp.StatusCode == http.StatusServiceUnavailable
+	refused := false
+	switch resp.StatusCode {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		refused = true
+	}
 	l.record(result{id: id, kind: kind, refused: refused, succeeded: resp.StatusCode == http.StatusOK}, fmt.Sprint(resp.StatusCode))
 	if resp.StatusCode == http.StatusOK {
 		l.checkResponse(id, target, events, resp.Header, string(b))
@@ -138,7 +156,7 @@
 	if resp.StatusCode == http.StatusNotFound || resp.StatusCode == http.StatusBadRequest {
 		l.fail("%s %s got %d", kind, id, resp.StatusCode)
 	}
-	return !resp.Close
+	return !resp.Close && !halfClosed
 }
 
 func (l *loadGenerator) checkResponse(id, target string, events int, header http.Header, body string) {
@@ -150,10 +168,10 @@
 		}
 	}
 	if body != want {
-		l.fail("%s got an unexpected response body: %.200q", target, body)
+		l.fail("ORDER or MIXED: %s got an unexpected response body: %.200q", target, body)
 	}
 	if !strings.HasSuffix(header.Get("Quetzallug-Response-Signature"), "."+id) {
-		l.fail("%s got an unexpected signature %q", target, header.Get("Quetzallug-Response-Signature"))
+		l.fail("MIXED: %s got an unexpected signature %q", target, header.Get("Quetzallug-Response-Signature"))
 	}
 }
 
@@ -193,12 +211,13 @@
 }
 
 // waitForRecovery waits until each kind of request has succeeded requiredSuccesses times in a row.
-func (l *loadGenerator) waitForRecovery() {
+// refresh is called meanwhile.
+func (l *loadGenerator) waitForRecovery(refresh func()) {
 	l.mu.Lock()
 	clear(l.consecutive)
 	l.mu.Unlock()
 	for end := time.Now().Add(readyTimeout); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
-		l.d.refreshRegistrations()
+		refresh()
 		l.mu.Lock()
 		all := true
 		for _, k := range kinds {
@@ -212,23 +231,28 @@
 	l.fail("not every kind of request recovered after the faults; consecutive successes: %v", l.consecutive)
 }
 
-// checkRuns compares the results of the callers with the runs of the workers.
-func (l *loadGenerator) checkRuns() {
+// runs returns how often each request was run, without prefills.
+func (d *deployment) runs() map[string]int {
 	runs := map[string]int{}
-	for _, w := range l.d.workers {
+	for _, w := range d.workers {
 		for _, r := range w.Runs() {
 			if !r.Prefill {
 				runs[r.ID]++
 			}
 		}
 	}
+	return runs
+}
+
+// checkRuns compares the results of the callers with the runs of the workers.
+func (l *loadGenerator) checkRuns(runs map[string]int) {
 	for _, r := range l.results {
 		repeatable := r.kind == "read" || r.kind == "resume"
 		if !repeatable && runs[r.id] > 1 {
-			l.fail("%s %s ran %d times", r.kind, r.id, runs[r.id])
+			l.fail("TWICE: %s %s ran %d times", r.kind, r.id, runs[r.id])
 		}
 		if !repeatable && r.refused && runs[r.id] > 0 {
-			l.fail("%s %s was refused although it ran", r.kind, r.id)
+			l.fail("REFUSED: %s %s was refused although it ran", r.kind, r.id)
 		}
 		if r.succeeded && runs[r.id] == 0 {
 			l.fail("%s %s succeeded although it did not run", r.kind, r.id)
--- /dev/null
+++ b/test/soak/processes_test.go
@@ -0,0 +1,193 @@
+package soak
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/quetzallug/quetzallug/internal/testcluster"
+	"github.com/quetzallug/quetzallug/standin/site"
+)
+
+var (
+	processScale  = flag.Int("scale", 1, "multiplies the gateways, workers and callers of the tests with worker processes")
+	processLength = flag.Duration("process-length", 4*time.Second, "duration of the load of each test with worker processes")
+)
+
+const (
+	processGateways = 3
+	// processWorkers is the number of workers of each of the two services.
+	processWorkers = 4
+	processCallers = 24
+	// entryLifetime is how long the entry of a crashed worker stays in the store: three heartbeat intervals.
+	entryLifetime = 3 * time.Second
+	// crashInterval is the time between two crashes in a whole deployment.
+	crashInterval = 250 * time.Millisecond
+)
+
+// processDeployment is a deployment whose workers are processes of their own.
+type processDeployment struct {
+	*deployment
+	bin, dir string
+	// faults is what all workers do wrong.
+	faults site.ProcessConfig
+
+	mu      sync.Mutex
+	starts  int
+	workers []*processWorker
+	// logs holds the paths of the logs of all workers, also of those that ended.
+	logs []string
+}
+
+// processWorker is one lifetime of a worker.
+type processWorker struct {
+	*testcluster.Process
+	id, service, address string
+	entry                map[string]any
+}
+
+func newProcessDeployment(t *testing.T, bin string, faults site.ProcessConfig) *processDeployment {
+	d := &processDeployment{deployment: newDeploymentWithoutWorkers(t), bin: bin, dir: t.TempDir(), faults: faults}
+	if *logs != "" {
+		d.dir = filepath.Join(*logs, strings.ReplaceAll(t.Name(), "/", "-"))
+		require.NoError(t, os.MkdirAll(d.dir, 0o700))
+	}
+	for range processWorkers * *processScale {
+		for _, service := range []string{"api", "llm"} {
+			address, err := testcluster.FreeAddress()
+			require.NoError(t, err)
+			d.startWorker(service, address)
+		}
+	}
+	for i := range processGateways * *processScale {
+		// The stand-ins obey no orders.
+		d.addGateway(filepath.Join(bin, "quetzallugd"), d.dir, fmt.Sprintf("edge-%d", i), "--lease-ttl", "0s")
+	}
+	d.waitReady()
+	return d
+}
+
+// startWorker starts a lifetime of a worker and registers it.
+func (d *processDeployment) startWorker(service, address string) *processWorker {
+	d.mu.Lock()
+	d.starts++
+	id := fmt.Sprintf("i-%s-%03d", service, d.starts)
+	d.mu.Unlock()
+	cfg := d.faults
+	cfg.ID, cfg.ServiceTime = id, 15*time.Millisecond
+	w := &processWorker{id: id, service: service, address: address, entry: map[string]any{
+		"service": service, "address": address, "zone": "z", "version": "v1", "slots": 16, "state": "ready", "cold-remaining-ms": 0,
+		"seq": 1, "born": time.Now().UnixMilli(),
+	}}
+	if service == "llm" {
+		cfg.Stage = "decode"
+		w.entry["stage"] = "decode"
+	}
+	config, err := json.Marshal(cfg)
+	require.NoError(d.t, err)
+	log := filepath.Join(d.dir, id+".log")
+	w.Process, err = testcluster.NewProcess(id, filepath.Join(d.bin, "quetzallug-standin"), log, []string{"site-worker", "--listen", address, "--config", string(config)})
+	require.NoError(d.t, err)
+	d.store.Put("servers/"+id, w.entry)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.workers = append(d.workers, w)
+	d.logs = append(d.logs, log)
+	return w
+}
+
+// crashWorkers kills a worker now and then and starts one at its address under another ID, until the duration has
+// passed. The entry of the killed one stays for a while.
+func (d *processDeployment) crashWorkers(duration time.Duration) {
+	for end := time.Now().Add(duration); time.Now().Before(end); time.Sleep(crashInterval / time.Duration(*processScale)) {
+		d.mu.Lock()
+		i := rand.IntN(len(d.workers))
+		old := d.workers[i]
+		d.workers = append(d.workers[:i], d.workers[i+1:]...)
+		d.mu.Unlock()
+		old.Kill()
+		time.AfterFunc(entryLifetime, func() { d.store.Remove("servers/" + old.id) })
+		d.startWorker(old.service, old.address)
+	}
+}
+
+// counts returns how often the workers recorded an event for each request.
+func (d *processDeployment) counts(event string) map[string]int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	counts := map[string]int{}
+	for _, path := range d.logs {
+		b, err := os.ReadFile(path)
+		require.NoError(d.t, err)
+		for line := range strings.Lines(string(b)) {
+			if fields := strings.Fields(line); len(fields) == 3 && fields[0] == event {
+				counts[fields[1]]++
+			}
+		}
+	}
+	return counts
+}
+
+func (d *processDeployment) stop() {
+	d.deployment.stop()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, w := range d.workers {
+		w.Kill()
+	}
+}
+
+// TestFaultyProcesses plays what sound HTTP servers and clients don't do, with workers that are processes: no request
+// that may run once runs twice, none that was refused runs, and no answer looks whole that is not.
+func TestFaultyProcesses(t *testing.T) {
+	bin := t.TempDir()
+	require.NoError(t, testcluster.Build("../..", bin))
+	for name, tc := range map[string]struct {
+		faults site.ProcessConfig
+		// crash kills workers, which come back at their address.
+		crash     bool
+		halfClose float64
+	}{
+		"sound":                                   {},
+		"crashes":                                 {crash: true},
+		"late copies of refusals with their ID":   {crash: true, faults: site.ProcessConfig{Copy: 0.5, CopyID: true, Refuse: 0.05}},
+		"late copies of refusals without an ID":   {faults: site.ProcessConfig{Copy: 0.5, Refuse: 0.1}},
+		"crashes within answers without a length": {crash: true, faults: site.ProcessConfig{Unframed: 1}},
+		"callers that end their own side":         {halfClose: 0.3},
+		"errors in answer to resumed streams":     {faults: site.ProcessConfig{BreakOff: 0.3, FailResumed: 0.5}},
+		"resumed streams without event IDs":       {faults: site.ProcessConfig{BreakOff: 0.3, RestartEvents: 0.5}},
+		"busy answers of requests that ran":       {faults: site.ProcessConfig{Busy: 0.1}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newProcessDeployment(t, bin, tc.faults)
+			defer d.stop()
+			load := newLoadGenerator(t, d.gateways)
+			load.halfClose = tc.halfClose
+			load.start(processCallers * *processScale)
+			if tc.crash {
+				d.crashWorkers(*processLength)
+			} else {
+				time.Sleep(*processLength)
+			}
+			load.expect(load.anySucceeded, "no request succeeded")
+			load.stop(func() map[string]int { return d.counts("runs") })
+			for i, failure := range load.failures() {
+				if i == 20 {
+					t.Errorf("%d further failures", len(load.failures())-i)
+					break
+				}
+				t.Error(failure)
+			}
+			t.Log(load.summary())
+		})
+	}
+}
--- a/test/soak/status_test.go
+++ b/test/soak/status_test.go
@@ -26,7 +26,7 @@
 	require.NoError(t, testcluster.Build("../..", bin))
 	d := newDeployment(t, filepath.Join(bin, "quetzallugd"), dir)
 	d.waitReady()
-	l := newLoadGenerator(d)
+	l := newLoadGenerator(t, d.gateways)
 	send := func(kind string) {
 		c, err := net.Dial("tcp", d.gateways[0].address)
 		require.NoError(t, err)
