upstream: send a request only once on each connection

Cause: a worker that restarts at its address is listed under two IDs for up to three heartbeat intervals. It answers 421 to the old one; the request is sent to the new one, on the same kept connection, and a late copy of the 421 bears the request's own ID, so it is taken for the answer to the second send, which runs meanwhile.

Change: upstream.Sends records the connections that carried the sends of one request, prefills included, and the pool gives a request no connection that has carried it.

Why it works: a copy can only arrive on the connection of its original, and there the ID of the request is never expected again.

TestNoConnectionCarriesARequestTwice fails if Sends.carriedBy always returns false ("copy" for "own").

--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -12,6 +12,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -108,7 +109,9 @@
 	Sends *Sends
 }
 
-// Sends records which connections carried the sends of one request. It is not safe for concurrent use.
+// Sends records which connections carried the sends of one request. A connection carries a request only once:
+// a second copy of the response to the first send could not be told from the response to another. Sends is not
+// safe for concurrent use.
 type Sends struct {
 	connections []uint64
 	last        Send
@@ -130,6 +133,11 @@
 	}
 }
 
+// carriedBy reports whether the connection has carried the request.
+func (s *Sends) carriedBy(c *conn) bool {
+	return s != nil && slices.Contains(s.connections, c.number)
+}
+
 func (s *Sends) add(c *conn) {
 	if s != nil {
 		s.connections = append(s.connections, c.number)
@@ -295,18 +303,23 @@
 	}
 }
 
-// takeIdle removes the most recently used idle connection to an address from the pool and returns it,
-// or returns nil if there is none. Connections that are no longer usable are closed and skipped.
-func (p *Pool) takeIdle(addr string, now time.Time) *conn {
+// takeIdle removes the most recently used idle connection to an address that has not carried the request
+// from the pool and returns it, or returns nil if there is none. Connections that are no longer usable are
+// closed and skipped.
+func (p *Pool) takeIdle(addr string, sends *Sends, now time.Time) *conn {
 	for {
 		p.mu.Lock()
 		conns := p.idle[addr]
-		if len(conns) == 0 {
+		i := len(conns) - 1
+		for i >= 0 && sends.carriedBy(conns[i]) {
+			i--
+		}
+		if i < 0 {
 			p.mu.Unlock()
 			return nil
 		}
-		c := conns[len(conns)-1]
-		p.idle[addr] = conns[:len(conns)-1]
+		c := conns[i]
+		p.idle[addr] = slices.Delete(conns, i, i+1)
 		p.mu.Unlock()
 		// Unread data on an idle connection belongs to no request, and an end of file means that the
 		// backend server has closed the connection.
@@ -330,9 +343,9 @@
 	p.idle[c.addr] = append(p.idle[c.addr], c)
 }
 
-// getConn returns an idle connection to an address, or opens a new one.
-func (p *Pool) getConn(ctx context.Context, addr string) (*conn, error) {
-	if c := p.takeIdle(addr, time.Now()); c != nil {
+// getConn returns an idle connection to an address that has not carried the request, or opens a new one.
+func (p *Pool) getConn(ctx context.Context, addr string, sends *Sends) (*conn, error) {
+	if c := p.takeIdle(addr, sends, time.Now()); c != nil {
 		return c, nil
 	}
 	nc, err := p.dial(ctx, "tcp", addr)
@@ -360,7 +373,7 @@
 // may send late, are skipped.
 func (p *Pool) Do(ctx context.Context, addr string, r *Request, matches ResponseMatcher) (*Response, error) {
 	r.Sends.reset()
-	c, err := p.getConn(ctx, addr)
+	c, err := p.getConn(ctx, addr, r.Sends)
 	if err != nil {
 		return nil, err
 	}
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -56,8 +56,13 @@
 // post sends a POST request with an Id header and returns the body of the response. Only responses with
 // the same Id header match.
 func post(p *upstream.Pool, addr, id, body string) (string, error) {
+	return postRecorded(p, addr, id, body, nil)
+}
+
+// postRecorded is post for a request that may have been sent before.
+func postRecorded(p *upstream.Pool, addr, id, body string, sends *upstream.Sends) (string, error) {
 	resp, err := p.Do(context.Background(), addr, &upstream.Request{
-		Method: http.MethodPost, Target: "/x", Host: "h", Header: http.Header{"Id": {id}}, Body: []byte(body),
+		Method: http.MethodPost, Target: "/x", Host: "h", Header: http.Header{"Id": {id}}, Body: []byte(body), Sends: sends,
 	}, func(r *http.Response, _ bool) bool { return r.Header.Get("Id") == id })
 	if err != nil {
 		return "", err
@@ -84,6 +89,31 @@
 	require.EqualValues(t, 1, p.OpenedTotal())
 }
 
+// A second copy of the response to a request must not be taken for the response to its next send.
+func TestNoConnectionCarriesARequestTwice(t *testing.T) {
+	addr := startServer(t, func(c *net.TCPConn, br *bufio.Reader) {
+		late := ""
+		for id, ok := readRequest(br); ok; id, ok = readRequest(br) {
+			_, _ = io.WriteString(c, late+response(id, "own"))
+			late = response(id, "copy")
+		}
+	})
+	p := upstream.NewPool()
+	defer p.Close()
+	sends := &upstream.Sends{}
+	for i := range 3 {
+		text, err := postRecorded(p, addr, "same", "", sends)
+		require.NoError(t, err)
+		require.Equal(t, "own", text)
+		require.EqualValues(t, i+1, p.OpenedTotal())
+		require.Equal(t, upstream.Send{Connection: uint64(i + 1), Use: 1}, sends.Last())
+	}
+	text, err := post(p, addr, "other", "")
+	require.NoError(t, err)
+	require.Equal(t, "own", text)
+	require.EqualValues(t, 3, p.OpenedTotal(), "other requests use the same connections")
+}
+
 // A connection with data after the response must be closed. If it were reused, that data would be read
 // as the response to the next request.
 func TestBytesAfterAnAnswerEndTheConnection(t *testing.T) {
