gateway: believe a response without an ID only on a new connection

Other operators report it too: a worker wrote an earlier refusal once more on a kept connection, and callers were told that requests which ran had not.

Cause: isResponseToRequest took any 503 that says "not run" and any 421 without an ID for the answer, also on a connection that other requests had used. The connection of an ID-less original was closed, but a faulty worker may drop the ID in the copy only. Orders and reports took any ID-less response on kept connections.

Change: a response without an ID counts only as the first one on its connection; on a kept connection it is skipped like the response to another request, and the caller gets the real one. Requests without an ID, orders, reports and releases have a connection of their own; orders, reports and releases closed theirs afterwards already, so no more connections are opened.

TestLateCopiesAreNoAnswersToOrders fails without NewConnection.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -100,7 +100,7 @@
 	codec := q.g.codec
 	resp, err := q.g.pool.Do(q.ctx, a.server.Address, &upstream.Request{
 		Method: q.r.Method, Target: q.r.RequestURI, Host: q.r.Host,
-		Header: codec.Header(q.r.Header, a.forwarded), Body: q.body, Sends: &q.connections,
+		Header: codec.Header(q.r.Header, a.forwarded), Body: q.body, Sends: &q.connections, NewConnection: q.metadata.ID == "",
 	}, q.isResponseToRequest)
 	now := time.Now()
 	switch {
@@ -130,27 +130,30 @@
 	}
 }
 
-// isResponseToRequest reports whether a response belongs to this request. A response without an ID
-// is accepted only if it is a refusal or if the connection was used for nothing else.
-func (q *request) isResponseToRequest(resp *http.Response, fresh bool) bool {
+// isResponseToRequest reports whether a response belongs to this request. A response without an ID is accepted
+// only as the first one on its connection: any other may be a late copy of an earlier one, and one that says
+// "not run" would let a request that runs be sent again.
+func (q *request) isResponseToRequest(resp *http.Response, first bool) bool {
 	m := q.g.codec.ResponseMetadata(resp.StatusCode, resp.Header)
-	return m.ID == q.metadata.ID || (m.ID == "" && (fresh || m.NotRun || m.AddressReused))
+	if m.ID == "" {
+		return first
+	}
+	return m.ID == q.metadata.ID
 }
 
-// discardUnidentified ends the use of a connection after a response without an ID. A second copy of it may
-// arrive late, and the next request on the connection would take a copy that says "not run" as its own, and
-// run twice.
+// discardUnidentified ends the use of a connection after a response without an ID, because a second copy of it
+// may arrive late.
 func discardUnidentified(resp *upstream.Response, m ResponseMetadata) {
 	if m.ID == "" {
 		resp.DiscardConnection()
 	}
 }
 
-// isControlResponse reports whether a response can belong to a call that carries no request of a caller:
-// a late copy of a response to such a request has its ID.
+// isControlResponse reports whether a response can belong to a call that carries no request of a caller. Such
+// calls have connections of their own.
 func isControlResponse(c Codec) upstream.ResponseMatcher {
-	return func(resp *http.Response, _ bool) bool {
-		return c.ResponseMetadata(resp.StatusCode, resp.Header).ID == ""
+	return func(resp *http.Response, first bool) bool {
+		return first && c.ResponseMetadata(resp.StatusCode, resp.Header).ID == ""
 	}
 }
 
--- a/gateway/prefill.go
+++ b/gateway/prefill.go
@@ -29,7 +29,7 @@
 	forwarded := &ForwardedRequest{Server: server, Remaining: time.Until(q.deadline), Priority: q.route.Priority, Prefill: true}
 	resp, err := q.g.pool.Do(q.ctx, server.Address, &upstream.Request{
 		Method: q.r.Method, Target: q.r.RequestURI, Host: q.r.Host,
-		Header: q.g.codec.Header(q.r.Header, forwarded), Body: q.body, Sends: &q.connections,
+		Header: q.g.codec.Header(q.r.Header, forwarded), Body: q.body, Sends: &q.connections, NewConnection: q.metadata.ID == "",
 	}, q.isResponseToRequest)
 	if err != nil {
 		return "", q.handlePrefillError(server, err), false
@@ -117,7 +117,7 @@
 	defer cancel()
 	method, target := g.codec.Release(handle)
 	resp, err := g.pool.Do(ctx, server.Address, &upstream.Request{
-		Method: method, Target: target, Host: server.Address, Header: http.Header{},
+		Method: method, Target: target, Host: server.Address, Header: http.Header{}, NewConnection: true,
 	}, isControlResponse(g.codec))
 	if err != nil {
 		g.log.WithError(err).WithField("server", server.ID).Warn("cannot release an unused prefilled prompt")
--- a/gateway/roles.go
+++ b/gateway/roles.go
@@ -199,7 +199,9 @@
 func (r *RolePlanner) call(ctx context.Context, s *Server, req *upstream.Request) (int, []byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	resp, err := r.pool.Do(ctx, s.Address, req, func(resp *http.Response, _ bool) bool { return !r.orders.AnswersCaller(resp.Header) })
+	// A late copy of a refusal on a kept connection would be taken for the answer to the order.
+	req.NewConnection = true
+	resp, err := r.pool.Do(ctx, s.Address, req, func(resp *http.Response, first bool) bool { return first && !r.orders.AnswersCaller(resp.Header) })
 	if err != nil {
 		return 0, nil, err
 	}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -107,6 +107,9 @@
 	Body   []byte
 	// Sends, if not nil, records the connection that carries the request.
 	Sends *Sends
+	// NewConnection makes the request the first one of its connection. It is for requests whose response has
+	// no ID: on a connection that was used, it could be a late copy of an earlier one.
+	NewConnection bool
 }
 
 // Sends records which connections carried the sends of one request. A connection carries a request only once:
@@ -343,10 +346,12 @@
 	p.idle[c.addr] = append(p.idle[c.addr], c)
 }
 
-// getConn returns an idle connection to an address that has not carried the request, or opens a new one.
-func (p *Pool) getConn(ctx context.Context, addr string, sends *Sends) (*conn, error) {
-	if c := p.takeIdle(addr, sends, time.Now()); c != nil {
-		return c, nil
+// getConn returns a connection for a request: an idle one if the request may use it, or a new one.
+func (p *Pool) getConn(ctx context.Context, addr string, r *Request) (*conn, error) {
+	if !r.NewConnection {
+		if c := p.takeIdle(addr, r.Sends, time.Now()); c != nil {
+			return c, nil
+		}
 	}
 	nc, err := p.dial(ctx, "tcp", addr)
 	if err != nil {
@@ -365,15 +370,15 @@
 	return c.Close()
 }
 
-// ResponseMatcher reports whether a response belongs to the request. firstRequest is true if the
-// connection has carried no earlier request.
-type ResponseMatcher func(resp *http.Response, firstRequest bool) bool
+// ResponseMatcher reports whether a response belongs to the request. first is true if it is the first response
+// on the connection, which has carried no earlier request.
+type ResponseMatcher func(resp *http.Response, first bool) bool
 
 // Do sends a request once and returns its response. Responses to other requests, which a backend server
 // may send late, are skipped.
 func (p *Pool) Do(ctx context.Context, addr string, r *Request, matches ResponseMatcher) (*Response, error) {
 	r.Sends.reset()
-	c, err := p.getConn(ctx, addr, r.Sends)
+	c, err := p.getConn(ctx, addr, r)
 	if err != nil {
 		return nil, err
 	}
@@ -404,6 +409,7 @@
 		return nil, err
 	}
 	req := &http.Request{Method: r.Method}
+	first := c.uses == 1
 	for range maxResponsesPerRequest {
 		resp, err := c.readHead(req)
 		if err != nil {
@@ -412,9 +418,10 @@
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
-		if matches(resp, c.uses == 1) {
+		if matches(resp, first) {
 			return resp, nil
 		}
+		first = false
 		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxSkippedBytes))
 		if err != nil || n == maxSkippedBytes || resp.Close {
 			break
