gateway: keep statuses that mean "not run" from callers unless the worker guarantees it

Cause: 503, 429, 421 and 408 promise that a request did not and will not run. handleErrorStatus passed on any signed status, also these without the header by which workers guarantee it: a worker that answers 503 after it began, e.g. for lack of memory.

Change: such a response makes the outcome of the attempt unknown. A repeatable request is sent to another server; the caller of another one gets an unsigned 502, which promises nothing.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -217,6 +217,12 @@
 	case err != nil || !m.FromServer:
 		return a.failUnknown(fmt.Sprintf("status_%d_not_whole", resp.StatusCode))
 	}
+	if m.TellsNotRun {
+		// The request may have run, so the status must not reach the caller.
+		a.server.recordResult(serverErrorWeight, time.Now())
+		a.q.cause = fmt.Sprintf("status_%d_without_guarantee", resp.StatusCode)
+		return resultUnknown
+	}
 	full := &response{resp.StatusCode, resp.Header, body}
 	if resp.StatusCode < http.StatusInternalServerError {
 		a.server.recordResult(0, time.Now())
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -68,6 +68,9 @@
 	FromServer bool
 	// NotRun is true if the backend server guarantees that it did not run the request.
 	NotRun bool
+	// TellsNotRun is true if a caller that gets the status concludes that the request did not run. The backend
+	// server itself guarantees that only with NotRun or AddressReused.
+	TellsNotRun bool
 	// AddressReused is true if the address now belongs to another backend server.
 	AddressReused bool
 	Load          *Load
