gateway: abort each response that was not completed

Cause: where the caller had gone, the handler returned without an abort, and net/http gives the response of a handler that returns a regular end. A caller that ends only its own side of the connection looks gone and reads on.

Change: a type of its own holds the response to one caller; it is aborted unless it was marked as complete.

TestRequestsOfDisconnectedCallersAreNotSent counted a handler as done when it returned; an aborted one now panics with http.ErrAbortHandler, so it counts in a deferred call. What it checks is the same.

TestPartialRepliesAreAborted plays both ends by itself.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -27,8 +27,7 @@
 	expectedDelay time.Duration
 }
 
-// sendAndRecord sends the request, handles the response and records the end of the attempt. The
-// deferred calls also run when a broken stream ends in a panic with http.ErrAbortHandler.
+// sendAndRecord sends the request, handles the response and records the end of the attempt.
 func (a *attempt) sendAndRecord() attemptResult {
 	defer a.server.recordEnded()
 	defer a.releasePendingTokens()
@@ -197,8 +196,7 @@
 	a.server.recordResult(0, time.Now())
 	a.q.g.quarantine.tracker.Answered(a.q.sharedParts, time.Now())
 	a.q.timeToFirst = time.Since(a.q.started)
-	a.q.writeResponse(&response{resp.StatusCode, resp.Header, body})
-	a.q.finish(outcomeAnswered, "")
+	a.q.answer(&response{resp.StatusCode, resp.Header, body}, outcomeAnswered, "")
 	return resultFinished
 }
 
@@ -226,8 +224,7 @@
 	full := &response{resp.StatusCode, resp.Header, body}
 	if resp.StatusCode < http.StatusInternalServerError {
 		a.server.recordResult(0, time.Now())
-		a.q.writeResponse(full)
-		a.q.finish(outcomeFailed, strconv.Itoa(full.status))
+		a.q.answer(full, outcomeFailed, strconv.Itoa(full.status))
 		return resultFinished
 	}
 	a.server.recordResult(serverErrorWeight, time.Now())
--- a/gateway/caller_test.go
+++ b/gateway/caller_test.go
@@ -81,8 +81,8 @@
 	handled := make(chan struct{}, callers+1)
 	serve(l, &http.Server{
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			defer func() { handled <- struct{}{} }()
 			g.ServeHTTP(w, r)
-			handled <- struct{}{}
 		}),
 		ConnContext: WithCaller,
 	})
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -6,7 +6,6 @@
 	"io"
 	"net/http"
 	"os"
-	"strconv"
 	"time"
 
 	"github.com/quetzallug/quetzallug/route"
@@ -65,7 +64,7 @@
 // request is the state of one caller's request.
 type request struct {
 	g       *Gateway
-	w       http.ResponseWriter
+	reply   reply
 	r       *http.Request
 	ctx     context.Context
 	started time.Time
@@ -106,8 +105,6 @@
 	// serverError is a backend server's error response. It is forwarded if no other attempt
 	// succeeds.
 	serverError *response
-	// headerSent is true once the response header was sent to the caller.
-	headerSent bool
 	// lastEventID is the ID of the last event sent to the caller.
 	lastEventID string
 	events      int
@@ -132,7 +129,14 @@
 
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	q := &request{g: g, w: w, r: r, started: time.Now()}
+	q := &request{g: g, reply: reply{w: w}, r: r, started: time.Now()}
+	q.handle()
+	q.reply.close()
+}
+
+// handle answers the request, unless the caller has disconnected or the response broke off.
+func (q *request) handle() {
+	g, r := q.g, q.r
 	table := g.tables.Table()
 	if table == nil {
 		q.refuse("no_configuration", startRetryAfter)
@@ -162,7 +166,7 @@
 	defer cancel()
 	q.ctx = ctx
 	defer q.releasePrefills(context.WithoutCancel(ctx))
-	_ = http.NewResponseController(w).SetWriteDeadline(q.deadline.Add(writeGrace))
+	_ = http.NewResponseController(q.reply.w).SetWriteDeadline(q.deadline.Add(writeGrace))
 	g.retryBudget(q.service).RecordFirstAttempt(q.started)
 	q.serve()
 }
@@ -183,9 +187,9 @@
 	if q.r.ContentLength == 0 {
 		return true
 	}
-	conn := http.NewResponseController(q.w)
+	conn := http.NewResponseController(q.reply.w)
 	_ = conn.SetReadDeadline(q.deadline)
-	body, err := io.ReadAll(http.MaxBytesReader(q.w, q.r.Body, limit))
+	body, err := io.ReadAll(http.MaxBytesReader(q.reply.w, q.r.Body, limit))
 	var large *http.MaxBytesError
 	switch {
 	case errors.As(err, &large):
@@ -206,7 +210,7 @@
 // rejectInvalid answers a request that cannot be served. The connection is closed and its read
 // deadline is kept, because the rest of the body may still be in transit.
 func (q *request) rejectInvalid(status int, cause string) {
-	q.w.Header().Set("Connection", "close")
+	q.reply.w.Header().Set("Connection", "close")
 	q.g.metrics.Refusal(q.service, cause)
 	q.replyError(status, outcomeInvalid, cause)
 }
@@ -366,17 +370,13 @@
 	return q.metadata.LastEventID
 }
 
-// giveUp ends a request that was not answered. It panics with http.ErrAbortHandler if a part of the
-// response was sent.
+// giveUp ends a request that was not answered. A response that was started is aborted by reply.close.
 func (q *request) giveUp(cause string) {
 	switch {
-	case q.headerSent:
+	case q.reply.started:
 		q.finish(outcomeBroken, cause)
-		// Aborts the connection, so that the partial response does not look complete.
-		panic(http.ErrAbortHandler)
 	case q.serverError != nil:
-		q.writeResponse(q.serverError)
-		q.finish(outcomeFailed, cause)
+		q.answer(q.serverError, outcomeFailed, cause)
 	case q.runs == 0:
 		q.refuse(cause, minRetryAfter)
 	case !time.Now().Before(q.deadline.Add(-minTimeLeft)):
@@ -389,35 +389,20 @@
 // refuse tells the caller that the request did not run.
 func (q *request) refuse(cause string, after time.Duration) {
 	q.g.metrics.Refusal(q.service, cause)
-	q.g.codec.Refusal(q.w.Header(), after)
+	q.g.codec.Refusal(q.reply.w.Header(), after)
 	q.replyError(http.StatusServiceUnavailable, outcomeRefused, cause)
 }
 
+// replyError ends the request with a response of the gateway's own.
 func (q *request) replyError(status int, outcome, cause string) {
-	http.Error(q.w, cause, status)
+	q.reply.error(status, cause)
 	q.finish(outcome, cause)
 }
 
-// writeResponse forwards a complete response; writeHeader converts its header.
-func (q *request) writeResponse(resp *response) {
-	q.writeHeader(resp.status, resp.header, len(resp.body))
-	_, _ = q.w.Write(resp.body)
-}
-
-// writeHeader sends the response header. length is the size of the body, or negative if unknown.
-func (q *request) writeHeader(status int, received http.Header, length int) {
-	q.headerSent = true
-	h := q.w.Header()
-	for name, values := range q.g.codec.Answer(received) {
-		h[name] = values
-	}
-	if _, ok := h["Content-Type"]; !ok {
-		h["Content-Type"] = nil // disables content sniffing by net/http
-	}
-	if length >= 0 {
-		h.Set("Content-Length", strconv.Itoa(length))
-	}
-	q.w.WriteHeader(status)
+// answer ends the request with a whole response of a backend server.
+func (q *request) answer(resp *response, outcome, cause string) {
+	q.reply.whole(resp.status, q.g.codec.Answer(resp.header), resp.body)
+	q.finish(outcome, cause)
 }
 
 // Kinds of requests.
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -333,7 +333,7 @@
 	}
 	q.quarantinedPart = v.Part.Name
 	cause := q.joinCause(causeQuarantined)
-	if q.runs == 0 && !q.headerSent {
+	if q.runs == 0 && !q.reply.started {
 		q.refuse(cause, v.RetryAfter)
 	} else {
 		q.giveUp(cause)
--- /dev/null
+++ b/gateway/reply.go
@@ -0,0 +1,53 @@
+package gateway
+
+import (
+	"net/http"
+	"strconv"
+)
+
+// reply is the response to one caller. A response that was not completed is aborted: net/http would give it a
+// regular end when the handler returns, so that the caller takes a part for the whole.
+type reply struct {
+	w http.ResponseWriter
+	// started is true once the response header was sent.
+	started bool
+	// complete is true once the whole response was written.
+	complete bool
+}
+
+// start sends the header of a response. length is the size of the body, or negative if unknown.
+func (p *reply) start(status int, header http.Header, length int) {
+	p.started = true
+	h := p.w.Header()
+	for name, values := range header {
+		h[name] = values
+	}
+	if _, ok := h["Content-Type"]; !ok {
+		h["Content-Type"] = nil // disables content sniffing by net/http
+	}
+	if length >= 0 {
+		h.Set("Content-Length", strconv.Itoa(length))
+	}
+	p.w.WriteHeader(status)
+}
+
+// whole sends a whole response.
+func (p *reply) whole(status int, header http.Header, body []byte) {
+	p.start(status, header, len(body))
+	_, err := p.w.Write(body)
+	p.complete = err == nil
+}
+
+// error sends a response of the gateway's own, with a cause as its text.
+func (p *reply) error(status int, cause string) {
+	p.started, p.complete = true, true
+	http.Error(p.w, cause, status)
+}
+
+// close aborts the response unless it is complete, by a panic with http.ErrAbortHandler. It must be the last
+// call of the handler.
+func (p *reply) close() {
+	if !p.complete {
+		panic(http.ErrAbortHandler)
+	}
+}
--- /dev/null
+++ b/gateway/reply_test.go
@@ -0,0 +1,44 @@
+package gateway
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// serveReply returns what a caller gets from a handler that uses a reply.
+func serveReply(t *testing.T, handle func(*reply)) (*http.Response, string, error) {
+	t.Helper()
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		p := reply{w: w}
+		handle(&p)
+		p.close()
+	}))
+	defer srv.Close()
+	resp, err := http.Get(srv.URL)
+	if err != nil {
+		return nil, "", err
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	return resp, string(b), err
+}
+
+// Guards against a response that was not completed, or not even started, reaching the caller as a whole one.
+func TestPartialRepliesAreAborted(t *testing.T) {
+	_, _, err := serveReply(t, func(*reply) {})
+	require.Error(t, err)
+	_, text, err := serveReply(t, func(p *reply) {
+		p.start(http.StatusOK, nil, -1)
+		_, _ = io.WriteString(p.w, "part")
+		_ = http.NewResponseController(p.w).Flush()
+	})
+	require.Error(t, err, text)
+	resp, text, err := serveReply(t, func(p *reply) { p.whole(http.StatusOK, nil, []byte("all")) })
+	require.NoError(t, err)
+	require.Equal(t, "all", text)
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -66,7 +66,7 @@
 	q := a.q
 	reader := &eventReader{br: bufio.NewReaderSize(resp, streamBufferSize)}
 	q.framing = framing(resp)
-	flush := http.NewResponseController(q.w)
+	flush := http.NewResponseController(q.reply.w)
 	var lastEventAt time.Time
 	for {
 		event, id, err := reader.next()
@@ -96,11 +96,11 @@
 		if err == nil && !q.isNewEvent(id) {
 			continue
 		}
-		if !q.headerSent {
-			q.writeHeader(resp.StatusCode, resp.Header, -1)
+		if !q.reply.started {
+			q.reply.start(resp.StatusCode, q.g.codec.Answer(resp.Header), -1)
 		}
 		if len(event) > 0 {
-			if _, werr := q.w.Write(event); werr != nil {
+			if _, werr := q.reply.w.Write(event); werr != nil {
 				q.finish(outcomeGone, "write")
 				return resultFinished
 			}
@@ -114,6 +114,7 @@
 			if q.events > 0 {
 				q.g.quarantine.tracker.Answered(q.sharedParts, now)
 			}
+			q.reply.complete = true
 			q.finish(outcomeAnswered, "")
 			return resultFinished
 		}
@@ -208,7 +209,7 @@
 	a.server.recordResult(1, time.Now())
 	q.g.metrics.BrokenStream(q.service, q.framing)
 	q.cause = "stream_broken: " + err.Error()
-	if q.headerSent && !q.route.Resumable {
+	if q.reply.started && !q.route.Resumable {
 		q.runs++
 		q.giveUp(q.cause)
 		return resultFinished
