gateway: write nothing after the head of a response but its own body

Callers saw: the text of an error in the middle of their stream, which then ended as if it were complete (ORDER, MIXED; also reported by other operators).

Cause: a stream had begun and broke off, and the next backend server answered its resumption with a signed 4xx. handleErrorStatus wrote head and body without asking whether the head had gone out; net/http drops the second head and appends the body. Any other answer or refusal at that point did the same.

Change: reply sends a whole response or an error only if none was started; otherwise the response stays incomplete and is aborted. An error status in answer to a resumed stream counts as a failed run, so that another server is tried as far as the route allows.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -222,7 +222,7 @@
 		return resultUnknown
 	}
 	full := &response{resp.StatusCode, resp.Header, body}
-	if resp.StatusCode < http.StatusInternalServerError {
+	if resp.StatusCode < http.StatusInternalServerError && !a.q.reply.started {
 		a.server.recordResult(0, time.Now())
 		a.q.answer(full, outcomeFailed, strconv.Itoa(full.status))
 		return resultFinished
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -395,13 +395,17 @@
 
 // replyError ends the request with a response of the gateway's own.
 func (q *request) replyError(status int, outcome, cause string) {
-	q.reply.error(status, cause)
+	if !q.reply.error(status, cause) {
+		outcome = outcomeBroken
+	}
 	q.finish(outcome, cause)
 }
 
 // answer ends the request with a whole response of a backend server.
 func (q *request) answer(resp *response, outcome, cause string) {
-	q.reply.whole(resp.status, q.g.codec.Answer(resp.header), resp.body)
+	if !q.reply.whole(resp.status, q.g.codec.Answer(resp.header), resp.body) {
+		outcome = outcomeBroken
+	}
 	q.finish(outcome, cause)
 }
 
--- a/gateway/reply.go
+++ b/gateway/reply.go
@@ -31,17 +31,26 @@
 	p.w.WriteHeader(status)
 }
 
-// whole sends a whole response.
-func (p *reply) whole(status int, header http.Header, body []byte) {
+// whole sends a whole response. It reports false and sends nothing if another response was started.
+func (p *reply) whole(status int, header http.Header, body []byte) bool {
+	if p.started {
+		return false
+	}
 	p.start(status, header, len(body))
 	_, err := p.w.Write(body)
 	p.complete = err == nil
+	return true
 }
 
-// error sends a response of the gateway's own, with a cause as its text.
-func (p *reply) error(status int, cause string) {
+// error sends a response of the gateway's own, with a cause as its text. It reports false and sends nothing if
+// another response was started.
+func (p *reply) error(status int, cause string) bool {
+	if p.started {
+		return false
+	}
 	p.started, p.complete = true, true
 	http.Error(p.w, cause, status)
+	return true
 }
 
 // close aborts the response unless it is complete, by a panic with http.ErrAbortHandler. It must be the last
--- a/gateway/reply_test.go
+++ b/gateway/reply_test.go
@@ -42,3 +42,22 @@
 	require.Equal(t, "all", text)
 	require.Equal(t, http.StatusOK, resp.StatusCode)
 }
+
+// Guards against a refusal or the error of another backend server being written into a stream that has begun.
+func TestNoReplyFollowsAStartedOne(t *testing.T) {
+	for name, second := range map[string]func(*reply) bool{
+		"error": func(p *reply) bool { return p.error(http.StatusServiceUnavailable, "refused") },
+		"whole": func(p *reply) bool { return p.whole(http.StatusNotFound, nil, []byte("no such route")) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, text, err := serveReply(t, func(p *reply) {
+				p.start(http.StatusOK, nil, -1)
+				_, _ = io.WriteString(p.w, "event")
+				_ = http.NewResponseController(p.w).Flush()
+				require.False(t, second(p))
+			})
+			require.Error(t, err)
+			require.Equal(t, "event", text)
+		})
+	}
+}
