gateway: forward only events of resumed streams that can be placed

Cause: isNewEvent compared numbers only where both the last and the next event had one, and took any other event for a new one. A resumed run whose events have no number, or that begins anew after a stream without numbers, repeated what the caller had.

Change: eventSequence, a decision of its own, forwards an event of a later run only if its number is above the last one; a later run with an event that cannot be placed is broken off. A stream of which an event without a number was forwarded is not resumed. Events that the caller itself had before it called are not repeated either.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -105,8 +105,8 @@
 	// serverError is a backend server's error response. It is forwarded if no other attempt
 	// succeeds.
 	serverError *response
-	// lastEventID is the ID of the last event sent to the caller.
-	lastEventID string
+	// sequence orders the events that are sent to the caller.
+	sequence    eventSequence
 	events      int
 	timeToFirst time.Duration
 	// framing is the framing of the last stream, and tailBytes the number of bytes after its last event.
@@ -150,6 +150,7 @@
 		return
 	}
 	q.metadata = g.codec.RequestMetadata(r)
+	q.sequence = newEventSequence(q.metadata.LastEventID)
 	q.service = q.route.SelectService(q.metadata.ID)
 	q.deadline = q.started.Add(q.route.Timeout)
 	if q.metadata.Remaining > 0 && q.metadata.Remaining < q.route.Timeout {
@@ -364,8 +365,8 @@
 // lastReceivedEventID returns the ID of the last event that the caller has received, or an empty
 // string.
 func (q *request) lastReceivedEventID() string {
-	if q.lastEventID != "" {
-		return q.lastEventID
+	if q.sequence.lastID != "" {
+		return q.sequence.lastID
 	}
 	return q.metadata.LastEventID
 }
--- a/gateway/requestlog.go
+++ b/gateway/requestlog.go
@@ -47,8 +47,8 @@
 	if q.lastStatus != 0 {
 		f["status"], f["not_run"] = q.lastStatus, q.lastNotRun
 	}
-	if q.lastEventID != "" {
-		f["last_event"] = q.lastEventID
+	if id := q.sequence.lastID; id != "" {
+		f["last_event"] = id
 	}
 }
 
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -7,7 +7,6 @@
 	"io"
 	"mime"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/quetzallug/quetzallug/upstream"
@@ -66,6 +65,7 @@
 	q := a.q
 	reader := &eventReader{br: bufio.NewReaderSize(resp, streamBufferSize)}
 	q.framing = framing(resp)
+	q.sequence.begin()
 	flush := http.NewResponseController(q.reply.w)
 	var lastEventAt time.Time
 	for {
@@ -93,8 +93,14 @@
 			}
 			lastEventAt = now
 		}
-		if err == nil && !q.isNewEvent(id) {
-			continue
+		if err == nil && holdsEvent(event) {
+			forward, orderErr := q.sequence.accept(id)
+			if orderErr != nil {
+				return a.handleInterruption(orderErr)
+			}
+			if !forward {
+				continue
+			}
 		}
 		if !q.reply.started {
 			q.reply.start(resp.StatusCode, q.g.codec.Answer(resp.Header), -1)
@@ -105,9 +111,6 @@
 				return resultFinished
 			}
 			q.events++
-			if id != "" {
-				q.lastEventID = id
-			}
 		}
 		if err != nil {
 			a.server.recordResult(0, now)
@@ -132,7 +135,7 @@
 	switch {
 	case !isEventStream(resp.Header):
 		return nil
-	case isInsideEvent(tail):
+	case holdsEvent(tail):
 		return errEventCut
 	case !anyEvent && framing(resp) == framingConnection:
 		return errNoEvent
@@ -147,9 +150,9 @@
 	return mediaType == "" || mediaType == "text/event-stream"
 }
 
-// isInsideEvent reports whether data without a whole event holds a part of one. Blank lines and comments
-// between events belong to none.
-func isInsideEvent(data []byte) bool {
+// holdsEvent reports whether data holds an event or a part of one. Blank lines and comments between events belong
+// to none.
+func holdsEvent(data []byte) bool {
 	for line := range bytes.Lines(data) {
 		text := bytes.TrimRight(line, "\r\n")
 		if len(text) > 0 && (text[0] != ':' || len(text) == len(line)) {
@@ -177,16 +180,6 @@
 	return framingConnection
 }
 
-// isNewEvent reports whether an event comes after the last one that the caller received.
-func (q *request) isNewEvent(id string) bool {
-	if id == "" || q.lastEventID == "" {
-		return true
-	}
-	n, err := strconv.ParseInt(id, 10, 64)
-	last, lastErr := strconv.ParseInt(q.lastEventID, 10, 64)
-	return err != nil || lastErr != nil || n > last
-}
-
 func (a *attempt) recordFirstEvent(now time.Time) {
 	q := a.q
 	if q.timeToFirst == 0 {
@@ -209,7 +202,7 @@
 	a.server.recordResult(1, time.Now())
 	q.g.metrics.BrokenStream(q.service, q.framing)
 	q.cause = "stream_broken: " + err.Error()
-	if q.reply.started && !q.route.Resumable {
+	if q.reply.started && (!q.route.Resumable || !q.sequence.mayResume()) {
 		q.runs++
 		q.giveUp(q.cause)
 		return resultFinished
