gateway: give no explicit end to an answer that had none

Cause: an answer without a length or chunks ends with its connection, and the system closes the connections of a process that is killed. Between two events, or anywhere in a plain answer, this looks like the end. The gateway made a last chunk or a Content-Length of it.

Change: such an answer goes on to the caller as it came, without length or chunks, and its connection is closed, so that the caller knows as much as the gateway. Before that the gateway probes the server: if its process is gone, the answer counts as broken off; a resumable stream goes on elsewhere, a plain answer is not sent, and any other is reset, because a mere close would end it. Answers with a length or chunks cost nothing more.

Sound unframed answers are served as before.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -193,6 +193,11 @@
 	case err != nil:
 		return a.failUnknown("answer_not_whole")
 	}
+	if err := a.checkServerAlive(resp); err != nil {
+		a.q.recordBroken(a.server)
+		return a.failUnknown(err.Error())
+	}
+	a.q.reply.untilClose = framing(resp) == framingConnection
 	a.server.recordResult(0, time.Now())
 	a.q.g.quarantine.tracker.Answered(a.q.sharedParts, time.Now())
 	a.q.timeToFirst = time.Since(a.q.started)
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -129,7 +129,7 @@
 
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	q := &request{g: g, reply: reply{w: w}, r: r, started: time.Now()}
+	q := &request{g: g, reply: reply{w: w, conn: callerConn(r.Context())}, r: r, started: time.Now()}
 	q.handle()
 	q.reply.close()
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -24,6 +24,9 @@
 	// errEventCut and errNoEvent mean that a body ended where no whole stream ends.
 	errEventCut = errors.New("stream ended inside an event")
 	errNoEvent  = errors.New("connection ended before the first event")
+	// errServerEnded means that the end of the connection that ended a body came from the end of the backend
+	// server's process.
+	errServerEnded = errors.New("backend server ended")
 )
 
 // eventReader reads complete server-sent events, including the blank line that ends each.
@@ -79,7 +82,11 @@
 			q.tailBytes = len(event)
 		}
 		if errors.Is(err, io.EOF) {
-			if endErr := checkEnd(resp, event, !lastEventAt.IsZero()); endErr != nil {
+			endErr := checkEnd(resp, event, !lastEventAt.IsZero())
+			if endErr == nil {
+				endErr = a.checkServerAlive(resp)
+			}
+			if endErr != nil {
 				return a.handleInterruption(endErr)
 			}
 		}
@@ -103,6 +110,7 @@
 			}
 		}
 		if !q.reply.started {
+			q.reply.untilClose = q.framing == framingConnection
 			q.reply.start(resp.StatusCode, q.g.codec.Answer(resp.Header), -1)
 		}
 		if len(event) > 0 {
@@ -143,6 +151,19 @@
 	return nil
 }
 
+// checkServerAlive returns errServerEnded if the backend server's process ended with a body that only its
+// connection ends: the operating system closes the connections of a process that is killed, which looks like the
+// end of the body.
+func (a *attempt) checkServerAlive(resp *upstream.Response) error {
+	if framing(resp) != framingConnection {
+		return nil
+	}
+	if a.q.g.crashes.refusesConnections(a.q.ctx, a.server) {
+		return errServerEnded
+	}
+	return nil
+}
+
 // isEventStream reports whether a body holds events. A response without a type to a request for a stream is
 // taken for one.
 func isEventStream(h http.Header) bool {
@@ -172,7 +193,7 @@
 // framing returns the framing of a response's body.
 func framing(resp *upstream.Response) string {
 	switch {
-	case resp.ContentLength >= 0:
+	case resp.ContentLength >= 0 || resp.Body == http.NoBody:
 		return framingLength
 	case len(resp.TransferEncoding) > 0:
 		return framingChunks
