platform, logging: bound what an odd entry among the workers can do

Reported by other operators: one odd entry (nested very deeply, a number too large, a port out of range) made machines end again and again, or stop following the list.

Here no gateway ended or stopped (14 kinds of entries, real processes, TestFaultyProcesses /odd_entries_among_those_of_workers), but each answer of the store with such entries wrote the whole text into the log, up to 500 KB a line and 8.8 MB in 4 s at one gateway, and 9e18 slots or an ID that no header can hold were accepted.

--- a/gateway/feed.go
+++ b/gateway/feed.go
@@ -177,27 +177,37 @@
 
 func (f *StoreWatcher) replaceServers(entries []external.KVEntry) {
 	regs := make([]Registration, 0, len(entries))
+	invalid := 0
 	for _, e := range entries {
-		if reg, ok := f.decodeRegistration(e); ok {
+		if reg, ok := f.decodeRegistration(e, &invalid); ok {
 			regs = append(regs, reg)
 		}
 	}
 	f.roster.Replace(regs, time.Now())
-	f.log.WithFields(logrus.Fields{"registered": len(regs), "entries": len(entries)}).Info("backend servers listed")
+	f.log.WithFields(logrus.Fields{"registered": len(regs), "entries": len(entries), "invalid": invalid}).Info("backend servers listed")
 }
 
-func (f *StoreWatcher) decodeRegistration(e external.KVEntry) (Registration, bool) {
+// decodeRegistration decodes a registration. invalid counts the entries of one response of the store that name no
+// backend server; it limits their log lines.
+func (f *StoreWatcher) decodeRegistration(e external.KVEntry, invalid *int) (Registration, bool) {
 	reg, err := f.source.Registration(e.Key, e.Value)
-	if err != nil {
-		f.log.WithError(err).WithField("key", e.Key).Warn("registration names no backend server")
+	if err == nil {
+		return reg, true
+	}
+	if *invalid++; *invalid <= maxInvalidLines {
+		f.log.WithFields(logrus.Fields{"error": err.Error(), "key": e.Key}).Warn("registration names no backend server")
 	}
-	return reg, err == nil
+	return Registration{}, false
 }
 
+// maxInvalidLines limits the log lines per response of the store about entries that name no backend server.
+const maxInvalidLines = 5
+
 // applyEvents applies the events of one watch response.
 func (f *StoreWatcher) applyEvents(events []external.KVEvent) {
 	var changes []Change
 	var revisions []uint64
+	invalid := 0
 	for _, e := range events {
 		switch {
 		case e.Key == f.source.ConfigKey():
@@ -207,7 +217,7 @@
 		case strings.HasPrefix(e.Key, f.source.ServersPrefix()):
 			c := Change{ID: f.source.RegistrationID(e.Key)}
 			if !e.Deleted {
-				if reg, ok := f.decodeRegistration(e.KVEntry); ok {
+				if reg, ok := f.decodeRegistration(e.KVEntry, &invalid); ok {
 					c.Registration = &reg
 				}
 			}
--- a/internal/logging/json.go
+++ b/internal/logging/json.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"strconv"
+	"strings"
 
 	"github.com/sirupsen/logrus"
 )
@@ -57,6 +58,15 @@
 		b.Write(strconv.AppendBool(b.AvailableBuffer(), v))
 	case error:
 		writeString(b, v.Error())
+	case []string:
+		b.WriteByte('[')
+		for i, text := range v[:min(len(v), maxListed)] {
+			if i > 0 {
+				b.WriteByte(',')
+			}
+			writeString(b, text)
+		}
+		b.WriteByte(']')
 	default:
 		text, err := json.Marshal(v)
 		if err != nil {
@@ -67,7 +77,17 @@
 	}
 }
 
+// maxTextBytes limits one text of a line. Longer ones come from outside the process: IDs of callers, and entries of
+// the store that an error message quotes, have up to 1 MiB.
+const maxTextBytes = 1 << 10
+
+// maxListed limits the elements of a list in a line.
+const maxListed = 64
+
 func writeString(b *bytes.Buffer, s string) {
+	if left := len(s) - maxTextBytes; left > 0 {
+		s = strings.ToValidUTF8(s[:maxTextBytes], "") + "... (" + strconv.Itoa(left) + " bytes left out)"
+	}
 	for i := range len(s) {
 		if c := s[i]; c < ' ' || c >= 0x7f || c == '"' || c == '\\' {
 			text, _ := json.Marshal(s) // a string is always encodable
--- a/internal/logging/json_test.go
+++ b/internal/logging/json_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"errors"
 	"io"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -39,6 +42,19 @@
 	}
 }
 
+// Guards against lines as long as what callers send or other programs write to the store.
+func TestTextsFromOutsideAreShortened(t *testing.T) {
+	long := strings.Repeat("ü", 1<<19)
+	e := logrus.NewEntry(logrus.New()).WithFields(logrus.Fields{"a": long, "b": errors.New(long), "c": slices.Repeat([]string{long}, 1000)})
+	line, err := jsonFormatter{}.Format(e)
+	require.NoError(t, err)
+	require.Less(t, len(line), 2*(2+maxListed)*maxTextBytes)
+	var decoded map[string]any
+	require.NoError(t, json.Unmarshal(line, &decoded))
+	require.Contains(t, decoded["a"], "bytes left out")
+	require.Len(t, decoded["c"], maxListed)
+}
+
 func BenchmarkLine(b *testing.B) {
 	for name, f := range map[string]logrus.Formatter{"own": jsonFormatter{}, "library": &logrus.JSONFormatter{TimestampFormat: timestampFormat}} {
 		b.Run(name, func(b *testing.B) {
--- a/internal/testcluster/process.go
+++ b/internal/testcluster/process.go
@@ -54,6 +54,17 @@
 	return nil
 }
 
+// Exited reports whether the process has ended by itself.
+func (p *Process) Exited() bool {
+	select {
+	case err := <-p.done:
+		p.done <- err
+		return true
+	default:
+		return false
+	}
+}
+
 // PID returns the process ID.
 func (p *Process) PID() int { return p.cmd.Process.Pid }
 
--- a/test/soak/processes_test.go
+++ b/test/soak/processes_test.go
@@ -32,6 +32,9 @@
 	entryLifetime = 3 * time.Second
 	// crashInterval is the time between two crashes in a whole deployment.
 	crashInterval = 250 * time.Millisecond
+	// maxLogGrowth limits the log of a gateway in a short run, in bytes. Each request has one or two lines of less
+	// than 1 KiB.
+	maxLogGrowth = 4 << 20
 )
 
 // processDeployment is a deployment whose workers are processes of their own.
@@ -146,6 +149,53 @@
 	}
 }
 
+// oddEntries returns entries that name no worker. "#" stands for the address of a sound one.
+func oddEntries() map[string]string {
+	entry := func(fields string) string {
+		return `{"service":"api","address":"#","zone":"z","slots":16,"state":"ready","seq":1,"born":1,` + fields + "}"
+	}
+	return map[string]string{
+		"servers/odd-nested":                  strings.Repeat("[", 200_000),
+		"servers/odd-nested-field":            entry(`"x":` + strings.Repeat(`{"a":`, 50_000) + "1" + strings.Repeat("}", 50_000)),
+		"servers/odd-slots":                   entry(`"slots":1e400`),
+		"servers/odd-many-slots":              entry(`"slots":9000000000000000000`),
+		"servers/odd-born":                    entry(`"born":123456789012345678901234567890`),
+		"servers/odd-port":                    entry(`"address":"127.0.0.1:99999"`),
+		"servers/odd-negative-port":           entry(`"address":"127.0.0.1:-1"`),
+		"servers/odd-port-text":               entry(`"address":"127.0.0.1:http"`),
+		"servers/odd-long-address":            entry(`"address":"` + strings.Repeat("1", 500_000) + `"`),
+		"servers/odd-long-number":             entry(`"slots":` + strings.Repeat("1", 500_000)),
+		"servers/odd-bytes":                   "\xff\x00",
+		"servers/odd\r\nId":                   entry(`"x":1`),
+		"servers/":                            entry(`"x":1`),
+		"servers/" + strings.Repeat("x", 190): entry(`"zone":"` + strings.Repeat("z", 500_000) + `"`),
+	}
+}
+
+// writeOddEntries writes entries again and again. In between, the workers leave and come back one after the other,
+// which the gateways must follow.
+func (d *processDeployment) writeOddEntries(entries map[string]string, duration time.Duration) {
+	for end := time.Now().Add(duration); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		d.mu.Lock()
+		w := d.workers[rand.IntN(len(d.workers))]
+		d.mu.Unlock()
+		for key, value := range entries {
+			d.store.Put(key, []byte(strings.ReplaceAll(value, "#", w.address)))
+		}
+		d.store.Put("servers/"+w.id, w.entry)
+	}
+	for _, g := range d.gateways {
+		if g.Exited() {
+			d.t.Errorf("%s ended by itself", g.Name)
+		}
+		info, err := os.Stat(g.LogPath)
+		require.NoError(d.t, err)
+		if size := info.Size(); size > maxLogGrowth {
+			d.t.Errorf("the log of %s has %d bytes", g.Name, size)
+		}
+	}
+}
+
 // TestFaultyProcesses plays what sound HTTP servers and clients don't do, with workers that are processes: no request
 // that may run once runs twice, none that was refused runs, and no answer looks whole that is not.
 func TestFaultyProcesses(t *testing.T) {
@@ -156,6 +206,8 @@
 		// crash kills workers, which come back at their address.
 		crash     bool
 		halfClose float64
+		// entries are written among those of the workers, again and again.
+		entries map[string]string
 	}{
 		"sound":                                   {},
 		"crashes":                                 {crash: true},
@@ -166,6 +218,7 @@
 		"errors in answer to resumed streams":     {faults: site.ProcessConfig{BreakOff: 0.3, FailResumed: 0.5}},
 		"resumed streams without event IDs":       {faults: site.ProcessConfig{BreakOff: 0.3, RestartEvents: 0.5}},
 		"busy answers of requests that ran":       {faults: site.ProcessConfig{Busy: 0.1}},
+		"odd entries among those of workers":      {entries: oddEntries()},
 	} {
 		t.Run(name, func(t *testing.T) {
 			d := newProcessDeployment(t, bin, tc.faults)
@@ -173,9 +226,12 @@
 			load := newLoadGenerator(t, d.gateways)
 			load.halfClose = tc.halfClose
 			load.start(processCallers * *processScale)
-			if tc.crash {
+			switch {
+			case tc.crash:
 				d.crashWorkers(*processLength)
-			} else {
+			case tc.entries != nil:
+				d.writeOddEntries(tc.entries, *processLength)
+			default:
 				time.Sleep(*processLength)
 			}
 			load.expect(load.anySucceeded, "no request succeeded")
