gateway: one place decides whether a backend server gets a request, directly before the send

Causes: Server-Leaving and Retry-After of a worker's 503 were not read. `born` and `seq` were not compared, so that a beat that the store did late brought a draining worker back; what was known of a run was forgotten with its entry. A choice was not looked at again after it had waited for a prefill or a connection.

Change: lifetimes keeps the last run of each server, for a minute after its entry went, 4,096 at most. Leaving holds for the rest of the run, whatever the store says; an older entry is held back, and counts if it still stands after 5 s (a clock that was set back). Server.admission says leaving, resting or gone; the pool asks it once a connection is there, for requests, prefills, releases, reports and orders, and puts the connection back if it says no; the request is chosen for anew, a prefilled prompt included. If all servers of a service rest or leave, callers are refused at once with that reason, and with the time until the first is back.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -99,19 +99,22 @@
 	codec := q.g.codec
 	resp, err := q.g.pool.Do(q.ctx, a.server.Address, &upstream.Request{
 		Method: q.r.Method, Target: q.r.RequestURI, Host: q.r.Host,
-		Header: codec.Header(q.r.Header, a.forwarded), Body: q.body, Sends: &q.connections, NewConnection: q.metadata.ID == "",
+		Header: codec.Header(q.r.Header, a.forwarded), Body: q.body, Sends: &q.connections, NewConnection: q.metadata.ID == "", Check: a.server.check,
 	}, q.isResponseToRequest)
 	now := time.Now()
 	switch {
 	case err == nil:
 		m := codec.ResponseMetadata(resp.StatusCode, resp.Header)
 		discardUnidentified(resp, m)
-		q.recordStatus(resp, m)
+		q.observe(a.server, resp, m)
 		a.server.recordActivity(m.Load, now)
 		return resp, m, resultFinished
 	case q.r.Context().Err() != nil:
 		q.finish(outcomeGone, "")
 		return nil, ResponseMetadata{}, resultFinished
+	case isHeld(err):
+		q.cause = heldCause(err)
+		return nil, ResponseMetadata{}, resultNotSent
 	case errors.Is(err, upstream.ErrNotSent):
 		q.recordUnreachable(a.server, err)
 		q.cause = "unreachable"
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -46,6 +46,8 @@
 // Reasons for a choice, as logged.
 const (
 	reasonNoServer         = "no_server"
+	reasonAllRest          = "servers_resting"
+	reasonAllLeave         = "servers_leaving"
 	reasonLeastLoad        = "least_load"
 	reasonPrefillElsewhere = "read_elsewhere"
 	reasonOneServer        = "one_server"
@@ -70,12 +72,14 @@
 	// mean request.
 	excessPrefill time.Duration
 	reason        string
+	// restsFor is how long until the first backend server takes requests again, if all that are left rest.
+	restsFor time.Duration
 	// considered is the number of backend servers that were compared.
 	considered int
 }
 
-// candidates returns the servers that were not tried yet: the ones that are usable for requests with a
-// target, or all of them if includeUnusable is set.
+// candidates returns the servers that were not tried yet and don't rest: the ones that are usable for requests with
+// a target, or all of them if includeUnusable is set.
 func candidates(servers []*Server, tried []*serverState, target time.Duration, now time.Time, includeUnusable bool) ([]*Server, []view) {
 	out := make([]*Server, 0, len(servers))
 	views := make([]view, 0, len(servers))
@@ -83,7 +87,7 @@
 		if slices.Contains(tried, s.state) {
 			continue
 		}
-		if v := s.view(now); v.usableFor(target) || includeUnusable {
+		if v := s.view(now); v.restsFor == 0 && (v.usableFor(target) || includeUnusable) {
 			out, views = append(out, s), append(views, v)
 		}
 	}
--- a/gateway/control_test.go
+++ b/gateway/control_test.go
@@ -46,7 +46,7 @@
 	pool := upstream.NewPool()
 	defer pool.Close()
 	r := &RolePlanner{pool: pool, orders: idOrders{}}
-	s := makeServer(Registration{Address: l.Addr().String()}, &serverState{})
+	s := makeServer(Registration{Address: l.Addr().String()}, &serverState{listed: true})
 	resp, err := pool.Do(context.Background(), s.Address, &upstream.Request{Method: http.MethodGet, Target: "/"}, func(*http.Response, bool) bool { return true })
 	require.NoError(t, err)
 	_, err = io.ReadAll(resp)
--- a/gateway/decider.go
+++ b/gateway/decider.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -152,7 +153,30 @@
 	if c := d.chooseFrom(q, now, all, false); c.server != nil {
 		return c
 	}
-	return d.chooseFrom(q, now, all, true)
+	c := d.chooseFrom(q, now, all, true)
+	if c.server == nil {
+		if rest := shortestRest(all, q.tried, now); rest > 0 {
+			c.reason, c.restsFor = reasonAllRest, rest
+		} else if len(all) == 0 && d.roster.hasLeaving(q.Service) {
+			c.reason = reasonAllLeave
+		}
+	}
+	return c
+}
+
+// shortestRest returns how long until the first of the servers that rest and were not tried takes requests again;
+// zero if none rests.
+func shortestRest(servers []*Server, tried []*serverState, now time.Time) time.Duration {
+	shortest := time.Duration(0)
+	for _, s := range servers {
+		if slices.Contains(tried, s.state) {
+			continue
+		}
+		if v := s.view(now); v.restsFor > 0 && (shortest == 0 || v.restsFor < shortest) {
+			shortest = v.restsFor
+		}
+	}
+	return shortest
 }
 
 // chooseFrom selects among the usable backend servers that were not tried, or among all that were
@@ -258,3 +282,10 @@
 	window := deadline.Sub(now) / 3
 	return min(max(window*3/5+time.Duration(d.random()*float64(window)*2/5), minRetryAfter), maxRetryAfter)
 }
+
+// retryAfterRest returns how long a caller should wait that was refused without overload: until a backend server
+// that rests takes requests again, if it was refused for that, with up to a fifth more, so that callers don't
+// return together.
+func (d *Decider) retryAfterRest(rest time.Duration) time.Duration {
+	return max(minRetryAfter, rest+time.Duration(d.random()*float64(rest)/5))
+}
--- a/gateway/feed.go
+++ b/gateway/feed.go
@@ -265,7 +265,7 @@
 
 func (f *StoreWatcher) dropLapsed(ctx context.Context) {
 	for pause.For(ctx, expiryInterval) {
-		for _, id := range f.roster.DropLapsed(time.Now()) {
+		for _, id := range f.roster.Expire(time.Now()) {
 			f.log.WithField("server", id).Info("lapsed registration did not return")
 		}
 	}
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -115,6 +115,9 @@
 	// prefillElapsed is how long the last successful prefill on another backend server took.
 	prefillElapsed time.Duration
 	lastChoice     choice
+	// restsFor is how long until the first backend server takes requests again, if the request was given up
+	// because all rest.
+	restsFor time.Duration
 	// cause is the cause of the last failed attempt.
 	cause         string
 	configVersion uint64
@@ -239,6 +242,7 @@
 		c := q.g.decider.choose(selection, now)
 		q.lastChoice = c
 		if c.server == nil {
+			q.restsFor = c.restsFor
 			q.giveUp(q.joinCause(c.reason))
 			return
 		}
@@ -255,7 +259,7 @@
 			return
 		case resultNotSent:
 			if q.connectFailures++; q.connectFailures >= maxConnectFailures {
-				q.giveUp("unreachable")
+				q.giveUp(q.cause)
 				return
 			}
 		case resultNotRun:
@@ -379,7 +383,7 @@
 	case q.serverError != nil:
 		q.answer(q.serverError, outcomeFailed, cause)
 	case q.runs == 0:
-		q.refuse(cause, minRetryAfter)
+		q.refuse(cause, q.g.decider.retryAfterRest(q.restsFor))
 	case !time.Now().Before(q.deadline.Add(-minTimeLeft)):
 		q.replyError(http.StatusGatewayTimeout, outcomeTimeout, cause)
 	default:
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -74,6 +74,12 @@
 	// AddressReused is true if the address now belongs to another backend server.
 	AddressReused bool
 	Load          *Load
+	// Leaving is true if the backend server says that it leaves.
+	Leaving bool
+	// Rest is for how long the backend server, which refused the request, wants no further ones. OddRest is its
+	// wish as received if that can't be read.
+	Rest    time.Duration
+	OddRest string
 }
 
 // Codec translates requests and responses to and from the wire format of an installation.
@@ -106,6 +112,8 @@
 	RetryWindow time.Duration
 	RetryShare  float64
 	RetrySlack  float64
+	// MaxRest limits for how long a backend server may refuse all requests at once.
+	MaxRest time.Duration
 }
 
 // Gateway forwards callers' requests to backend servers. It is safe for concurrent use.
@@ -145,6 +153,8 @@
 	BrokenStream(service, framing string)
 	// Crash records a backend server that crashed while it processed prompts of this process.
 	Crash(service string)
+	// Hold records that a backend server gets no requests because it said that it leaves or rests.
+	Hold(service, reason string)
 	// Attempt records the result of sending a request to one backend server.
 	Attempt(service, outcome string)
 	// PromptTokens records the origin of the tokens of a prompt.
--- /dev/null
+++ b/gateway/lifetimes.go
@@ -0,0 +1,116 @@
+package gateway
+
+import "time"
+
+const (
+	// olderEntryHold is how long a registration that is older than the last one is held back. A backend server
+	// that runs replaces it with its next heartbeat, and one that has ended is removed after three heartbeats,
+	// which are 1.2 s apart. One that stays must be of a newer run on a clock that was set back.
+	olderEntryHold = 5 * time.Second
+	// lifetimeMemory is how long a run is remembered after its registration was removed. A write without an
+	// answer may be done up to 12 s later, and a run whose registration lapsed comes back within seconds.
+	lifetimeMemory = time.Minute
+	// maxEndedLifetimes limits the remembered runs without a registration.
+	maxEndedLifetimes = 4096
+)
+
+// lifetime is the last known run of one backend server.
+type lifetime struct {
+	Registration
+	state *serverState
+	// endedAt is when its registration was removed; zero while it is registered.
+	endedAt time.Time
+}
+
+// isOlder reports whether a registration was written before the last known one. Registrations without a start or
+// number can't be ordered and count as newer.
+func (l *lifetime) isOlder(reg *Registration) bool {
+	switch {
+	case l.Born == 0 || reg.Born == 0:
+		return false
+	case l.Born != reg.Born:
+		return reg.Born < l.Born
+	}
+	return reg.Seq >= 0 && reg.Seq < l.Seq
+}
+
+// isRun reports whether a registration is of the same run. Without a start, a run ends when it is said to be ready
+// after it was leaving.
+func (l *lifetime) isRun(reg *Registration) bool {
+	if l.Born != reg.Born || l.Address != reg.Address || l.Service != reg.Service {
+		return false
+	}
+	return reg.Born != 0 || reg.Draining || !l.state.isLeaving()
+}
+
+// lifetimes remembers the last run of each backend server, so that what is known of it outlasts its registration,
+// and orders the registrations. It has no lock of its own.
+type lifetimes struct {
+	byID map[string]*lifetime
+	// heldBack holds older registrations and since when each is known.
+	heldBack map[string]heldEntry
+}
+
+type heldEntry struct {
+	reg   Registration
+	since time.Time
+}
+
+func newLifetimes() lifetimes {
+	return lifetimes{byID: make(map[string]*lifetime), heldBack: make(map[string]heldEntry)}
+}
+
+// observe records a registration and reports whether it is to be applied.
+func (ls *lifetimes) observe(reg *Registration, now time.Time) bool {
+	l := ls.byID[reg.ID]
+	if l != nil && l.isOlder(reg) {
+		if held, ok := ls.heldBack[reg.ID]; !ok || held.reg != *reg {
+			ls.heldBack[reg.ID] = heldEntry{*reg, now}
+		}
+		return false
+	}
+	delete(ls.heldBack, reg.ID)
+	if l != nil && l.isRun(reg) {
+		l.Registration, l.endedAt = *reg, time.Time{}
+		return true
+	}
+	ls.byID[reg.ID] = &lifetime{Registration: *reg, state: &serverState{}}
+	return true
+}
+
+// state returns the state of the last run of a backend server that was observed.
+func (ls *lifetimes) state(id string) *serverState { return ls.byID[id].state }
+
+// end records that the registration of a backend server was removed.
+func (ls *lifetimes) end(id string, now time.Time) {
+	delete(ls.heldBack, id)
+	if l := ls.byID[id]; l != nil {
+		l.endedAt = now
+	}
+}
+
+// expire forgets runs that ended long ago. It returns the registrations that were held back for long enough; they
+// are newer than any other now.
+func (ls *lifetimes) expire(now time.Time) (due []Registration) {
+	for id, held := range ls.heldBack {
+		if now.Sub(held.since) >= olderEntryHold {
+			delete(ls.heldBack, id)
+			if l := ls.byID[id]; l.Born == held.reg.Born {
+				l.Seq = held.reg.Seq
+			} else {
+				l.Born = 0
+			}
+			due = append(due, held.reg)
+		}
+	}
+	ended := 0
+	for id, l := range ls.byID {
+		if l.endedAt.IsZero() {
+			continue
+		}
+		if ended++; now.Sub(l.endedAt) >= lifetimeMemory || ended > maxEndedLifetimes {
+			delete(ls.byID, id)
+		}
+	}
+	return due
+}
--- /dev/null
+++ b/gateway/lifetimes_test.go
@@ -0,0 +1,91 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func registration(born, seq int64, draining bool) Registration {
+	return Registration{ID: "i", Service: "s", Address: "10.0.0.1:1", Slots: 1, Born: born, Seq: seq, Draining: draining}
+}
+
+// Guards against an entry that the store did late bringing a backend server back that drains or has left.
+func TestOlderRegistrationsChangeNothing(t *testing.T) {
+	for name, tc := range map[string]struct {
+		seen, late Registration
+		// removed removes the registration between the two.
+		removed bool
+		// serves is whether the backend server gets requests at once, and later once the older one has stayed.
+		serves, later bool
+	}{
+		"late beat of a draining server":       {seen: registration(9, 5, true), late: registration(9, 4, false)},
+		"newer beat of a draining server":      {seen: registration(9, 5, true), late: registration(9, 6, false)},
+		"late beat of a server that has left":  {seen: registration(9, 5, true), late: registration(9, 4, false), removed: true},
+		"lapsed and back":                      {seen: registration(9, 5, false), late: registration(9, 6, false), removed: true, serves: true, later: true},
+		"lapsed and back with an older entry":  {seen: registration(9, 5, false), late: registration(9, 4, false), removed: true, later: true},
+		"late entry of an earlier run":         {seen: registration(9, 5, true), late: registration(8, 7, false), later: true},
+		"new run under the ID":                 {seen: registration(9, 5, true), late: registration(10, 1, false), serves: true, later: true},
+		"entry without a number":               {seen: registration(9, 5, false), late: registration(9, -1, false), serves: true, later: true},
+		"draining entry without a number":      {seen: registration(9, 5, true), late: registration(9, -1, false)},
+		"ready again, entries without a start": {seen: registration(0, 5, true), late: registration(0, 6, false), serves: true, later: true},
+	} {
+		for _, byList := range []bool{false, true} {
+			t.Run(name, func(t *testing.T) {
+				r := NewRoster()
+				apply := func(reg Registration, at time.Time) {
+					if byList {
+						r.Replace([]Registration{reg}, at)
+					} else {
+						r.Apply([]Change{{ID: "i", Registration: &reg}}, at)
+					}
+				}
+				apply(tc.seen, start)
+				if tc.removed {
+					r.Apply([]Change{{ID: "i"}}, start.Add(time.Second))
+				}
+				apply(tc.late, start.Add(2*time.Second))
+				require.Equal(t, tc.serves, len(r.Servers("s")) == 1)
+				r.Expire(start.Add(2*time.Second + olderEntryHold))
+				require.Equal(t, tc.later, len(r.Servers("s")) == 1)
+			})
+		}
+	}
+}
+
+// Guards against memory that grows with the backend servers that came and went.
+func TestEndedRunsAreForgotten(t *testing.T) {
+	r := NewRoster()
+	for i := range 2 * maxEndedLifetimes {
+		reg := registration(1, 1, false)
+		reg.ID = string(rune('a'+i%26)) + time.Duration(i).String()
+		r.Apply([]Change{{ID: reg.ID, Registration: &reg}}, start)
+		r.Apply([]Change{{ID: reg.ID}}, start)
+	}
+	r.Expire(start.Add(time.Second))
+	require.LessOrEqual(t, len(r.lifetimes.byID), maxEndedLifetimes)
+	r.Expire(start.Add(lifetimeMemory))
+	require.Empty(t, r.lifetimes.byID)
+}
+
+// Guards against a request that is sent to a backend server whose state has changed since the choice.
+func TestAdmission(t *testing.T) {
+	r := NewRoster()
+	apply := func(reg Registration) { r.Apply([]Change{{ID: "i", Registration: &reg}}, start) }
+	apply(registration(9, 1, false))
+	s := r.Servers("s")[0]
+	require.NoError(t, s.admission(start))
+	s.recordRest(time.Second, start)
+	require.ErrorIs(t, s.admission(start), errResting)
+	require.NoError(t, s.admission(start.Add(time.Second)))
+	require.True(t, r.MarkLeaving(s))
+	require.False(t, r.MarkLeaving(s))
+	require.ErrorIs(t, s.admission(start.Add(time.Second)), errLeaving)
+	require.Empty(t, r.Servers("s"))
+	apply(registration(10, 1, false))
+	s = r.Servers("s")[0]
+	require.NoError(t, s.admission(start))
+	r.Apply([]Change{{ID: "i"}}, start)
+	require.ErrorIs(t, s.admission(start), errGone)
+}
--- a/gateway/prefill.go
+++ b/gateway/prefill.go
@@ -29,7 +29,7 @@
 	forwarded := &ForwardedRequest{Server: server, Remaining: time.Until(q.deadline), Priority: q.route.Priority, Prefill: true}
 	resp, err := q.g.pool.Do(q.ctx, server.Address, &upstream.Request{
 		Method: q.r.Method, Target: q.r.RequestURI, Host: q.r.Host,
-		Header: q.g.codec.Header(q.r.Header, forwarded), Body: q.body, Sends: &q.connections, NewConnection: q.metadata.ID == "",
+		Header: q.g.codec.Header(q.r.Header, forwarded), Body: q.body, Sends: &q.connections, NewConnection: q.metadata.ID == "", Check: server.check,
 	}, q.isResponseToRequest)
 	if err != nil {
 		return "", q.handlePrefillError(server, err), false
@@ -39,7 +39,7 @@
 	now := time.Now()
 	m := q.g.codec.ResponseMetadata(resp.StatusCode, resp.Header)
 	discardUnidentified(resp, m)
-	q.recordStatus(resp, m)
+	q.observe(server, resp, m)
 	server.recordActivity(m.Load, now)
 	if q.r.Context().Err() != nil {
 		q.finish(outcomeGone, "")
@@ -75,6 +75,9 @@
 	case q.r.Context().Err() != nil:
 		q.finish(outcomeGone, "")
 		return resultFinished
+	case isHeld(err):
+		q.cause = heldCause(err)
+		return resultNotSent
 	case errors.Is(err, upstream.ErrNotSent):
 		q.recordUnreachable(server, err)
 		q.cause = "reader_unreachable"
@@ -117,8 +120,11 @@
 	defer cancel()
 	method, target := g.codec.Release(handle)
 	resp, err := g.pool.Do(ctx, server.Address, &upstream.Request{
-		Method: method, Target: target, Host: server.Address, Header: http.Header{}, NewConnection: true,
+		Method: method, Target: target, Host: server.Address, Header: http.Header{}, NewConnection: true, Check: server.check,
 	}, isControlResponse(g.codec))
+	if isHeld(err) {
+		return // the handle expires
+	}
 	if err != nil {
 		g.log.WithError(err).WithField("server", server.ID).Warn("cannot release an unused prefilled prompt")
 		return
--- a/gateway/roles.go
+++ b/gateway/roles.go
@@ -201,6 +201,7 @@
 	defer cancel()
 	// A late copy of a refusal on a kept connection would be taken for the answer to the order.
 	req.NewConnection = true
+	req.Check = s.check
 	resp, err := r.pool.Do(ctx, s.Address, req, func(resp *http.Response, first bool) bool { return first && !r.orders.AnswersCaller(resp.Header) })
 	if err != nil {
 		return 0, nil, err
--- /dev/null
+++ b/gateway/roster.go
@@ -0,0 +1,249 @@
+package gateway
+
+import (
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Roster holds the registered backend servers by service. It is safe for concurrent use.
+//
+// A registration that disappears during a store failure, or shortly afterwards, may have expired
+// although its backend server is running. It is kept until the grace period after the last failure
+// has passed. At other times a registration that disappears is removed immediately.
+//
+// A registration that is older than one already seen changes nothing while the newer one may come back; see
+// lifetimes.
+type Roster struct {
+	grace time.Duration
+
+	mu            sync.Mutex
+	servers       map[string]*Server
+	lapsed        map[string]bool
+	lifetimes     lifetimes
+	storeFailedAt time.Time
+	confirmedAt   time.Time
+	// publishCount counts the published snapshots.
+	publishCount int
+	services     atomic.Pointer[map[string][]*Server]
+}
+
+// Change is a change of one registration.
+type Change struct {
+	ID string
+	// Registration is nil if the registration was removed.
+	Registration *Registration
+}
+
+// lapseGrace is how long after a store failure a lapsed registration is kept. Running backend
+// servers register again within about two seconds. Three seconds after the failure, servers that
+// have left must get no requests.
+const lapseGrace = 2700 * time.Millisecond
+
+// NewRoster returns an empty Roster.
+func NewRoster() *Roster {
+	r := &Roster{grace: lapseGrace, servers: make(map[string]*Server), lapsed: make(map[string]bool), lifetimes: newLifetimes()}
+	r.services.Store(&map[string][]*Server{})
+	return r
+}
+
+// Servers returns the backend servers of a service that are not draining, sorted by ID. The caller must
+// not modify the slice.
+func (r *Roster) Servers(service string) []*Server { return (*r.services.Load())[service] }
+
+// IsServing reports whether a run of a backend server is listed and not draining.
+func (r *Roster) IsServing(s *Server) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	listed := r.servers[s.ID]
+	return listed != nil && listed.state == s.state && !listed.isLeaving()
+}
+
+// MarkLeaving records that a backend server has said that it leaves. It gets no further requests in this run. It
+// reports whether that was unknown.
+func (r *Roster) MarkLeaving(s *Server) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !s.state.markLeaving() {
+		return false
+	}
+	r.publish()
+	return true
+}
+
+// hasLeaving reports whether a registered backend server of a service is leaving.
+func (r *Roster) hasLeaving(service string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, s := range r.servers {
+		if s.Service == service && s.isLeaving() {
+			return true
+		}
+	}
+	return false
+}
+
+// HeldBack returns the number of registrations that are held back because newer ones were seen.
+func (r *Roster) HeldBack() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.lifetimes.heldBack)
+}
+
+// Len returns the number of registered backend servers.
+func (r *Roster) Len() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.servers)
+}
+
+// StoreFailed records that a call to the store failed that began at the given time.
+func (r *Roster) StoreFailed(startedAt time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.storeFailedAt = startedAt
+}
+
+// StoreConfirmed records that all changes in the store up to now are known.
+func (r *Roster) StoreConfirmed(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.confirmedAt = now
+}
+
+// Apply applies the changes of one response of the store and publishes them together, because a
+// response can contain thousands. The result tells for each change whether it had an effect; a
+// registration that is kept as lapsed does not count.
+func (r *Roster) Apply(changes []Change, now time.Time) []bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	applied := make([]bool, len(changes))
+	changed := false
+	for i, c := range changes {
+		if c.Registration != nil {
+			applied[i] = r.upsert(*c.Registration, now)
+		} else {
+			applied[i] = r.remove(c.ID, now)
+		}
+		changed = changed || applied[i]
+	}
+	if changed {
+		r.publish()
+	}
+	return applied
+}
+
+// upsert adds or updates a registration, which is then not lapsed. It reports whether the
+// registration is new or was changed. An older one than the last is held back and changes nothing.
+func (r *Roster) upsert(reg Registration, now time.Time) bool {
+	if !r.lifetimes.observe(&reg, now) {
+		return false
+	}
+	old := r.servers[reg.ID]
+	delete(r.lapsed, reg.ID)
+	st := r.lifetimes.state(reg.ID)
+	if reg.Draining {
+		st.markLeaving()
+	}
+	st.setListed(true)
+	if old != nil {
+		if old.state != st {
+			old.state.setListed(false)
+		}
+		known := old.Registration
+		known.Seq = reg.Seq
+		if known == reg && old.state == st {
+			return false
+		}
+	}
+	r.servers[reg.ID] = makeServer(reg, st)
+	return true
+}
+
+// remove removes a registration or marks it as lapsed. It reports whether it was removed.
+func (r *Roster) remove(id string, now time.Time) bool {
+	s := r.servers[id]
+	if s == nil {
+		return false
+	}
+	if !s.Draining && now.Sub(r.storeFailedAt) < r.grace {
+		r.lapsed[id] = true
+		return false
+	}
+	r.drop(id, now)
+	delete(r.lapsed, id)
+	return true
+}
+
+// drop drops a registration.
+func (r *Roster) drop(id string, now time.Time) {
+	if s := r.servers[id]; s != nil {
+		s.state.setListed(false)
+	}
+	delete(r.servers, id)
+	r.lifetimes.end(id, now)
+}
+
+// Replace makes regs the registrations. Others are removed, or kept as lapsed during the grace period
+// after a store failure.
+func (r *Roster) Replace(regs []Registration, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	listed := make(map[string]bool, len(regs))
+	for _, reg := range regs {
+		listed[reg.ID] = true
+		r.upsert(reg, now)
+	}
+	for id := range r.servers {
+		if !listed[id] {
+			r.remove(id, now)
+		}
+	}
+	r.publish()
+}
+
+// Expire forgets runs that ended long ago, applies the registrations that were held back for long enough and
+// removes the lapsed ones after the grace period, whose IDs it returns.
+func (r *Roster) Expire(now time.Time) (gone []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	changed := false
+	for _, reg := range r.lifetimes.expire(now) {
+		changed = r.upsert(reg, now) || changed
+	}
+	gone = r.dropLapsed(now)
+	if changed || len(gone) > 0 {
+		r.publish()
+	}
+	return gone
+}
+
+func (r *Roster) dropLapsed(now time.Time) []string {
+	if len(r.lapsed) == 0 || now.Sub(r.storeFailedAt) < r.grace {
+		return nil
+	}
+	var gone []string
+	for id := range r.lapsed {
+		gone = append(gone, id)
+		r.drop(id, now)
+	}
+	clear(r.lapsed)
+	return gone
+}
+
+// publish publishes a new snapshot. Backend servers that leave are left out, as they get no new requests.
+func (r *Roster) publish() {
+	m := make(map[string][]*Server, len(*r.services.Load()))
+	for _, s := range r.servers {
+		if !s.isLeaving() {
+			m[s.Service] = append(m[s.Service], s)
+		}
+	}
+	for _, servers := range m {
+		slices.SortFunc(servers, func(a, b *Server) int { return strings.Compare(a.ID, b.ID) })
+	}
+	r.services.Store(&m)
+	r.publishCount++
+}
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -2,10 +2,7 @@
 
 import (
 	"math"
-	"slices"
-	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -23,8 +20,11 @@
 	Slots      int
 	Role       external.EngineRole
 	Draining   bool
-	// Born distinguishes successive runs of a backend server with the same ID; zero if unknown.
+	// Born is the start of the run and orders successive runs of a backend server with the same ID; zero if
+	// unknown.
 	Born int64
+	// Seq orders the registrations of one run; negative if unknown.
+	Seq int64
 }
 
 // Server is a registered backend server with its load and health as known to this process.
@@ -67,6 +67,17 @@
 	// gets no requests until refusedUntil.
 	consecutiveRefusals int
 	refusedUntil        time.Time
+
+	// listed is true while the run is registered.
+	listed bool
+	// leaving is true once the backend server was known to leave. It holds for the rest of the run.
+	leaving bool
+	// restUntil is the time until which the backend server wants no requests of this process. Afterwards it
+	// gets one at a time while trial is set, until it accepts one.
+	restUntil time.Time
+	trial     bool
+	// oddRestLoggedAt is when an unreadable wish for rest was last logged.
+	oddRestLoggedAt time.Time
 }
 
 const (
@@ -135,6 +146,7 @@
 	st.failureRate = st.decayedFailureRate(now)*(1-failureWeight) + weight*failureWeight
 	st.failureRateAt = now
 	st.consecutiveRefusals = 0
+	st.trial = false
 	if weight < 1 {
 		st.consecutiveFailures = 0
 		return
@@ -243,6 +255,8 @@
 	// silentFor is how long the server has sent nothing although it has requests.
 	silentFor time.Duration
 	usable    bool
+	// restsFor is how much longer the backend server wants no requests.
+	restsFor time.Duration
 }
 
 // usableFor reports whether a request with a target may be sent to the server.
@@ -265,180 +279,7 @@
 	if st.inFlight > 0 {
 		v.silentFor = now.Sub(st.lastActivity)
 	}
-	v.usable = !now.Before(st.ejectedUntil) && !now.Before(st.refusedUntil)
+	v.restsFor = max(0, st.restUntil.Sub(now))
+	v.usable = !now.Before(st.ejectedUntil) && !now.Before(st.refusedUntil) && !(st.trial && st.inFlight > 0)
 	return v
 }
-
-// Roster holds the registered backend servers by service. It is safe for concurrent use.
-//
-// A registration that disappears during a store failure, or shortly afterwards, may have expired
-// although its backend server is running. It is kept until the grace period after the last failure
-// has passed. At other times a registration that disappears is removed immediately.
-type Roster struct {
-	grace time.Duration
-
-	mu            sync.Mutex
-	servers       map[string]*Server
-	lapsed        map[string]bool
-	storeFailedAt time.Time
-	confirmedAt   time.Time
-	// publishCount counts the published snapshots.
-	publishCount int
-	services     atomic.Pointer[map[string][]*Server]
-}
-
-// Change is a change of one registration.
-type Change struct {
-	ID string
-	// Registration is nil if the registration was removed.
-	Registration *Registration
-}
-
-// lapseGrace is how long after a store failure a lapsed registration is kept. Running backend
-// servers register again within about two seconds. Three seconds after the failure, servers that
-// have left must get no requests.
-const lapseGrace = 2700 * time.Millisecond
-
-// NewRoster returns an empty Roster.
-func NewRoster() *Roster {
-	r := &Roster{grace: lapseGrace, servers: make(map[string]*Server), lapsed: make(map[string]bool)}
-	r.services.Store(&map[string][]*Server{})
-	return r
-}
-
-// Servers returns the backend servers of a service that are not draining, sorted by ID. The caller must
-// not modify the slice.
-func (r *Roster) Servers(service string) []*Server { return (*r.services.Load())[service] }
-
-// IsServing reports whether a run of a backend server is listed and not draining.
-func (r *Roster) IsServing(s *Server) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	listed := r.servers[s.ID]
-	return listed != nil && listed.state == s.state && !listed.Draining
-}
-
-// Len returns the number of registered backend servers.
-func (r *Roster) Len() int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return len(r.servers)
-}
-
-// StoreFailed records that a call to the store failed that began at the given time.
-func (r *Roster) StoreFailed(startedAt time.Time) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.storeFailedAt = startedAt
-}
-
-// StoreConfirmed records that all changes in the store up to now are known.
-func (r *Roster) StoreConfirmed(now time.Time) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.confirmedAt = now
-}
-
-// Apply applies the changes of one response of the store and publishes them together, because a
-// response can contain thousands. The result tells for each change whether it had an effect; a
-// registration that is kept as lapsed does not count.
-func (r *Roster) Apply(changes []Change, now time.Time) []bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	applied := make([]bool, len(changes))
-	changed := false
-	for i, c := range changes {
-		if c.Registration != nil {
-			applied[i] = r.upsert(*c.Registration)
-		} else {
-			applied[i] = r.remove(c.ID, now)
-		}
-		changed = changed || applied[i]
-	}
-	if changed {
-		r.publish()
-	}
-	return applied
-}
-
-// upsert adds or updates a registration, which is then not lapsed. It reports whether the
-// registration is new or was changed.
-func (r *Roster) upsert(reg Registration) bool {
-	old := r.servers[reg.ID]
-	delete(r.lapsed, reg.ID)
-	if old != nil && old.Registration == reg {
-		return false
-	}
-	st := &serverState{}
-	if old != nil && old.Address == reg.Address && old.Born == reg.Born && old.Service == reg.Service {
-		st = old.state
-	}
-	r.servers[reg.ID] = makeServer(reg, st)
-	return true
-}
-
-// remove removes a registration or marks it as lapsed. It reports whether it was removed.
-func (r *Roster) remove(id string, now time.Time) bool {
-	s := r.servers[id]
-	if s == nil {
-		return false
-	}
-	if !s.Draining && now.Sub(r.storeFailedAt) < r.grace {
-		r.lapsed[id] = true
-		return false
-	}
-	delete(r.servers, id)
-	delete(r.lapsed, id)
-	return true
-}
-
-// Replace makes regs the registrations. Others are removed, or kept as lapsed during the grace period
-// after a store failure.
-func (r *Roster) Replace(regs []Registration, now time.Time) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	listed := make(map[string]bool, len(regs))
-	for _, reg := range regs {
-		listed[reg.ID] = true
-		r.upsert(reg)
-	}
-	for id := range r.servers {
-		if !listed[id] {
-			r.remove(id, now)
-		}
-	}
-	r.publish()
-}
-
-// DropLapsed removes the lapsed registrations after the grace period and returns their IDs.
-func (r *Roster) DropLapsed(now time.Time) []string {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if len(r.lapsed) == 0 || now.Sub(r.storeFailedAt) < r.grace {
-		return nil
-	}
-	var gone []string
-	for id := range r.lapsed {
-		gone = append(gone, id)
-		delete(r.servers, id)
-	}
-	clear(r.lapsed)
-	r.publish()
-	return gone
-}
-
-// publish publishes a new snapshot. Draining backend servers are left out, as they get no new
-// requests.
-func (r *Roster) publish() {
-	m := make(map[string][]*Server, len(*r.services.Load()))
-	for _, s := range r.servers {
-		if !s.Draining {
-			m[s.Service] = append(m[s.Service], s)
-		}
-	}
-	for _, servers := range m {
-		slices.SortFunc(servers, func(a, b *Server) int { return strings.Compare(a.ID, b.ID) })
-	}
-	r.services.Store(&m)
-	r.publishCount++
-}
--- a/gateway/status.go
+++ b/gateway/status.go
@@ -77,6 +77,10 @@
 const (
 	stateReady    = "ready"
 	stateDraining = "draining"
+	// stateLeaving means that the backend server said in an answer that it leaves.
+	stateLeaving = "leaving"
+	// stateResting means that the backend server wants no requests for a time.
+	stateResting = "resting"
 	// stateLapsed means that the registration disappeared during a store failure.
 	stateLapsed = "lapsed"
 )
@@ -138,12 +142,16 @@
 		v := s.view(now)
 		st := ServerStatus{
 			Server: s.ID, Service: s.Service, Address: s.Address, DataCentre: s.DataCentre, Role: string(s.Role),
-			State: stateReady, Usable: v.usableFor(0) && !s.Draining, InFlight: v.inFlight, OtherRequests: v.otherRequests, Slots: s.Slots,
+			State: stateReady, Usable: v.usableFor(0) && v.restsFor == 0 && !s.isLeaving(), InFlight: v.inFlight, OtherRequests: v.otherRequests, Slots: s.Slots,
 			PendingTokens: int(v.pendingTokens), FailureRate: v.failureRate, LoadAgeMS: age(s.reportedAt(), now),
 		}
 		switch {
 		case s.Draining:
 			st.State = stateDraining
+		case s.isLeaving():
+			st.State = stateLeaving
+		case v.restsFor > 0:
+			st.State = stateResting
 		case r.lapsed[id]:
 			st.State = stateLapsed
 		}
--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -100,6 +100,7 @@
 func newGateway(s *settings.Gateway, a Adapter, t *route.ActiveTable, r *gateway.Roster, p *upstream.Pool, q *gateway.Quarantine, m *telemetry.Gateway, log logrus.FieldLogger) *gateway.Gateway {
 	return gateway.New(gateway.Config{
 		Instance: s.Instance, DataCentre: s.DataCentre, RetryWindow: s.RetryWindow, RetryShare: s.RetryShare, RetrySlack: s.RetrySlackPerInstance(),
+		MaxRest: s.MaxServerRest,
 	}, a, t, r, p, q, m, log)
 }
 
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -28,6 +28,7 @@
 	DrainBound     time.Duration `mapstructure:"drain-bound"`
 	LeaseTTL       time.Duration `mapstructure:"lease-ttl"`
 	OrderGuard     time.Duration `mapstructure:"order-guard"`
+	MaxServerRest  time.Duration `mapstructure:"max-server-rest"`
 	MaxFiles       int           `mapstructure:"max-files"`
 	MemoryMiB      int           `mapstructure:"memory"`
 	LogLevel       string        `mapstructure:"log-level"`
@@ -63,6 +64,7 @@
 	f.Duration("drain-bound", 2*time.Second, "maximum time until a leaving backend server stops getting requests")
 	f.Duration("lease-ttl", 3500*time.Millisecond, "time to live of the lease for orders to engines; with 0s this instance sends no orders")
 	f.Duration("order-guard", 3*time.Second, "minimum time between the last order of one lease holder and the first order of the next")
+	f.Duration("max-server-rest", 30*time.Second, "maximum time for which a backend server that refuses a request may refuse all further ones; longer wishes are cut")
 	f.Int("max-files", 1024, "number of file descriptors that the process may open (its ulimit -n); connections of callers use at most 60 % of them")
 	f.Int("memory", 96, "soft limit of the Go runtime's memory in MiB")
 	f.String("log-level", "info", "minimum level to log: debug, info, warning or error")
@@ -86,7 +88,7 @@
 	errs := []error{
 		checkRequired("instance", s.Instance), checkRequired("data-centre", s.DataCentre), checkRequired("adapter", s.Adapter),
 		checkAddress("listen", s.Listen), checkAddress("ready-listen", s.ReadyListen), checkAddress("adapter-address", s.AdapterAddress),
-		checkPositive("retry-window", s.RetryWindow), checkPositive("config-bound", s.ConfigBound), checkPositive("drain-bound", s.DrainBound), checkPositive("grace", s.Grace), checkMinimum("memory", s.MemoryMiB, 16), checkMinimum("max-files", s.MaxFiles, 64), checkMinimum("instances", s.Instances, 1), logErr,
+		checkPositive("retry-window", s.RetryWindow), checkPositive("config-bound", s.ConfigBound), checkPositive("drain-bound", s.DrainBound), checkPositive("grace", s.Grace), checkPositive("max-server-rest", s.MaxServerRest), checkMinimum("memory", s.MemoryMiB, 16), checkMinimum("max-files", s.MaxFiles, 64), checkMinimum("instances", s.Instances, 1), logErr,
 	}
 	if s.LeaseTTL != 0 && s.LeaseTTL < time.Second {
 		errs = append(errs, fmt.Errorf("setting lease-ttl: found %s, must be 0s or at least 1s", s.LeaseTTL))
--- a/internal/telemetry/gateway.go
+++ b/internal/telemetry/gateway.go
@@ -20,6 +20,7 @@
 	attempts     metric.Int64Counter
 	broken       metric.Int64Counter
 	crashes      metric.Int64Counter
+	holds        metric.Int64Counter
 	refusals     metric.Int64Counter
 	promptTokens metric.Float64Counter
 	orders       metric.Int64Counter
@@ -45,6 +46,7 @@
 		eventGap:     b.durationHistogram("quetzallug_gateway_pause", "Time between two events of a stream."),
 		attempts:     b.counter("quetzallug_gateway_attempts", "Requests sent to backend servers, by service and outcome."),
 		broken:       b.counter("quetzallug_gateway_broken_streams", "Streams that a backend server broke off, by service and by what frames them: length, chunks or connection."),
+		holds:        b.counter("quetzallug_gateway_server_holds", "Times that a backend server said that it leaves or wants no requests for a time, by service and reason."),
 		crashes:      b.counter("quetzallug_gateway_server_crashes", "Backend servers that crashed while they processed prompts of this process, by service."),
 		refusals:     b.counter("quetzallug_gateway_refusals", "Requests refused before they ran, by service and reason."),
 		promptTokens: b.floatCounter("quetzallug_gateway_prompt_tokens", "Prompt tokens by service and where they came from: kept, read or moved, as the choice of the backend server expected it."),
@@ -160,6 +162,11 @@
 	g.crashes.Add(context.Background(), 1, g.optionsOf("service", service).add...)
 }
 
+// Hold implements gateway.Metrics.
+func (g *Gateway) Hold(service, reason string) {
+	g.holds.Add(context.Background(), 1, g.optionsOf("service", service, "reason", reason).add...)
+}
+
 // Refusal implements gateway.Metrics.
 func (g *Gateway) Refusal(service, reason string) {
 	g.refusals.Add(context.Background(), 1, g.optionsOf("service", service, "reason", reason).add...)
--- a/standin/site/worker.go
+++ b/standin/site/worker.go
@@ -98,8 +98,12 @@
 	cfg         WorkerConfig
 	startMillis int64
 
-	mu             sync.Mutex
-	stage          string
+	mu    sync.Mutex
+	stage string
+	// leaving adds the header of workers that leave to all responses, and retryAfter is sent with refusals.
+	leaving        bool
+	retryAfter     string
+	seq            int64
 	busy           bool
 	orderSequence  int64
 	state          string
@@ -117,7 +121,7 @@
 
 // NewWorker returns a worker in state ready.
 func NewWorker(cfg WorkerConfig) *Worker {
-	return &Worker{cfg: cfg, startMillis: time.Now().UnixMilli(), stage: cfg.Stage, state: "ready", cachedPrefixes: map[string]bool{}, handles: map[string]string{}, prefillSlot: make(chan struct{}, 1)}
+	return &Worker{cfg: cfg, startMillis: time.Now().UnixMilli(), stage: cfg.Stage, state: "ready", seq: 1, cachedPrefixes: map[string]bool{}, handles: map[string]string{}, prefillSlot: make(chan struct{}, 1)}
 }
 
 // ID returns the worker's ID.
@@ -133,6 +137,27 @@
 	w.cfg.Fault = f
 }
 
+// SetLeaving makes the worker say in all its responses whether it leaves.
+func (w *Worker) SetLeaving(leaving bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.leaving = leaving
+}
+
+// SetRetryAfter sets the Retry-After header of refusals; empty for none.
+func (w *Worker) SetRetryAfter(value string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.retryAfter = value
+}
+
+// Restart begins a new lifetime of the worker under its ID.
+func (w *Worker) Restart() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.startMillis, w.state, w.leaving, w.seq = time.Now().UnixMilli(), "ready", false, 1
+}
+
 // Register writes the worker's entry to the store.
 func (w *Worker) Register(s *Store) { s.Put("servers/"+w.cfg.ID, w.Entry()) }
 
@@ -142,7 +167,7 @@
 	defer w.mu.Unlock()
 	e := map[string]any{
 		"service": w.cfg.Service, "address": w.cfg.Address, "zone": w.cfg.Zone, "version": "v1", "slots": w.cfg.Slots,
-		"state": w.state, "cold-remaining-ms": 0, "seq": 1, "born": w.startMillis,
+		"state": w.state, "cold-remaining-ms": 0, "seq": w.seq, "born": w.startMillis,
 	}
 	if w.stage != "" {
 		e["stage"] = w.stage
@@ -154,6 +179,7 @@
 func (w *Worker) Drain(s *Store) {
 	w.mu.Lock()
 	w.state = "draining"
+	w.seq++
 	w.mu.Unlock()
 	w.Register(s)
 }
@@ -298,7 +324,11 @@
 	}
 	load := fmt.Sprintf("%d,0,%d", w.running, w.cfg.Slots)
 	stage, busy, full := w.stage, w.busy, w.running >= w.cfg.Slots
+	leaving, retryAfter := w.leaving, w.retryAfter
 	w.mu.Unlock()
+	if leaving {
+		rw.Header().Set("Server-Leaving", "1")
+	}
 	rw.Header().Set("Quetzallug-Attempt-Id", id)
 	rw.Header().Set("Quetzallug-Server-Load", load)
 	prefill := r.Header.Get("Quetzallug-Stage") == "prefill"
@@ -314,6 +344,9 @@
 		writeNotExecuted(rw, http.StatusBadRequest)
 		return
 	case busy || full || fault == FaultRefuse:
+		if retryAfter != "" {
+			rw.Header().Set("Retry-After", retryAfter)
+		}
 		writeNotExecuted(rw, http.StatusServiceUnavailable)
 		return
 	case fault == FaultResetEarly:
--- a/test/site/world_test.go
+++ b/test/site/world_test.go
@@ -121,7 +121,7 @@
 	log.SetOutput(io.Discard)
 	pool := upstream.NewPoolWithDial(dial)
 	quarantined := gateway.NewQuarantine(name, adapter, log)
-	n.gateway = gateway.New(gateway.Config{DataCentre: "z", RetryWindow: 10 * time.Second, RetryShare: 0.2, RetrySlack: 1}, adapter, n.tables, n.roster, pool, quarantined, noopMetrics{}, log)
+	n.gateway = gateway.New(gateway.Config{DataCentre: "z", RetryWindow: 10 * time.Second, RetryShare: 0.2, RetrySlack: 1, MaxRest: 30 * time.Second}, adapter, n.tables, n.roster, pool, quarantined, noopMetrics{}, log)
 	leases, err := lease.NewManager(adapter, lease.Config{Holder: name, Pools: []string{gateway.RolesPool}, TTL: leaseTTL, SafetyMargin: leaseTTL / 7, MaxPools: 1, Random: rand.New(rand.NewPCG(1, uint64(len(env.gateways)))).Float64})
 	require.NoError(env.t, err)
 	roles := gateway.NewRolePlanner(name, leaseTTL+orderGuard, adapter, leases, n.tables, n.roster, pool, noopMetrics{}, log)
@@ -162,6 +162,7 @@
 func (noopMetrics) EventGap(string, time.Duration)                {}
 func (noopMetrics) BrokenStream(string, string)                   {}
 func (noopMetrics) Crash(string)                                  {}
+func (noopMetrics) Hold(string, string)                           {}
 func (noopMetrics) Attempt(string, string)                        {}
 func (noopMetrics) PromptTokens(string, gateway.PromptTokens)     {}
 func (noopMetrics) RoleOrder(string, string, string)              {}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -110,6 +110,9 @@
 	// NewConnection makes the request the first one of its connection. It is for requests whose response has
 	// no ID: on a connection that was used, it could be a late copy of an earlier one.
 	NewConnection bool
+	// Check, if not nil, is called once a connection is there, directly before the request is sent. If it returns
+	// an error, the request is not sent.
+	Check func() error
 }
 
 // Sends records which connections carried the sends of one request. A connection carries a request only once:
@@ -386,6 +389,12 @@
 		p.putIdle(c, maxIdleTime)
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, ctx.Err())
 	}
+	if r.Check != nil {
+		if err := r.Check(); err != nil {
+			p.putIdle(c, maxIdleTime)
+			return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+		}
+	}
 	c.uses++
 	r.Sends.add(c)
 	// A deadline in the past interrupts reads and writes.
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -114,6 +115,27 @@
 	require.EqualValues(t, 3, p.OpenedTotal(), "other requests use the same connections")
 }
 
+// A request whose choice no longer holds once a connection is there must not be sent, and the connection is kept.
+func TestCheckIsLastBeforeTheSend(t *testing.T) {
+	requests := make(chan string, 4)
+	addr := startServer(t, func(c *net.TCPConn, br *bufio.Reader) {
+		for id, ok := readRequest(br); ok; id, ok = readRequest(br) {
+			requests <- id
+			_, _ = io.WriteString(c, response(id, "own"))
+		}
+	})
+	p := upstream.NewPool()
+	defer p.Close()
+	reason := errors.New("changed")
+	_, err := p.Do(context.Background(), addr, &upstream.Request{Method: http.MethodPost, Target: "/x", Host: "h", Check: func() error { return reason }}, nil)
+	require.ErrorIs(t, err, upstream.ErrNotSent)
+	require.ErrorIs(t, err, reason)
+	_, err = post(p, addr, "next", "")
+	require.NoError(t, err)
+	require.Equal(t, "next", <-requests)
+	require.EqualValues(t, 1, p.OpenedTotal())
+}
+
 // A connection with data after the response must be closed. If it were reused, that data would be read
 // as the response to the next request.
 func TestBytesAfterAnAnswerEndTheConnection(t *testing.T) {
