gateway: take request bodies and buffered answers from one budget of memory

Cause: each body was read whole and kept until the end of the answer, and nothing bounded them together; only answers had a bound, a constant.

A body with a length is reserved before it is read; what does not fit waits 50 ms and is refused with 503, Retry-After and a closed connection. Bodies above 128 KiB leave a quarter to smaller ones. The body of a stream that can't be resumed is dropped with its first event. The runtime's soft limit follows the machine's memory.

TestBodiesShareTheMemory.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -99,7 +99,7 @@
 	codec := q.g.codec
 	resp, err := q.g.pool.Do(q.ctx, a.server.Address, &upstream.Request{
 		Method: q.r.Method, Target: q.r.RequestURI, Host: q.r.Host,
-		Header: codec.Header(q.r.Header, a.forwarded), Body: q.body, Sends: &q.connections, NewConnection: q.metadata.ID == "", Check: a.server.check,
+		Header: codec.Header(q.r.Header, a.forwarded), Body: q.body.bytes, Sends: &q.connections, NewConnection: q.metadata.ID == "", Check: a.server.check,
 	}, q.isResponseToRequest)
 	now := time.Now()
 	switch {
@@ -187,7 +187,7 @@
 func (a *attempt) forwardWhole(resp *upstream.Response) attemptResult {
 	watch := a.watchBody(resp)
 	defer watch.close()
-	body, release, err := a.q.g.buffers.readAll(resp, maxResponseBody)
+	body, release, err := a.q.g.memory.readAll(resp, maxResponseBody)
 	defer release()
 	switch {
 	case a.q.r.Context().Err() != nil:
@@ -215,7 +215,7 @@
 const serverErrorWeight = 0.5
 
 func (a *attempt) handleErrorStatus(resp *upstream.Response, m ResponseMetadata) attemptResult {
-	body, release, err := a.q.g.buffers.readAll(resp, maxErrorBody)
+	body, release, err := a.q.g.memory.readAll(resp, maxErrorBody)
 	// The body may be forwarded later, if no other attempt succeeds; it is small.
 	defer release()
 	switch {
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"os"
 	"time"
@@ -24,9 +23,6 @@
 	maxResponseBody = 16 << 20
 	// maxErrorBody limits an error response, which is kept until no other attempt succeeds, in bytes.
 	maxErrorBody = 64 << 10
-	// maxBufferedBytes limits the buffered responses of the process together, in bytes. It is a third of
-	// the default memory limit.
-	maxBufferedBytes = 32 << 20
 	// minRetryAfter and maxRetryAfter limit the retry time told to a refused caller.
 	minRetryAfter = 100 * time.Millisecond
 	maxRetryAfter = 4 * time.Second
@@ -80,7 +76,7 @@
 	isProbe bool
 	// quarantinedPart is the part for which the request was refused; empty if it was not.
 	quarantinedPart string
-	body            []byte
+	body            heldBody
 
 	tried []*serverState
 	// connections records the connections that the request was sent on, also for prefills.
@@ -159,6 +155,12 @@
 	if q.metadata.Remaining > 0 && q.metadata.Remaining < q.route.Timeout {
 		q.deadline = q.started.Add(q.metadata.Remaining)
 	}
+	if !g.memory.tryReserve(requestMemory) {
+		q.refuseForMemory()
+		return
+	}
+	defer g.memory.release(requestMemory)
+	defer q.body.drop()
 	if !q.readBody(table.Limits.MaxBodyBytes) {
 		return
 	}
@@ -193,9 +195,13 @@
 	}
 	conn := http.NewResponseController(q.reply.w)
 	_ = conn.SetReadDeadline(q.deadline)
-	body, err := io.ReadAll(http.MaxBytesReader(q.reply.w, q.r.Body, limit))
+	q.body.budget = q.g.memory
+	err := q.body.read(q.r.Context(), http.MaxBytesReader(q.reply.w, q.r.Body, limit), q.r.ContentLength)
 	var large *http.MaxBytesError
 	switch {
+	case errors.Is(err, errNoMemory):
+		q.refuseForMemory()
+		return false
 	case errors.As(err, &large):
 		q.rejectInvalid(http.StatusRequestEntityTooLarge, "body_too_large")
 		return false
@@ -207,7 +213,6 @@
 		return false
 	}
 	_ = conn.SetReadDeadline(time.Time{})
-	q.body = body
 	return true
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -114,6 +114,9 @@
 	RetrySlack  float64
 	// MaxRest limits for how long a backend server may refuse all requests at once.
 	MaxRest time.Duration
+	// MemoryBudget limits the bytes of requests in progress, with their bodies and buffered responses; 0 is
+	// defaultMemoryBudget.
+	MemoryBudget int64
 }
 
 // Gateway forwards callers' requests to backend servers. It is safe for concurrent use.
@@ -127,8 +130,7 @@
 	roster  *Roster
 	pool    *upstream.Pool
 	decider *Decider
-	// buffers bounds the memory of buffered responses.
-	buffers bufferBudget
+	memory  *memoryBudget
 	crashes *crashWatch
 	// quarantine refuses requests under which backend servers crash.
 	quarantine *Quarantine
@@ -175,7 +177,7 @@
 // New returns a Gateway.
 func New(cfg Config, codec Codec, tables *route.ActiveTable, roster *Roster, pool *upstream.Pool, q *Quarantine, m Metrics, log logrus.FieldLogger) *Gateway {
 	return &Gateway{
-		cfg: cfg, codec: codec, tables: tables, roster: roster, pool: pool, decider: NewDecider(cfg.DataCentre, roster, rand.Float64),
+		cfg: cfg, memory: newMemoryBudget(cfg.MemoryBudget), codec: codec, tables: tables, roster: roster, pool: pool, decider: NewDecider(cfg.DataCentre, roster, rand.Float64),
 		crashes: newCrashWatch(pool.Probe, q.recordCrashes, m, log), quarantine: q, metrics: m, log: log, retryBudgets: make(map[string]*retry.WindowBudget),
 	}
 }
--- /dev/null
+++ b/gateway/memory.go
@@ -0,0 +1,227 @@
+package gateway
+
+import (
+	"container/list"
+	"context"
+	"errors"
+	"io"
+	"sync"
+	"time"
+)
+
+var (
+	errResponseTooLarge = errors.New("response too large")
+	errNoMemory         = errors.New("no_memory")
+)
+
+const (
+	// requestMemory is what a request in progress costs besides its bodies: its header, the buffers of two
+	// connections and the stacks of its goroutines.
+	requestMemory = 32 << 10
+	// smallBody is the size of a body up to which the whole budget may be used. Larger ones leave a part of it, so
+	// that they don't keep requests of usual size out.
+	smallBody = 128 << 10
+	// largeBodyShare is the part of the budget that larger bodies may use, of four.
+	largeBodyShare = 3
+	// memoryWait is how long a body waits for memory before its request is refused. It is a fraction of the targets
+	// of 100 ms and more.
+	memoryWait = 50 * time.Millisecond
+	// maxMemoryWaiters limits the requests that wait for memory.
+	maxMemoryWaiters = 64
+	// bufferStep is the least number of bytes by which a buffer grows.
+	bufferStep = 16 << 10
+	// defaultMemoryBudget is the budget in bytes if the configuration of the gateway has none.
+	defaultMemoryBudget = 32 << 20
+)
+
+// memoryBudget bounds the bytes that callers and backend servers together make the process hold: the requests in
+// progress, with their bodies and buffered responses. Without it, a burst of large bodies, or a few responses without
+// end, use up the memory of the machine. It is safe for concurrent use.
+type memoryBudget struct {
+	limit int64
+
+	mu      sync.Mutex
+	used    int64
+	waiters list.List // of *memoryWaiter, the first that came first
+}
+
+type memoryWaiter struct {
+	size    int64
+	granted chan struct{}
+}
+
+func newMemoryBudget(limit int64) *memoryBudget {
+	if limit <= 0 {
+		limit = defaultMemoryBudget
+	}
+	return &memoryBudget{limit: limit}
+}
+
+// fits reports whether size bytes are left. The caller must hold mu.
+func (b *memoryBudget) fits(size int64) bool {
+	limit := b.limit
+	if size > smallBody {
+		limit = limit * largeBodyShare / 4
+	}
+	return b.used+size <= limit
+}
+
+// tryReserve takes size bytes if they are left.
+func (b *memoryBudget) tryReserve(size int64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.fits(size) {
+		return false
+	}
+	b.used += size
+	return true
+}
+
+// reserve takes size bytes. If they are not left, it waits for them for memoryWait at most, after the requests that
+// wait already.
+func (b *memoryBudget) reserve(ctx context.Context, size int64) bool {
+	b.mu.Lock()
+	if b.fits(size) && (size <= smallBody || b.waiters.Len() == 0) {
+		b.used += size
+		b.mu.Unlock()
+		return true
+	}
+	if size > b.limit*largeBodyShare/4 || b.waiters.Len() >= maxMemoryWaiters {
+		b.mu.Unlock()
+		return false
+	}
+	w := &memoryWaiter{size: size, granted: make(chan struct{})}
+	e := b.waiters.PushBack(w)
+	b.mu.Unlock()
+	timeout := time.NewTimer(memoryWait)
+	defer timeout.Stop()
+	select {
+	case <-w.granted:
+		return true
+	case <-timeout.C:
+	case <-ctx.Done():
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	select {
+	case <-w.granted:
+		return true
+	default:
+		b.waiters.Remove(e)
+		return false
+	}
+}
+
+// release gives size bytes back.
+func (b *memoryBudget) release(size int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.used -= size
+	for e := b.waiters.Front(); e != nil; e = b.waiters.Front() {
+		w := e.Value.(*memoryWaiter)
+		if !b.fits(w.size) {
+			return
+		}
+		b.used += w.size
+		b.waiters.Remove(e)
+		close(w.granted)
+	}
+}
+
+// inUse returns the bytes that are taken.
+func (b *memoryBudget) inUse() int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.used
+}
+
+// readAll reads a whole response of at most limit bytes. release must be called once the bytes are no
+// longer needed.
+func (b *memoryBudget) readAll(r io.Reader, limit int) (body []byte, release func(), err error) {
+	charged := int64(0)
+	release = func() { b.release(charged) }
+	buf := make([]byte, 0, 512)
+	for {
+		if len(buf) == cap(buf) {
+			grow := int64(max(bufferStep, cap(buf)))
+			if !b.tryReserve(grow) {
+				return nil, release, errResponseTooLarge
+			}
+			charged += grow
+			buf = append(make([]byte, 0, cap(buf)+int(grow)), buf...)
+		}
+		n, err := r.Read(buf[len(buf):cap(buf)])
+		buf = buf[:len(buf)+n]
+		switch {
+		case len(buf) > limit:
+			return nil, release, errResponseTooLarge
+		case errors.Is(err, io.EOF):
+			return buf, release, nil
+		case err != nil:
+			return nil, release, err
+		}
+	}
+}
+
+// heldBody is the body of a request and the memory that it takes.
+type heldBody struct {
+	budget *memoryBudget
+	bytes  []byte
+	size   int64
+}
+
+// read reads a body. length is its size as declared by the caller, or negative. It returns errNoMemory if there is
+// no memory for it; of a body with a length, nothing was read then. After an error nothing is held.
+func (h *heldBody) read(ctx context.Context, r io.Reader, length int64) (err error) {
+	defer func() {
+		if err != nil {
+			h.drop()
+		}
+	}()
+	if length < 0 {
+		return h.readUnsized(ctx, r)
+	}
+	if !h.budget.reserve(ctx, length) {
+		return errNoMemory
+	}
+	h.size = length
+	h.bytes = make([]byte, length)
+	_, err = io.ReadFull(r, h.bytes)
+	return err
+}
+
+func (h *heldBody) readUnsized(ctx context.Context, r io.Reader) error {
+	for {
+		if len(h.bytes) == cap(h.bytes) {
+			grow := int64(max(bufferStep, cap(h.bytes)))
+			if !h.budget.reserve(ctx, grow) {
+				return errNoMemory
+			}
+			h.size += grow
+			h.bytes = append(make([]byte, 0, cap(h.bytes)+int(grow)), h.bytes...)
+		}
+		n, err := r.Read(h.bytes[len(h.bytes):cap(h.bytes)])
+		h.bytes = h.bytes[:len(h.bytes)+n]
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// drop gives the memory back. The body must not be sent again.
+func (h *heldBody) drop() {
+	if h.size > 0 {
+		h.budget.release(h.size)
+	}
+	h.bytes, h.size = nil, 0
+}
+
+// refuseForMemory refuses a request for lack of memory before its body is read. The connection is closed, because
+// the body is still in transit.
+func (q *request) refuseForMemory() {
+	q.reply.w.Header().Set("Connection", "close")
+	q.refuse(errNoMemory.Error(), q.g.decider.retryAfter(q.deadline, time.Now()))
+}
--- a/gateway/buffer_test.go
+++ b/gateway/memory_test.go
@@ -5,6 +5,8 @@
 	"io"
 	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -17,13 +19,13 @@
 // Guards against bodies without end that together use up the memory of the process, and against a budget
 // that is not given back.
 func TestBufferedResponsesAreBounded(t *testing.T) {
-	var b bufferBudget
+	b := newMemoryBudget(0)
 	text := strings.Repeat("x", 100_000)
 	body, release, err := b.readAll(strings.NewReader(text), maxResponseBody)
 	require.NoError(t, err)
 	require.Equal(t, text, string(body))
 	release()
-	require.Zero(t, b.used.Load())
+	require.Zero(t, b.inUse())
 
 	const size = 12 << 20
 	var releases []func()
@@ -37,22 +39,63 @@
 		}
 		whole++
 	}
-	require.LessOrEqual(t, whole, maxBufferedBytes/size)
+	require.LessOrEqual(t, whole, defaultMemoryBudget/size)
 	_, last, err := b.readAll(endless{}, maxResponseBody)
 	require.ErrorIs(t, err, errResponseTooLarge)
 	last()
 	for _, f := range releases {
 		f()
 	}
-	require.Zero(t, b.used.Load())
+	require.Zero(t, b.inUse())
 
 	broken := errors.New("connection reset")
 	_, release, err = b.readAll(io.MultiReader(strings.NewReader("half"), errReader{broken}), maxResponseBody)
 	require.ErrorIs(t, err, broken, "half a body is no whole one")
 	release()
-	require.Zero(t, b.used.Load())
+	require.Zero(t, b.inUse())
 }
 
 type errReader struct{ err error }
 
 func (r errReader) Read([]byte) (int, error) { return 0, r.err }
+
+// Guards against large bodies that together use up the memory of the process, or keep requests of usual size out.
+func TestBodiesShareTheMemory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const large = 4 << 20
+		b := newMemoryBudget(32 << 20)
+		var held []*heldBody
+		read := func(size, length int64) error {
+			h := &heldBody{budget: b}
+			held = append(held, h)
+			return h.read(t.Context(), io.LimitReader(endless{}, size), length)
+		}
+		whole := 0
+		for i := range 20 {
+			length := int64(large)
+			if i%2 == 1 {
+				length = -1
+			}
+			started := time.Now()
+			if err := read(large, length); err != nil {
+				require.ErrorIs(t, err, errNoMemory)
+				require.LessOrEqual(t, time.Since(started), memoryWait)
+				continue
+			}
+			whole++
+		}
+		require.Positive(t, whole)
+		require.LessOrEqual(t, b.inUse(), int64(32<<20))
+		require.NoError(t, read(1000, 1000), "a body of usual size is read")
+		// A body that waits gets the memory of one that ends.
+		time.AfterFunc(memoryWait/2, func() {
+			held[0].drop()
+			held[2].drop()
+		})
+		require.NoError(t, read(large, large))
+		for _, h := range held {
+			h.drop()
+		}
+		require.Zero(t, b.inUse())
+	})
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -111,6 +111,9 @@
 		if !q.reply.started {
 			q.reply.untilClose = q.framing == framingConnection
 			q.reply.start(resp.StatusCode, q.g.codec.Answer(resp.Header), -1)
+			if !q.route.Resumable {
+				q.body.drop()
+			}
 		}
 		if len(event) > 0 {
 			if _, werr := q.reply.w.Write(event); werr != nil {
--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -42,7 +42,7 @@
 // Gateway returns the application that runs a gateway. The metrics read the number of dropped log lines
 // from droppedLogLines.
 func Gateway(s *settings.Gateway, log *logrus.Logger, droppedLogLines func() int64) *fx.App {
-	debug.SetMemoryLimit(int64(s.MemoryMiB) << 20)
+	debug.SetMemoryLimit(s.RuntimeMemory())
 	debug.SetGCPercent(gcPercent)
 	return fx.New(
 		fx.WithLogger(func() fxevent.Logger { return fxLogger(log) }),
@@ -100,7 +100,7 @@
 func newGateway(s *settings.Gateway, a Adapter, t *route.ActiveTable, r *gateway.Roster, p *upstream.Pool, q *gateway.Quarantine, m *telemetry.Gateway, log logrus.FieldLogger) *gateway.Gateway {
 	return gateway.New(gateway.Config{
 		Instance: s.Instance, DataCentre: s.DataCentre, RetryWindow: s.RetryWindow, RetryShare: s.RetryShare, RetrySlack: s.RetrySlackPerInstance(),
-		MaxRest: s.MaxServerRest,
+		MaxRest: s.MaxServerRest, MemoryBudget: s.RequestMemory(),
 	}, a, t, r, p, q, m, log)
 }
 
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -31,6 +31,7 @@
 	MaxServerRest  time.Duration `mapstructure:"max-server-rest"`
 	MaxFiles       int           `mapstructure:"max-files"`
 	MemoryMiB      int           `mapstructure:"memory"`
+	MachineMiB     int           `mapstructure:"machine-memory"`
 	LogLevel       string        `mapstructure:"log-level"`
 	LogFormat      string        `mapstructure:"log-format"`
 	LameDuck       time.Duration `mapstructure:"lame-duck"`
@@ -47,6 +48,31 @@
 // instances share a slack of 102.
 func (s *Gateway) RetrySlackPerInstance() float64 { return s.RetrySlack / float64(s.Instances) }
 
+// requestMemoryTenths is the part of the machine's memory that requests may take, in tenths. The rest is for the
+// connections, the tables and the garbage of the Go runtime, which may be as large as what is in use.
+const requestMemoryTenths = 3
+
+// RequestMemory returns the bytes that the requests in progress may take together.
+func (s *Gateway) RequestMemory() int64 { return int64(s.MachineMiB) << 20 * requestMemoryTenths / 10 }
+
+// RuntimeMemory returns the soft limit of the Go runtime's memory in bytes.
+func (s *Gateway) RuntimeMemory() int64 {
+	if s.MemoryMiB == 0 {
+		return int64(s.MachineMiB) << 20 / 2
+	}
+	return int64(s.MemoryMiB) << 20
+}
+
+// minRuntimeMiB is the least soft limit of the Go runtime's memory.
+const minRuntimeMiB = 16
+
+func checkMemory(mib int) error {
+	if mib == 0 {
+		return nil
+	}
+	return checkMinimum("memory", mib, minRuntimeMiB)
+}
+
 // AddGatewayFlags adds the flags of a gateway.
 func AddGatewayFlags(f *pflag.FlagSet) {
 	f.String("instance", "", "name of this instance")
@@ -66,7 +92,8 @@
 	f.Duration("order-guard", 3*time.Second, "minimum time between the last order of one lease holder and the first order of the next")
 	f.Duration("max-server-rest", 30*time.Second, "maximum time for which a backend server that refuses a request may refuse all further ones; longer wishes are cut")
 	f.Int("max-files", 1024, "number of file descriptors that the process may open (its ulimit -n); connections of callers use at most 60 % of them")
-	f.Int("memory", 96, "soft limit of the Go runtime's memory in MiB")
+	f.Int("machine-memory", 192, "memory in MiB that the process may use; the bodies and buffered answers of all requests take at most 3/10 of it")
+	f.Int("memory", 0, "soft limit of the Go runtime's memory in MiB; 0 is half of machine-memory")
 	f.String("log-level", "info", "minimum level to log: debug, info, warning or error")
 	f.String("log-format", logging.FormatJSON, "format of log lines: text or json")
 	f.Duration("lame-duck", 2500*time.Millisecond, "time between the first failed readiness check and the close of the listener when the process stops; at most half of the grace time is used")
@@ -88,7 +115,7 @@
 	errs := []error{
 		checkRequired("instance", s.Instance), checkRequired("data-centre", s.DataCentre), checkRequired("adapter", s.Adapter),
 		checkAddress("listen", s.Listen), checkAddress("ready-listen", s.ReadyListen), checkAddress("adapter-address", s.AdapterAddress),
-		checkPositive("retry-window", s.RetryWindow), checkPositive("config-bound", s.ConfigBound), checkPositive("drain-bound", s.DrainBound), checkPositive("grace", s.Grace), checkPositive("max-server-rest", s.MaxServerRest), checkMinimum("memory", s.MemoryMiB, 16), checkMinimum("max-files", s.MaxFiles, 64), checkMinimum("instances", s.Instances, 1), logErr,
+		checkPositive("retry-window", s.RetryWindow), checkPositive("config-bound", s.ConfigBound), checkPositive("drain-bound", s.DrainBound), checkPositive("grace", s.Grace), checkPositive("max-server-rest", s.MaxServerRest), checkMinimum("machine-memory", s.MachineMiB, 64), checkMemory(s.MemoryMiB), checkMinimum("max-files", s.MaxFiles, 64), checkMinimum("instances", s.Instances, 1), logErr,
 	}
 	if s.LeaseTTL != 0 && s.LeaseTTL < time.Second {
 		errs = append(errs, fmt.Errorf("setting lease-ttl: found %s, must be 0s or at least 1s", s.LeaseTTL))
--- a/review/standin/system.go
+++ b/review/standin/system.go
@@ -163,7 +163,7 @@
 	args, err := s.deployCommand(map[string]string{
 		"node-name": g.name, "zone": "z", "ip": ip, "listen.front": g.front, "listen.ready": g.ready, "platform.address": s.storeAt,
 		"bounds.retry-budget-ratio": "0.2", "bounds.budget-slack": "54", "bounds.budget-window-s": "10", "bounds.config-apply-ms": "2000",
-		"bounds.drain-ms": "2000", "bounds.grace-s": "8", "limits.max-fds": "4100", "bounds.lease-ms": "3000",
+		"bounds.drain-ms": "2000", "bounds.grace-s": "8", "limits.max-fds": "4100", "limits.memory-mb": "284", "bounds.lease-ms": "3000",
 	})
 	if err != nil {
 		return nil, err
