once: TestUnknownForwardIsNeverUnavailable waits for the first claim's completion

Cause: entry.claimAndRun completes a claim in the background. Now and then the completion of the claim "warm" met the fault that the test injects for the forward of the next one, which was then forwarded soundly. Ruled out first: refusals that run out while the retries go on; with 400 in place of 20 the test failed as before.

Change: the test lets the completion end before it injects faults. What it checks is the same.

It is a fault of the test only.

--- a/once/protocol_test.go
+++ b/once/protocol_test.go
@@ -248,6 +248,8 @@
 			sender, other = other, sender
 		}
 		sender.serve(t.Context(), "warm", 1)
+		// The completion of the first claim runs in the background, and would meet the faults in its place.
+		settle()
 		sender.inject("forward", lostResponse)
 		sender.inject("open.get", refused, refused, refused, refused, refused, refused, refused, refused, refused,
 			refused, refused, refused, refused, refused, refused, refused, refused, refused, refused, refused)
