--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -129,12 +129,12 @@
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	q := &request{g: g, reply: reply{w: w, conn: callerConn(r.Context())}, r: r, started: time.Now()}
-	q.handle()
+	q.handle(r.Context())
 	q.reply.close()
 }
 
 // handle answers the request, unless the caller has disconnected or the response broke off.
-func (q *request) handle() {
+func (q *request) handle(ctx context.Context) {
 	g, r := q.g, q.r
 	table := g.tables.Table()
 	if table == nil {
@@ -161,14 +161,14 @@
 	}
 	defer g.memory.release(requestMemory)
 	defer q.body.drop()
-	if !q.readBody(table.Limits.MaxBodyBytes) {
+	if !q.readBody(ctx, table.Limits.MaxBodyBytes) {
 		return
 	}
 	if q.route.DeclaresPrompt {
 		q.prefixKeys = prefixKeys(q.metadata.Parts)
 		q.sharedParts = sharedParts(q.metadata.Parts)
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
+	ctx, cancel := context.WithDeadline(ctx, q.deadline)
 	defer cancel()
 	q.ctx = ctx
 	defer q.releasePrefills(context.WithoutCancel(ctx))
@@ -182,7 +182,7 @@
 
 // readBody reads the whole request body, at most until the deadline. It reports whether it
 // succeeded; if not, the caller has been answered.
-func (q *request) readBody(limit int64) bool {
+func (q *request) readBody(ctx context.Context, limit int64) bool {
 	if limit <= 0 {
 		limit = defaultMaxBody
 	}
@@ -196,7 +196,7 @@
 	conn := http.NewResponseController(q.reply.w)
 	_ = conn.SetReadDeadline(q.deadline)
 	q.body.budget = q.g.memory
-	err := q.body.read(q.r.Context(), http.MaxBytesReader(q.reply.w, q.r.Body, limit), q.r.ContentLength)
+	err := q.body.read(ctx, http.MaxBytesReader(q.reply.w, q.r.Body, limit), q.r.ContentLength)
 	var large *http.MaxBytesError
 	switch {
 	case errors.Is(err, errNoMemory):
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -280,6 +280,7 @@
 		v.silentFor = now.Sub(st.lastActivity)
 	}
 	v.restsFor = max(0, st.restUntil.Sub(now))
-	v.usable = !now.Before(st.ejectedUntil) && !now.Before(st.refusedUntil) && !(st.trial && st.inFlight > 0)
+	onTrial := st.trial && st.inFlight > 0
+	v.usable = !now.Before(st.ejectedUntil) && !now.Before(st.refusedUntil) && !onTrial
 	return v
 }
--- a/standin/site/process.go
+++ b/standin/site/process.go
@@ -44,8 +44,8 @@
 }
 
 // ProcessWorker serves requests on bare connections, so that it can send what a sound HTTP server can't. It
-// writes a line to its output for each request that reaches it, "arrives ID PATH", and for each run,
-// "runs ID" and "ends ID".
+// writes a line to its output for each request that reaches it, "arrives ID PATH TIME", and for each run, "runs ..."
+// and "ends ...". TIME is in Unix milliseconds.
 type ProcessWorker struct {
 	cfg     ProcessConfig
 	mu      sync.Mutex
@@ -72,7 +72,7 @@
 func (w *ProcessWorker) record(event, id, path string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	_, _ = fmt.Fprintln(w.out, event, id, path)
+	_, _ = fmt.Fprintln(w.out, event, id, path, time.Now().UnixMilli())
 }
 
 func occurs(rate float64) bool { return rate > 0 && rand.Float64() < rate }
