--- a/gateway/bodyend.go
+++ b/gateway/bodyend.go
@@ -16,7 +16,7 @@
 
 // socketCloseTime is how long the operating system takes to close all sockets of a process that was killed. They
 // are closed one after the other, within a few milliseconds on a busy machine.
-const socketCloseTime = 10 * time.Millisecond
+const socketCloseTime = 20 * time.Millisecond
 
 // endEvidence is what is known when the connection of a body without a length or chunks has ended.
 type endEvidence struct {
