--- a/test/soak/processes_test.go
+++ b/test/soak/processes_test.go
@@ -315,3 +315,30 @@
 		require.Zero(t, load.outcomes["once 503"], "callers are served by the others")
 	})
 }
+
+// TestPlannedStopsLoseNothing stops and starts gateways in turn under load, on kept and on new connections: no request
+// that a worker ran may end without a whole answer.
+func TestPlannedStopsLoseNothing(t *testing.T) {
+	bin := t.TempDir()
+	require.NoError(t, testcluster.Build("../..", bin))
+	d := newProcessDeployment(t, bin, site.ProcessConfig{}, nil)
+	defer d.stop()
+	load := newLoadGenerator(t, d.gateways)
+	load.start(processCallers * *processScale)
+	stops := 0
+	for end := time.Now().Add(2 * *processLength); time.Now().Before(end); stops++ {
+		g := d.gateways[stops%len(d.gateways)]
+		require.NoError(t, g.Stop(stopTimeout))
+		require.NoError(t, g.Restart())
+		time.Sleep(time.Duration(rand.IntN(500)) * time.Millisecond)
+	}
+	load.stop(func() map[string]int { return d.counts("runs") })
+	require.Empty(t, load.failures())
+	runs := d.counts("runs")
+	for _, r := range load.results {
+		if !r.succeeded && runs[r.id] > 0 {
+			t.Errorf("LOST: %s %s ran and its caller got no whole answer", r.kind, r.id)
+		}
+	}
+	t.Log(stops, "stops,", load.summary())
+}
