gateway: errors without a length are cut like answers

It is handled like an answer now: broken off if the process ended, without an explicit end otherwise.

Evidence: TestFaultyProcesses/crashes_within_errors_without_a_length failed before (parts of 500 responses in the run) and passes.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -202,19 +202,24 @@
 		a.q.recordBroken(a.server)
 		return a.failUnknown(err.Error())
 	}
-	a.q.reply.untilClose = framing(resp) == framingConnection
 	a.server.recordResult(0, time.Now())
 	a.q.g.quarantine.tracker.Answered(a.q.sharedParts, time.Now())
 	a.q.timeToFirst = time.Since(a.q.started)
-	a.q.answer(&response{resp.StatusCode, resp.Header, body}, outcomeAnswered, "")
+	a.q.answer(newResponse(resp, body), outcomeAnswered, "")
 	return resultFinished
 }
 
+func newResponse(resp *upstream.Response, body []byte) *response {
+	return &response{resp.StatusCode, resp.Header, body, framing(resp) == framingConnection}
+}
+
 // serverErrorWeight is the failure weight of a backend server's error response, which the request
 // itself may have caused.
 const serverErrorWeight = 0.5
 
 func (a *attempt) handleErrorStatus(resp *upstream.Response, m ResponseMetadata) attemptResult {
+	watch := a.watchBody(resp)
+	defer watch.close()
 	body, release, err := a.q.g.memory.readAll(resp, maxErrorBody)
 	// The body may be forwarded later, if no other attempt succeeds; it is small.
 	defer release()
@@ -231,7 +236,11 @@
 		a.q.cause = fmt.Sprintf("status_%d_without_guarantee", resp.StatusCode)
 		return resultUnknown
 	}
-	full := &response{resp.StatusCode, resp.Header, body}
+	if err := watch.checkEnd(a.q.ctx); err != nil {
+		a.q.recordBroken(a.server)
+		return a.failUnknown(err.Error())
+	}
+	full := newResponse(resp, body)
 	if resp.StatusCode < http.StatusInternalServerError && !a.q.reply.started {
 		a.server.recordResult(0, time.Now())
 		a.q.answer(full, outcomeFailed, strconv.Itoa(full.status))
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -124,6 +124,8 @@
 	status int
 	header http.Header
 	body   []byte
+	// untilClose is true if only the end of the connection ended the body.
+	untilClose bool
 }
 
 // ServeHTTP implements http.Handler.
@@ -413,6 +415,7 @@
 
 // answer ends the request with a whole response of a backend server.
 func (q *request) answer(resp *response, outcome, cause string) {
+	q.reply.untilClose = resp.untilClose && !q.reply.started
 	if !q.reply.whole(resp.status, q.g.codec.Answer(resp.header), resp.body) {
 		outcome = outcomeBroken
 	}
--- a/standin/site/process.go
+++ b/standin/site/process.go
@@ -35,6 +35,8 @@
 	// Busy is the rate of requests that run and are answered with 503, a signature and no statement that they
 	// did not run.
 	Busy float64
+	// Error is the rate of requests that run and are answered with 500, a signature and a body in two parts.
+	Error float64
 	// RestartEvents is the rate of resumed streams whose events have no IDs.
 	RestartEvents float64
 	// Leaving adds the header of workers that leave to all responses.
@@ -159,18 +161,25 @@
 	case occurs(w.cfg.Busy):
 		time.Sleep(w.cfg.ServiceTime)
 		return "", w.reply(c, w.head(http.StatusServiceUnavailable, id, signature), "busy")
+	case occurs(w.cfg.Error):
+		return "", w.plain(c, r, http.StatusInternalServerError, id, signature)
 	case EventCount(r) > 0:
 		return "", w.stream(c, r, id, signature, resumed && occurs(w.cfg.RestartEvents))
 	}
+	return "", w.plain(c, r, http.StatusOK, id, signature)
+}
+
+// plain writes a plain response and reports whether the connection may be used again.
+func (w *ProcessWorker) plain(c net.Conn, r *http.Request, status int, id, signature string) bool {
 	time.Sleep(w.cfg.ServiceTime)
 	text := Answer(id, r.RequestURI)
-	if occurs(w.cfg.Unframed) {
-		_, _ = io.WriteString(c, w.head(http.StatusOK, id, signature+"Connection: close\r\n")+"\r\n"+text[:len(text)/2])
-		time.Sleep(w.cfg.ServiceTime)
-		_, _ = io.WriteString(c, text[len(text)/2:])
-		return "", false
+	if !occurs(w.cfg.Unframed) {
+		return w.reply(c, w.head(status, id, signature), text)
 	}
-	return "", w.reply(c, w.head(http.StatusOK, id, signature), text)
+	_, _ = io.WriteString(c, w.head(status, id, signature+"Connection: close\r\n")+"\r\n"+text[:len(text)/2])
+	time.Sleep(w.cfg.ServiceTime)
+	_, _ = io.WriteString(c, text[len(text)/2:])
+	return false
 }
 
 func (w *ProcessWorker) reply(c net.Conn, head, body string) bool {
--- a/test/soak/load_test.go
+++ b/test/soak/load_test.go
@@ -35,6 +35,8 @@
 	gateways []*gatewayProcess
 	// halfClose is the rate of requests after which the caller ends its own side of the connection and reads on.
 	halfClose float64
+	// errorBodies makes the callers check the bodies of the workers' error responses, too.
+	errorBodies bool
 	// timeLeft is how long callers wait.
 	timeLeft time.Duration
 
@@ -153,6 +155,11 @@
 	if resp.StatusCode == http.StatusOK {
 		l.checkResponse(id, target, events, resp.Header, string(b))
 	}
+	if signed := resp.Header.Get("Quetzallug-Response-Signature") != ""; signed && resp.StatusCode == http.StatusInternalServerError {
+		if want := site.Answer(id, target); l.errorBodies && string(b) != want {
+			l.fail("MIXED: %s got a part of an error response: %.200q", target, b)
+		}
+	}
 	if resp.StatusCode == http.StatusNotFound || resp.StatusCode == http.StatusBadRequest {
 		l.fail("%s %s got %d", kind, id, resp.StatusCode)
 	}
--- a/test/soak/processes_test.go
+++ b/test/soak/processes_test.go
@@ -217,6 +217,7 @@
 		"late copies of refusals with their ID":   {crash: true, faults: site.ProcessConfig{Copy: 0.5, CopyID: true, Refuse: 0.05}},
 		"late copies of refusals without an ID":   {faults: site.ProcessConfig{Copy: 0.5, Refuse: 0.1}},
 		"crashes within answers without a length": {crash: true, faults: site.ProcessConfig{Unframed: 1}},
+		"crashes within errors without a length":  {crash: true, faults: site.ProcessConfig{Unframed: 1, Error: 0.5}},
 		"callers that end their own side":         {halfClose: 0.3},
 		"errors in answer to resumed streams":     {faults: site.ProcessConfig{BreakOff: 0.3, FailResumed: 0.5}},
 		"resumed streams without event IDs":       {faults: site.ProcessConfig{BreakOff: 0.3, RestartEvents: 0.5}},
@@ -227,7 +228,7 @@
 			d := newProcessDeployment(t, bin, tc.faults, nil)
 			defer d.stop()
 			load := newLoadGenerator(t, d.gateways)
-			load.halfClose = tc.halfClose
+			load.halfClose, load.errorBodies = tc.halfClose, true
 			load.start(processCallers * *processScale)
 			switch {
 			case tc.crash:
