--- a/test/soak/processes_test.go
+++ b/test/soak/processes_test.go
@@ -135,8 +135,8 @@
 	}
 }
 
-// counts returns how often the workers recorded an event for each request.
-func (d *processDeployment) counts(event string) map[string]int {
+// runs returns how often each request was run.
+func (d *processDeployment) runs() map[string]int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	counts := map[string]int{}
@@ -144,7 +144,7 @@
 		b, err := os.ReadFile(path)
 		require.NoError(d.t, err)
 		for line := range strings.Lines(string(b)) {
-			if fields := strings.Fields(line); len(fields) == 4 && fields[0] == event {
+			if fields := strings.Fields(line); len(fields) == 4 && fields[0] == "runs" {
 				counts[fields[1]]++
 			}
 		}
@@ -253,7 +253,7 @@
 				time.Sleep(*processLength)
 			}
 			load.expect(load.anySucceeded, "no request succeeded")
-			load.stop(func() map[string]int { return d.counts("runs") })
+			load.stop(d.runs)
 			for i, failure := range load.failures() {
 				if i == 20 {
 					t.Errorf("%d further failures", len(load.failures())-i)
@@ -301,7 +301,7 @@
 		load := newLoadGenerator(t, d.gateways)
 		load.start(processCallers * *processScale)
 		time.Sleep(*processLength)
-		load.stop(func() map[string]int { return d.counts("runs") })
+		load.stop(d.runs)
 		require.Empty(t, load.failures())
 		t.Log(load.summary())
 		return d, load
@@ -347,9 +347,9 @@
 		require.NoError(t, g.Restart())
 		time.Sleep(time.Duration(rand.IntN(500)) * time.Millisecond)
 	}
-	load.stop(func() map[string]int { return d.counts("runs") })
+	load.stop(d.runs)
 	require.Empty(t, load.failures())
-	runs := d.counts("runs")
+	runs := d.runs()
 	for _, r := range load.results {
 		if !r.succeeded && runs[r.id] > 0 {
 			t.Errorf("LOST: %s %s ran and its caller got no whole answer", r.kind, r.id)
