--- a/gateway/feed.go
+++ b/gateway/feed.go
@@ -264,7 +264,12 @@
 }
 
 func (f *StoreWatcher) dropLapsed(ctx context.Context) {
+	held := 0
 	for pause.For(ctx, expiryInterval) {
+		if now := f.roster.HeldBack(); now != held {
+			held = now
+			f.log.WithField("entries", held).Warn("entries of backend servers are held back because newer ones were seen")
+		}
 		for _, id := range f.roster.Expire(time.Now()) {
 			f.log.WithField("server", id).Info("lapsed registration did not return")
 		}
