gateway: refuse what would outlast a planned stop before it is sent

What callers saw: in a planned stop of one instance, in calm, requests that came late in the grace time were taken and passed on, and their connections were closed without a response at its end, among them requests that may not be repeated (LOST).

Cause: between the close of the listener and the close of all connections at 0.9 of the grace time, nothing asked whether a request that begins late can still complete. Requests whose bodies were being read outlive http.Server.Shutdown's first step and were sent to a worker whenever their last byte came.

The gateway asks before and while the body is read, before each choice and directly before each send. What does not fit gets a true 503 with Connection: close and Retry-After; what is at a worker at the end gets a 502 instead of a closed connection.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -99,7 +99,7 @@
 	codec := q.g.codec
 	resp, err := q.g.pool.Do(q.ctx, a.server.Address, &upstream.Request{
 		Method: q.r.Method, Target: q.r.RequestURI, Host: q.r.Host,
-		Header: codec.Header(q.r.Header, a.forwarded), Body: q.body.bytes, Sends: &q.connections, NewConnection: q.metadata.ID == "", Check: a.server.check,
+		Header: codec.Header(q.r.Header, a.forwarded), Body: q.body.bytes, Sends: &q.connections, NewConnection: q.metadata.ID == "", Check: q.checkSend(a.server, true),
 	}, q.isResponseToRequest)
 	now := time.Now()
 	switch {
@@ -122,6 +122,9 @@
 			return nil, ResponseMetadata{}, resultNotRun
 		}
 		return nil, ResponseMetadata{}, resultNotSent
+	case q.g.stop.ended.Err() != nil:
+		q.cause = errStopping.Error()
+		return nil, ResponseMetadata{}, resultUnknown
 	case q.ctx.Err() != nil:
 		a.server.recordResult(0.5, now)
 		q.cause = "deadline"
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -64,6 +64,9 @@
 	r       *http.Request
 	ctx     context.Context
 	started time.Time
+	// servedAt is when the whole request was read, and lastSentAt when it was last sent to a backend server, without
+	// prefills. They are zero before that.
+	servedAt, lastSentAt time.Time
 	// deadline is the earlier of the caller's and the route's deadline.
 	deadline   time.Time
 	route      *route.Route
@@ -155,6 +158,10 @@
 	if q.metadata.Remaining > 0 && q.metadata.Remaining < q.route.Timeout {
 		q.deadline = q.started.Add(q.metadata.Remaining)
 	}
+	if !q.fitsStop(false, q.started) {
+		q.refuseStopping()
+		return
+	}
 	if !g.memory.tryReserve(requestMemory) {
 		q.refuseForMemory()
 		return
@@ -170,7 +177,8 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, q.deadline)
 	defer cancel()
-	q.ctx = ctx
+	defer g.stop.whenEnded(cancel)()
+	q.ctx, q.servedAt = ctx, time.Now()
 	defer q.releasePrefills(context.WithoutCancel(ctx))
 	_ = http.NewResponseController(q.reply.w).SetWriteDeadline(q.deadline.Add(writeGrace))
 	g.retryBudget(q.service).RecordFirstAttempt(q.started)
@@ -182,21 +190,21 @@
 
 // readBody reads the whole request body, at most until the deadline. It reports whether it
 // succeeded; if not, the caller has been answered.
-func (q *request) readBody(ctx context.Context, limit int64) bool {
-	if limit <= 0 {
-		limit = defaultMaxBody
+func (q *request) readBody(ctx context.Context, maxBytes int64) bool {
+	if maxBytes <= 0 {
+		maxBytes = defaultMaxBody
 	}
-	if q.r.ContentLength > limit {
+	if q.r.ContentLength > maxBytes {
 		q.rejectInvalid(http.StatusRequestEntityTooLarge, "body_too_large")
 		return false
 	}
 	if q.r.ContentLength == 0 {
 		return true
 	}
-	conn := http.NewResponseController(q.reply.w)
-	_ = conn.SetReadDeadline(q.deadline)
+	limit := q.limitBody(http.NewResponseController(q.reply.w))
 	q.body.budget = q.g.memory
-	err := q.body.read(ctx, http.MaxBytesReader(q.reply.w, q.r.Body, limit), q.r.ContentLength)
+	err := q.body.read(ctx, http.MaxBytesReader(q.reply.w, q.r.Body, maxBytes), q.r.ContentLength)
+	limit.end(err == nil)
 	var large *http.MaxBytesError
 	switch {
 	case errors.Is(err, errNoMemory):
@@ -205,6 +213,9 @@
 	case errors.As(err, &large):
 		q.rejectInvalid(http.StatusRequestEntityTooLarge, "body_too_large")
 		return false
+	case q.bodyTooLate(err):
+		q.refuseStopping()
+		return false
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		q.rejectInvalid(http.StatusRequestTimeout, "body_too_slow")
 		return false
@@ -212,7 +223,6 @@
 		q.rejectInvalid(http.StatusBadRequest, "body_unreadable")
 		return false
 	}
-	_ = conn.SetReadDeadline(time.Time{})
 	return true
 }
 
@@ -236,6 +246,10 @@
 			q.giveUp("deadline")
 			return
 		}
+		if !q.fitsStop(q.sends > 0 || q.prefillSource != "", now) {
+			q.giveUp(q.joinCause(errStopping.Error()))
+			return
+		}
 		if q.sends > 0 && !q.mayRetry() {
 			q.giveUp(q.cause)
 			return
@@ -336,6 +350,7 @@
 	v := c.server.view(now)
 	delay := time.Duration(decodeDelay(c.server, v) * float64(time.Second))
 	sentAt := time.Now()
+	q.lastSentAt = sentAt
 	c.server.recordSent(uncachedTokens, sentAt)
 	q.g.decider.prefixes.record(q.prefixKeys, c.server.key, sentAt)
 	a := &attempt{q: q, server: c.server, forwarded: s, uncachedTokens: uncachedTokens, backlog: q.g.decider.Backlog(c.server, now), sentAt: sentAt}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -132,6 +132,7 @@
 	decider *Decider
 	memory  *memoryBudget
 	crashes *crashWatch
+	stop    *stopState
 	// quarantine refuses requests under which backend servers crash.
 	quarantine *Quarantine
 	metrics    Metrics
@@ -178,7 +179,7 @@
 func New(cfg Config, codec Codec, tables *route.ActiveTable, roster *Roster, pool *upstream.Pool, q *Quarantine, m Metrics, log logrus.FieldLogger) *Gateway {
 	return &Gateway{
 		cfg: cfg, memory: newMemoryBudget(cfg.MemoryBudget), codec: codec, tables: tables, roster: roster, pool: pool, decider: NewDecider(cfg.DataCentre, roster, rand.Float64),
-		crashes: newCrashWatch(pool.Probe, q.recordCrashes, m, log), quarantine: q, metrics: m, log: log, retryBudgets: make(map[string]*retry.WindowBudget),
+		stop: newStopState(), crashes: newCrashWatch(pool.Probe, q.recordCrashes, m, log), quarantine: q, metrics: m, log: log, retryBudgets: make(map[string]*retry.WindowBudget),
 	}
 }
 
--- a/gateway/hold.go
+++ b/gateway/hold.go
@@ -36,9 +36,9 @@
 // check is admission at the time of the call.
 func (s *Server) check() error { return s.admission(time.Now()) }
 
-// heldCause returns the reason of admission that an error of a send wraps.
+// heldCause returns the reason of checkSend that an error of a send wraps.
 func heldCause(err error) string {
-	for _, reason := range []error{errLeaving, errResting, errGone} {
+	for _, reason := range []error{errLeaving, errResting, errGone, errStopping} {
 		if errors.Is(err, reason) {
 			return reason.Error()
 		}
@@ -46,7 +46,7 @@
 	return ""
 }
 
-// isHeld reports whether an error of a send is a reason of admission.
+// isHeld reports whether an error of a send is a reason of checkSend.
 func isHeld(err error) bool { return heldCause(err) != "" }
 
 // observe records what a response to the request tells of its backend server.
--- a/gateway/requestlog.go
+++ b/gateway/requestlog.go
@@ -67,6 +67,7 @@
 		name = q.route.Name
 	}
 	kind := q.kind()
+	q.recordDuration(outcome)
 	q.g.metrics.Request(q.service, kind, outcome, elapsed)
 	if q.timeToFirst > 0 {
 		q.g.metrics.FirstEvent(q.service, kind, q.timeToFirst)
--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -53,12 +53,12 @@
 			telemetry.New, telemetry.NewGateway, newAdapter, newQuarantine, newGateway, newGatewayHealth, newStoreWatcher, gateway.NewRoster,
 			func() *route.ActiveTable { return &route.ActiveTable{} }, newUpstream, newLeases, newStatus,
 		),
-		// Stop hooks run in reverse order, so failReadiness comes first.
+		// Stop hooks run in reverse order, so beginStop comes first.
 		fx.Invoke(
 			func(m *telemetry.Metrics, g *telemetry.Gateway, status statusFunc) error {
 				return g.ObserveStatus(m, status, droppedLogLines)
 			},
-			runStoreWatcher, runQuarantine, ignoreHangup, serveGateway, runRolePlanning, failReadiness,
+			runStoreWatcher, runQuarantine, ignoreHangup, serveGateway, runRolePlanning, beginStop,
 		),
 	)
 }
--- a/internal/app/gatewayhttp.go
+++ b/internal/app/gatewayhttp.go
@@ -35,13 +35,16 @@
 // newGatewayHealth returns the health endpoints of a gateway.
 func newGatewayHealth(g *gateway.Gateway) *health { return &health{ready: g.Ready} }
 
-// failReadiness makes the readiness check fail when the process stops. Its hook runs first, because the
-// load balancer takes seconds to notice; the lease for orders is released in that time.
-func failReadiness(lc fx.Lifecycle, h *health, log logrus.FieldLogger) {
+// beginStop makes the readiness check fail when the process stops, and the gateway refuse what would not complete in
+// the grace time. Its hook runs first, because the load balancer takes seconds to notice; the lease for orders is
+// released in that time.
+func beginStop(lc fx.Lifecycle, s *settings.Gateway, h *health, g *gateway.Gateway, log logrus.FieldLogger) {
 	lc.Append(fx.StopHook(func() {
+		now := time.Now()
+		h.stoppingSince = now
 		h.stopping.Store(true)
-		h.stoppingSince = time.Now()
-		log.Info("stopping: the readiness check fails, requests are still served")
+		g.Stop(now.Add(respondTime(s.Grace)))
+		log.WithFields(logrus.Fields{"grace_ms": s.Grace.Milliseconds(), "respond_ms": respondTime(s.Grace).Milliseconds()}).Info("stopping: the readiness check fails, requests that complete in time are still served")
 	}))
 }
 
@@ -49,6 +52,17 @@
 // aborted. The rest is for the shutdown of the process itself.
 const drainFraction = 0.9
 
+// lastResponseTime is the time in which the last responses reach the callers before the connections are closed.
+const lastResponseTime = 100 * time.Millisecond
+
+// drainTime returns the time after the stop signal after which connections of callers are closed.
+func drainTime(grace time.Duration) time.Duration {
+	return time.Duration(drainFraction * float64(grace))
+}
+
+// respondTime returns the time after the stop signal within which all requests get their responses.
+func respondTime(grace time.Duration) time.Duration { return max(0, drainTime(grace)-lastResponseTime) }
+
 func serveGateway(lc fx.Lifecycle, sd fx.Shutdowner, s *settings.Gateway, h *health, g *gateway.Gateway, m *telemetry.Metrics, gm *telemetry.Gateway, status statusFunc, log logrus.FieldLogger) {
 	gin.SetMode(gin.ReleaseMode)
 	internalHandler := gin.New()
@@ -71,7 +85,7 @@
 	})
 	// Stop hooks run in reverse order: the callers' listener is drained before those of the readiness
 	// check and the metrics are closed.
-	drainDeadline := func() time.Time { return h.stoppingSince.Add(time.Duration(drainFraction * float64(s.Grace))) }
+	drainDeadline := func() time.Time { return h.stoppingSince.Add(drainTime(s.Grace)) }
 	for _, addr := range []string{s.MetricsListen, s.ReadyListen} {
 		if addr != "" {
 			serveUntilDrainDeadline(lc, sd, log, newServer(internalHandler, log), addr, drainDeadline, func(context.Context) {})
--- a/test/soak/deployment_test.go
+++ b/test/soak/deployment_test.go
@@ -43,6 +43,8 @@
 	gateways       []*gatewayProcess
 	cleanups       []func()
 	version        int
+	// routeTimeout is the timeout of all routes in the next configuration.
+	routeTimeout time.Duration
 
 	mu        sync.Mutex
 	resumedAt []time.Time
@@ -65,7 +67,7 @@
 
 // newDeploymentWithoutWorkers starts a store that holds a configuration.
 func newDeploymentWithoutWorkers(t *testing.T) *deployment {
-	d := &deployment{t: t, store: site.NewStore()}
+	d := &deployment{t: t, store: site.NewStore(), routeTimeout: 2 * time.Second}
 	d.storeForwarder = d.startForwarder(d.serve(d.store))
 	d.writeConfig()
 	return d
@@ -141,7 +143,7 @@
 	type m = map[string]any
 	newRoute := func(name, kind, service string, overrides m) m {
 		r := m{
-			"name": name, "hostname": "a.example", "path-prefix": "/" + name + "/", "type": kind, "timeout-ms": 2000 + version,
+			"name": name, "hostname": "a.example", "path-prefix": "/" + name + "/", "type": kind, "timeout-ms": int(d.routeTimeout.Milliseconds()) + version,
 			"target-latency-ms": 1000, "priority": 0, "service": service, "max-attempts": 3,
 		}
 		for k, v := range overrides {
--- a/test/soak/processes_test.go
+++ b/test/soak/processes_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -26,8 +27,9 @@
 const (
 	processGateways = 3
 	// processWorkers is the number of workers of each of the two services.
-	processWorkers = 4
-	processCallers = 24
+	processWorkers     = 4
+	defaultServiceTime = 15 * time.Millisecond
+	processCallers     = 24
 	// entryLifetime is how long the entry of a crashed worker stays in the store: three heartbeat intervals.
 	entryLifetime = 3 * time.Second
 	// crashInterval is the time between two crashes in a whole deployment.
@@ -59,7 +61,8 @@
 	entry                map[string]any
 }
 
-func newProcessDeployment(t *testing.T, bin string, faults site.ProcessConfig, first *site.ProcessConfig) *processDeployment {
+// newProcessDeployment starts a deployment. The gateways get further flags.
+func newProcessDeployment(t *testing.T, bin string, faults site.ProcessConfig, first *site.ProcessConfig, flags ...string) *processDeployment {
 	d := &processDeployment{deployment: newDeploymentWithoutWorkers(t), bin: bin, dir: t.TempDir(), faults: faults, first: first}
 	if *logs != "" {
 		d.dir = filepath.Join(*logs, strings.ReplaceAll(t.Name(), "/", "-"))
@@ -74,7 +77,7 @@
 	}
 	for i := range processGateways * *processScale {
 		// The stand-ins obey no orders. Without slack, a refusal among the very first requests can't be sent again.
-		d.addGateway(filepath.Join(bin, "quetzallugd"), d.dir, fmt.Sprintf("edge-%d", i), "--lease-ttl", "0s", "--retry-slack", "20", "--instances", "1")
+		d.addGateway(filepath.Join(bin, "quetzallugd"), d.dir, fmt.Sprintf("edge-%d", i), append([]string{"--lease-ttl", "0s", "--retry-slack", "20", "--instances", "1"}, flags...)...)
 	}
 	d.waitReady()
 	return d
@@ -90,7 +93,10 @@
 	if d.first != nil && d.starts <= 2 {
 		cfg = *d.first
 	}
-	cfg.ID, cfg.ServiceTime = id, 15*time.Millisecond
+	cfg.ID = id
+	if cfg.ServiceTime == 0 {
+		cfg.ServiceTime = defaultServiceTime
+	}
 	w := &processWorker{id: id, service: service, address: address, entry: map[string]any{
 		"service": service, "address": address, "zone": "z", "version": "v1", "slots": 16, "state": "ready", "cold-remaining-ms": 0,
 		"seq": 1, "born": time.Now().UnixMilli(),
@@ -137,19 +143,36 @@
 
 // runs returns how often each request was run.
 func (d *processDeployment) runs() map[string]int {
+	counts := map[string]int{}
+	d.eachLogLine(func(event, id string, _ time.Time) {
+		if event == "runs" {
+			counts[id]++
+		}
+	})
+	return counts
+}
+
+// eachLogLine calls f for each line of the logs of the workers.
+func (d *processDeployment) eachLogLine(f func(event, id string, at time.Time)) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	counts := map[string]int{}
 	for _, path := range d.logs {
-		b, err := os.ReadFile(path)
-		require.NoError(d.t, err)
-		for line := range strings.Lines(string(b)) {
-			if fields := strings.Fields(line); len(fields) == 4 && fields[0] == "runs" {
-				counts[fields[1]]++
-			}
+		d.readLog(path, f)
+	}
+}
+
+func (d *processDeployment) readLog(path string, f func(event, id string, at time.Time)) {
+	b, err := os.ReadFile(path)
+	require.NoError(d.t, err)
+	for line := range strings.Lines(string(b)) {
+		fields := strings.Fields(line)
+		if len(fields) != 4 {
+			continue
 		}
+		ms, err := strconv.ParseInt(fields[3], 10, 64)
+		require.NoError(d.t, err)
+		f(fields[0], fields[1], time.UnixMilli(ms))
 	}
-	return counts
 }
 
 func (d *processDeployment) stop() {
