Show that answers whose head is cut never look whole

Go's reader of heads returns an error without the blank line, and upstream counts each such error as "may have run".

--- a/standin/site/process.go
+++ b/standin/site/process.go
@@ -28,6 +28,8 @@
 	CopyID bool
 	// Unframed is the rate of responses without a length, which end with their connection.
 	Unframed float64
+	// CutHead is the rate of answers that end within their head, by a close or a reset.
+	CutHead float64
 	// BreakOff is the rate of streams that are broken off after their first event.
 	BreakOff float64
 	// FailResumed is the rate of resumed streams that are answered with 404 and a signature.
@@ -147,10 +149,17 @@
 			retryAfter = "Retry-After: " + w.cfg.RetryAfter + "\r\n"
 		}
 		return refuse(http.StatusServiceUnavailable, "Quetzallug-Not-Executed: 1\r\n"+retryAfter)
+	case prefill && occurs(w.cfg.CutHead):
+		w.cutHead(c, r, id)
+		return "", false
 	case prefill:
 		time.Sleep(w.cfg.ServiceTime)
 		return "", w.reply(c, w.head(http.StatusOK, id, ""), fmt.Sprintf(`{"handle":"h-%d"}`, w.handles.Add(1)))
 	}
+	if occurs(w.cfg.CutHead) {
+		w.cutHead(c, r, id)
+		return "", false
+	}
 	resumed := r.Header.Get("Last-Event-Id") != ""
 	signature := "Quetzallug-Response-Signature: " + Signature(w.cfg.ID, id) + "\r\n"
 	w.record("runs", id, r.URL.Path)
@@ -169,6 +178,20 @@
 	return "", w.plain(c, r, http.StatusOK, id, signature)
 }
 
+// cutHead runs a request and writes a part of an answer's head.
+func (w *ProcessWorker) cutHead(c net.Conn, r *http.Request, id string) {
+	if r.Header.Get("Quetzallug-Stage") != "prefill" {
+		w.record("runs", id, r.URL.Path)
+		defer w.record("ends", id, r.URL.Path)
+	}
+	time.Sleep(w.cfg.ServiceTime)
+	head := w.head(http.StatusOK, id, "Quetzallug-Response-Signature: "+Signature(w.cfg.ID, id)+"\r\n"+[...]string{"", "Content-Length: 120\r\n", "Transfer-Encoding: chunked\r\n"}[rand.IntN(3)])
+	_, _ = io.WriteString(c, head[:rand.IntN(len(head)+1)])
+	if tcp, ok := c.(*net.TCPConn); ok && rand.IntN(2) == 0 {
+		_ = tcp.SetLinger(0)
+	}
+}
+
 // plain writes a plain response and reports whether the connection may be used again.
 func (w *ProcessWorker) plain(c net.Conn, r *http.Request, status int, id, signature string) bool {
 	time.Sleep(w.cfg.ServiceTime)
--- a/test/soak/processes_test.go
+++ b/test/soak/processes_test.go
@@ -253,6 +253,7 @@
 		"crashes within answers without a length":         {crash: true, faults: site.ProcessConfig{Unframed: 1}},
 		"gateways killed within answers without a length": {kill: true, faults: site.ProcessConfig{Unframed: 1}},
 		"crashes within errors without a length":          {crash: true, faults: site.ProcessConfig{Unframed: 1, Error: 0.5}},
+		"heads that are cut":                              {faults: site.ProcessConfig{CutHead: 0.2, BreakOff: 0.3}},
 		"callers that end their own side":                 {halfClose: 0.3},
 		"errors in answer to resumed streams":             {faults: site.ProcessConfig{BreakOff: 0.3, FailResumed: 0.5}},
 		"resumed streams without event IDs":               {faults: site.ProcessConfig{BreakOff: 0.3, RestartEvents: 0.5}},
