gateway: remember recent runs before earlier ones, and leaving ones for an hour

What is known of a run whose entry went was limited to 4,096 runs and one minute. At the 4,097th, an arbitrary run was forgotten, also one that had just drained, so that a late write brought it back; and after a minute a run that had said in an answer that it leaves was forgotten, although it may serve on, so that it got requests again when its entry came back after a long outage of the store.

Change: the runs that ended first are forgotten first, and runs that leave are remembered for an hour, within the same limit.

--- a/gateway/lifetimes.go
+++ b/gateway/lifetimes.go
@@ -1,6 +1,9 @@
 package gateway
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// olderEntryHold is how long a registration that is older than the last one is held back. A backend server
@@ -10,7 +13,10 @@
 	// lifetimeMemory is how long a run is remembered after its registration was removed. A write without an
 	// answer may be done up to 12 s later, and a run whose registration lapsed comes back within seconds.
 	lifetimeMemory = time.Minute
-	// maxEndedLifetimes limits the remembered runs without a registration.
+	// leavingMemory is the same for a run that leaves, which gets no requests for the rest of it. Its registration may
+	// lapse and come back with a long outage of the store.
+	leavingMemory = time.Hour
+	// maxEndedLifetimes limits the remembered runs without a registration. Those that ended first are forgotten first.
 	maxEndedLifetimes = 4096
 )
 
@@ -103,14 +109,35 @@
 			due = append(due, held.reg)
 		}
 	}
-	ended := 0
+	ls.forgetEnded(now)
+	return due
+}
+
+// forgetEnded forgets the runs that ended long ago, and the earliest ones if there are too many.
+func (ls *lifetimes) forgetEnded(now time.Time) {
+	var ended []*lifetime
 	for id, l := range ls.byID {
-		if l.endedAt.IsZero() {
-			continue
-		}
-		if ended++; now.Sub(l.endedAt) >= lifetimeMemory || ended > maxEndedLifetimes {
+		switch {
+		case l.endedAt.IsZero():
+		case now.Sub(l.endedAt) >= l.memory():
 			delete(ls.byID, id)
+		default:
+			ended = append(ended, l)
 		}
 	}
-	return due
+	if len(ended) <= maxEndedLifetimes {
+		return
+	}
+	slices.SortFunc(ended, func(a, b *lifetime) int { return a.endedAt.Compare(b.endedAt) })
+	for _, l := range ended[:len(ended)-maxEndedLifetimes] {
+		delete(ls.byID, l.ID)
+	}
+}
+
+// memory returns how long the run is remembered after its registration was removed.
+func (l *lifetime) memory() time.Duration {
+	if l.state.isLeaving() {
+		return leavingMemory
+	}
+	return lifetimeMemory
 }
--- a/gateway/lifetimes_test.go
+++ b/gateway/lifetimes_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -69,6 +70,52 @@
 	require.Empty(t, r.lifetimes.byID)
 }
 
+// Guards against a late entry that brings a draining backend server back because many others have ended meanwhile.
+func TestRecentRunsOutlastEarlierOnes(t *testing.T) {
+	r := NewRoster()
+	end := func(id string, draining bool, at time.Time) {
+		reg := registration(9, 5, draining)
+		reg.ID = id
+		r.Apply([]Change{{ID: id, Registration: &reg}}, at)
+		r.Apply([]Change{{ID: id}}, at)
+	}
+	for i := range 2 * maxEndedLifetimes {
+		end(strconv.Itoa(i), false, start)
+	}
+	const recent = 64
+	for i := range recent {
+		end("draining-"+strconv.Itoa(i), true, start.Add(time.Second))
+	}
+	r.Expire(start.Add(2 * time.Second))
+	for i := range recent {
+		late := registration(9, 4, false)
+		late.ID = "draining-" + strconv.Itoa(i)
+		r.Apply([]Change{{ID: late.ID, Registration: &late}}, start.Add(3*time.Second))
+	}
+	require.Empty(t, r.Servers("s"))
+}
+
+// Guards against requests to a backend server that leaves and whose entry was gone for minutes, as in a long outage of the
+// store. A new run under its ID is served.
+func TestLeavingOutlastsALapsedEntry(t *testing.T) {
+	r := NewRoster()
+	apply := func(reg Registration, at time.Time) { r.Apply([]Change{{ID: "i", Registration: &reg}}, at) }
+	apply(registration(9, 5, false), start)
+	require.True(t, r.MarkLeaving(r.Servers("s")[0]))
+	r.Apply([]Change{{ID: "i"}}, start.Add(time.Second))
+	back := start.Add(10 * time.Minute)
+	for at := start; at.Before(back); at = at.Add(time.Second) {
+		r.Expire(at)
+	}
+	apply(registration(9, 6, false), back)
+	require.Empty(t, r.Servers("s"))
+	apply(registration(10, 1, false), back)
+	require.Len(t, r.Servers("s"), 1)
+	r.Apply([]Change{{ID: "i"}}, back)
+	r.Expire(back.Add(leavingMemory))
+	require.Empty(t, r.lifetimes.byID)
+}
+
 // Guards against a request that is sent to a backend server whose state has changed since the choice.
 func TestAdmission(t *testing.T) {
 	r := NewRoster()
