gateway: check the authority for an order directly before it is sent

Where else a choice can wait: an order to an engine was checked for its authority before its connection was opened, which may take up to half a second. An authority that ended meanwhile, or a process that froze there, sent the order all the same, within the margin of the lease at best.

An order that was not sent for that reason, or because the engine leaves, rests or has gone, no longer counts as one with an unknown outcome.

--- a/gateway/control_test.go
+++ b/gateway/control_test.go
@@ -7,9 +7,12 @@
 	"net"
 	"net/http"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/quetzallug/quetzallug/lease"
 	"github.com/quetzallug/quetzallug/upstream"
 )
 
@@ -100,3 +103,34 @@
 	require.NoError(t, err)
 	require.Equal(t, http.StatusAccepted, status)
 }
+
+// Guards against an order that is sent after the authority for it has ended, because opening the connection took long.
+func TestOrdersNeedAuthorityAtTheSend(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		received := 0
+		pool := upstream.NewPoolWithDial(func(context.Context, string, string) (net.Conn, error) {
+			time.Sleep(300 * time.Millisecond)
+			caller, server := net.Pipe()
+			go func() {
+				defer server.Close()
+				if _, err := http.ReadRequest(bufio.NewReader(server)); err == nil {
+					received++
+					_, _ = io.WriteString(server, "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n")
+				}
+			}()
+			return caller, nil
+		})
+		r := &RolePlanner{pool: pool, orders: idOrders{}}
+		s := makeServer(Registration{Address: "10.0.0.1:1"}, &serverState{listed: true})
+		send := func(validFor time.Duration) error {
+			a := lease.NewAuthority(RolesPool, "edge-1", 1, time.Now().Add(validFor))
+			_, _, err := r.callUnder(t.Context(), a, s, &upstream.Request{Method: http.MethodPost, Target: "/"})
+			return err
+		}
+		require.NoError(t, send(time.Second))
+		require.Equal(t, 1, received)
+		require.ErrorIs(t, send(100*time.Millisecond), upstream.ErrNotSent)
+		require.Equal(t, 1, received)
+		pool.Close()
+	})
+}
--- a/gateway/roles.go
+++ b/gateway/roles.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"time"
@@ -174,10 +175,11 @@
 		log.WithError(err).Error("cannot encode role order")
 		return
 	}
-	if !a.Valid() {
+	status, _, err := r.callUnder(ctx, a, s, req)
+	if isHeld(err) || errors.Is(err, errNoAuthority) {
+		log.WithError(err).Info("no order: the engine or the authority has changed")
 		return
 	}
-	status, _, err := r.call(ctx, s, req)
 	now := time.Now()
 	rp.recordDirection(role, now)
 	if err != nil {
@@ -196,12 +198,29 @@
 	log.WithFields(logrus.Fields{"status": status, "accepted": result == OrderAccepted, "sequence": report.Sequence}).Info("role ordered")
 }
 
+// errNoAuthority means that the authority to give orders has ended.
+var errNoAuthority = errors.New("no authority")
+
+// callUnder is call, unless the authority has ended when the connection is there.
+func (r *RolePlanner) callUnder(ctx context.Context, a lease.Authority, s *Server, req *upstream.Request) (int, []byte, error) {
+	return r.callChecked(ctx, s, req, func() error {
+		if !a.Valid() {
+			return errNoAuthority
+		}
+		return s.check()
+	})
+}
+
 func (r *RolePlanner) call(ctx context.Context, s *Server, req *upstream.Request) (int, []byte, error) {
+	return r.callChecked(ctx, s, req, s.check)
+}
+
+func (r *RolePlanner) callChecked(ctx context.Context, s *Server, req *upstream.Request, check func() error) (int, []byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	// A late copy of a refusal on a kept connection would be taken for the answer to the order.
 	req.NewConnection = true
-	req.Check = s.check
+	req.Check = check
 	resp, err := r.pool.Do(ctx, s.Address, req, func(resp *http.Response, first bool) bool { return first && !r.orders.AnswersCaller(resp.Header) })
 	if err != nil {
 		return 0, nil, err
