gateway: do not wait for the body of a request that is answered without it

What callers saw: a request that is refused before its body is read (unknown route, no configuration, no memory, a planned stop) got its answer only after the body, because net/http reads the rest of it before the header of the response, or held its connection for as long as the body did not come. Connections with a request in progress are never dropped for new ones, so such callers could use up the descriptors.

Evidence: TestBodiesOfRefusedRequestsAreNotWaitedFor failed before: no answer at all without a route, and a connection held for more than 10 s in a stop.

Change: the rest of such a body is awaited for 0.5 s. A whole body keeps its connection in use, as before. Found while looking for work that begins late in a planned stop.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -30,6 +30,9 @@
 	startRetryAfter = time.Second
 	// releaseTimeout limits the call that releases an unused prefilled prompt.
 	releaseTimeout = time.Second
+	// bodyDiscardTime is how long the rest of a body is awaited for the reuse of a connection whose request was answered
+	// without it.
+	bodyDiscardTime = 500 * time.Millisecond
 	// writeGrace is the time after the deadline within which the caller must have read the
 	// response.
 	writeGrace = 500 * time.Millisecond
@@ -80,6 +83,8 @@
 	// quarantinedPart is the part for which the request was refused; empty if it was not.
 	quarantinedPart string
 	body            heldBody
+	// bodyRead is true once the whole body was read.
+	bodyRead bool
 
 	tried []*serverState
 	// connections records the connections that the request was sent on, also for prefills.
@@ -199,6 +204,7 @@
 		return false
 	}
 	if q.r.ContentLength == 0 {
+		q.bodyRead = true
 		return true
 	}
 	limit := q.limitBody(http.NewResponseController(q.reply.w))
@@ -223,11 +229,12 @@
 		q.rejectInvalid(http.StatusBadRequest, "body_unreadable")
 		return false
 	}
+	q.bodyRead = true
 	return true
 }
 
-// rejectInvalid answers a request that cannot be served. The connection is closed and its read
-// deadline is kept, because the rest of the body may still be in transit.
+// rejectInvalid answers a request that cannot be served. The connection is closed, because the rest of the body may
+// still be in transit.
 func (q *request) rejectInvalid(status int, cause string) {
 	q.reply.w.Header().Set("Connection", "close")
 	q.g.metrics.Refusal(q.service, cause)
@@ -420,6 +427,10 @@
 
 // replyError ends the request with a response of the gateway's own.
 func (q *request) replyError(status int, outcome, cause string) {
+	if !q.bodyRead {
+		// net/http reads the rest of the body before the header of the response, or before it closes the connection.
+		_ = http.NewResponseController(q.reply.w).SetReadDeadline(time.Now().Add(bodyDiscardTime))
+	}
 	if !q.reply.error(status, cause) {
 		outcome = outcomeBroken
 	}
--- a/test/site/slow_test.go
+++ b/test/site/slow_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -112,3 +113,56 @@
 		require.Equal(t, "api2", s.Services[1].Service, "a configured service without backend servers is missing")
 	})
 }
+
+// Guards against callers that hold a connection, or wait for their answer, because the body of a request that is refused
+// without it never comes.
+func TestBodiesOfRefusedRequestsAreNotWaitedFor(t *testing.T) {
+	const limit = time.Second
+	for name, tc := range map[string]struct {
+		path, host, body string
+		stopping         bool
+		status           int
+	}{
+		"no route":              {path: "/nowhere/x", status: http.StatusNotFound},
+		"no route, other host":  {path: pathOnce + "x", host: "b.example", status: http.StatusNotFound},
+		"no route, whole body":  {path: "/nowhere/x", body: "body", status: http.StatusNotFound},
+		"stopping":              {path: pathOnce + "x", stopping: true, status: http.StatusServiceUnavailable},
+		"too large":             {path: pathOnce + "y", status: http.StatusRequestEntityTooLarge},
+		"too large, other body": {path: pathOnce + "y", body: "body", status: http.StatusRequestEntityTooLarge},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runInBubble(t, func(t *testing.T, env *testEnv) {
+				n := startDefaultDeployment(env)
+				if tc.stopping {
+					n.gateway.Stop(time.Now().Add(-time.Second))
+				}
+				length := 4
+				if tc.status == http.StatusRequestEntityTooLarge {
+					length = 1 << 20
+				}
+				c, err := env.net.Dial(context.Background(), env.callerHost, n.address)
+				require.NoError(t, err)
+				defer c.Close()
+				require.NoError(t, c.SetReadDeadline(time.Now().Add(10*limit)))
+				_, err = fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: %s\r\nQuetzallug-Attempt-Id: a\r\nContent-Length: %d\r\n\r\n%s", tc.path, cmp.Or(tc.host, hostname), length, tc.body)
+				require.NoError(t, err)
+				started := time.Now()
+				br := bufio.NewReader(c)
+				resp, err := http.ReadResponse(br, nil)
+				require.NoError(t, err)
+				defer resp.Body.Close()
+				_, err = io.ReadAll(resp.Body)
+				require.NoError(t, err)
+				require.Equal(t, tc.status, resp.StatusCode)
+				require.Less(t, time.Since(started), limit, "the answer comes without the body")
+				if len(tc.body) == length {
+					require.False(t, resp.Close, "the connection stays in use after a whole body")
+					return
+				}
+				_, err = br.ReadByte()
+				require.Error(t, err)
+				require.Less(t, time.Since(started), 2*limit, "the connection ends")
+			})
+		})
+	}
+}
