memnet: connections tell whether they have ended

Three cases (once, stream, resume) of answers without a length whose server is killed with all its connections gave whole-looking answers on the test network, while real processes passed. Either the second connection's end came too late, or the test network ordered the two differently: it was neither. The connections of the test network are no sockets, so upstream.PeerClosed could not look at them and took each for open.

Evidence: TestKilledServersCutAnswersWithoutALength failed in all three cases, and passes with connections that tell their end by a method. Real connections have no such method, so nothing changes for them.

--- a/internal/memnet/memnet.go
+++ b/internal/memnet/memnet.go
@@ -160,8 +160,8 @@
 	go lk.forward(clientInner, serverInner, from, l.host)
 	go lk.forward(serverInner, clientInner, l.host, from)
 	select {
-	case l.conns <- &conn{server, "peer:1"}:
-		return &conn{client, addr}, nil
+	case l.conns <- &conn{server, lk, "peer:1"}:
+		return &conn{client, lk, addr}, nil
 	case <-l.closed:
 		lk.close()
 		return nil, dialError(errRefused)
@@ -171,9 +171,20 @@
 // conn is a pipe with network addresses.
 type conn struct {
 	net.Conn
+	link   *link
 	remote string
 }
 
+// PeerClosed reports whether the connection has ended.
+func (c *conn) PeerClosed() bool {
+	select {
+	case <-c.link.done:
+		return true
+	default:
+		return false
+	}
+}
+
 type address string
 
 func (address) Network() string  { return "tcp" }
--- /dev/null
+++ b/test/site/bodyend_test.go
@@ -0,0 +1,73 @@
+package site
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/quetzallug/quetzallug/internal/memnet"
+	"github.com/quetzallug/quetzallug/standin/site"
+)
+
+// serveUntilKilled registers a backend server that sends a half of an answer without a length. Its machine is then killed,
+// so that all its connections end at the same moment.
+func serveUntilKilled(env *testEnv, service, stage string, half func(id, target string) string) {
+	const address = "10.1.65.1:8080"
+	site.NewWorker(site.WorkerConfig{ID: "i-killed", Service: service, Address: address, Slots: 8, Zone: "z", Stage: stage}).Register(env.store)
+	host := env.newHost(address)
+	l := env.net.Listen(host, address)
+	env.cleanups = append(env.cleanups, func() { _ = l.Close() })
+	answer := func(c net.Conn, host *memnet.Host) {
+		defer c.Close()
+		r, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		id := r.Header.Get("Quetzallug-Attempt-Id")
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nQuetzallug-Attempt-Id: %s\r\nQuetzallug-Response-Signature: x.%s\r\nConnection: close\r\n\r\n%s", id, id, half(id, r.RequestURI))
+		time.Sleep(200 * time.Millisecond)
+		env.net.Kill(host)
+	}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go answer(c, host)
+		}
+	}()
+}
+
+// Guards against a half of an answer without a length that looks whole because its backend server was killed with all its
+// connections.
+func TestKilledServersCutAnswersWithoutALength(t *testing.T) {
+	event := func(id, _ string) string { return site.Event(id, 1) }
+	for name, tc := range map[string]struct {
+		service, stage string
+		half           func(id, target string) string
+		request        request
+	}{
+		"once":   {"api", "", func(id, target string) string { return site.Answer(id, target)[:4] }, request{path: pathOnce + "x", body: "b"}},
+		"stream": {"llm", "decode", event, request{path: pathStream + "x", prompt: "a:50,b:60", events: 3}},
+		"resume": {"llm", "decode", event, request{path: pathResume + "x", prompt: "a:50,b:60", events: 3}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runInBubble(t, func(t *testing.T, env *testEnv) {
+				env.writeConfig()
+				serveUntilKilled(env, tc.service, tc.stage, tc.half)
+				n := env.addGateway("edge-1")
+				time.Sleep(settleTime)
+				r := env.call(n, tc.request)
+				require.False(t, r.succeeded(), "%d %q", r.status, r.body)
+			})
+		})
+	}
+}
--- a/upstream/socket.go
+++ b/upstream/socket.go
@@ -59,8 +59,12 @@
 }
 
 // PeerClosed reports whether the peer has reset a connection, or has closed it and all received data has been
-// read, or whether the connection has been closed locally. It returns false if c is not a socket.
+// read, or whether the connection has been closed locally. A connection that is not a socket may tell so by a
+// method of the same name; without it, PeerClosed returns false.
 func PeerClosed(c net.Conn) bool {
+	if t, ok := c.(interface{ PeerClosed() bool }); ok {
+		return t.PeerClosed()
+	}
 	n, err, ok := peek(c)
 	return ok && n <= 0 && !wouldBlock(err) && !errors.Is(err, unix.EINTR)
 }
