--- a/test/site/stop_test.go
+++ b/test/site/stop_test.go
@@ -268,3 +268,36 @@
 		wg.Wait()
 	})
 }
+
+// Guards against a second request on a connection, already received during a planned stop, that runs although its
+// connection is closed after the first answer.
+func TestPipelinedRequestsInAPlannedStop(t *testing.T) {
+	runInBubble(t, func(t *testing.T, env *testEnv) {
+		n, stop := startWithSlowWorkers(env)
+		c, err := env.net.Dial(context.Background(), env.callerHost, n.address)
+		require.NoError(t, err)
+		defer c.Close()
+		stop(7 * time.Second)
+		text := ""
+		for _, id := range []string{"first", "second"} {
+			text += fmt.Sprintf("POST %sx HTTP/1.1\r\nHost: %s\r\nQuetzallug-Attempt-Id: %s\r\nQuetzallug-Deadline-Ms: 60000\r\nContent-Length: 4\r\n\r\nbody", pathOnce, hostname, id)
+		}
+		_, err = io.WriteString(c, text)
+		require.NoError(t, err)
+		br := bufio.NewReader(c)
+		resp, err := http.ReadResponse(br, nil)
+		require.NoError(t, err)
+		defer resp.Body.Close()
+		body, err := io.ReadAll(resp.Body)
+		require.NoError(t, err)
+		require.Equal(t, site.Answer("first", pathOnce+"x"), string(body))
+		next, err := http.ReadResponse(br, nil)
+		if err == nil {
+			defer next.Body.Close()
+			require.Equal(t, http.StatusOK, next.StatusCode)
+			return
+		}
+		time.Sleep(3 * stopWork)
+		require.Empty(t, env.runsOf("second"))
+	})
+}
