app: leave requests in progress five sixths of a short grace time, too

The last responses are due 100 ms before connections close, at 0.9 of the grace time. With a grace below 1.5 s that is earlier than five sixths of it, the part in which a worker may still be at work on what was sent early. The 100 ms are at most a twentieth of the grace time now. TestRespondTime failed for 0.1 s and 1 s before. Nothing changes for a grace of 2 s and more.

--- a/internal/app/gatewayhttp.go
+++ b/internal/app/gatewayhttp.go
@@ -52,8 +52,12 @@
 // aborted. The rest is for the shutdown of the process itself.
 const drainFraction = 0.9
 
-// lastResponseTime is the time in which the last responses reach the callers before the connections are closed.
-const lastResponseTime = 100 * time.Millisecond
+// lastResponseTime is the time in which the last responses reach the callers before the connections are closed. It is
+// limited to lastResponseFraction of a short grace time, so that requests in progress may take five sixths of any.
+const (
+	lastResponseTime     = 100 * time.Millisecond
+	lastResponseFraction = 0.05
+)
 
 // drainTime returns the time after the stop signal after which connections of callers are closed.
 func drainTime(grace time.Duration) time.Duration {
@@ -61,7 +65,9 @@
 }
 
 // respondTime returns the time after the stop signal within which all requests get their responses.
-func respondTime(grace time.Duration) time.Duration { return max(0, drainTime(grace)-lastResponseTime) }
+func respondTime(grace time.Duration) time.Duration {
+	return drainTime(grace) - min(lastResponseTime, time.Duration(lastResponseFraction*float64(grace)))
+}
 
 func serveGateway(lc fx.Lifecycle, sd fx.Shutdowner, s *settings.Gateway, h *health, g *gateway.Gateway, m *telemetry.Metrics, gm *telemetry.Gateway, status statusFunc, log logrus.FieldLogger) {
 	gin.SetMode(gin.ReleaseMode)
--- a/internal/app/gatewayhttp_test.go
+++ b/internal/app/gatewayhttp_test.go
@@ -171,3 +171,13 @@
 		require.Contains(t, send(open(), "/"), "ok")
 	})
 }
+
+// Guards against requests in progress that are ended before five sixths of the grace time, and against responses that
+// have no time to reach their callers.
+func TestRespondTime(t *testing.T) {
+	for _, grace := range []time.Duration{100 * time.Millisecond, time.Second, 2 * time.Second, 8 * time.Second, 30 * time.Second} {
+		require.GreaterOrEqual(t, respondTime(grace), grace*5/6, grace)
+		require.Less(t, respondTime(grace), drainTime(grace), grace)
+		require.Less(t, drainTime(grace), grace)
+	}
+}
