--- a/test/site/bodyend_test.go
+++ b/test/site/bodyend_test.go
@@ -1,8 +1,6 @@
 package site
 
 import (
-	"bufio"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -18,32 +16,12 @@
 // serveUntilKilled registers a backend server that sends a half of an answer without a length. Its machine is then killed,
 // so that all its connections end at the same moment.
 func serveUntilKilled(env *testEnv, service, stage string, half func(id, target string) string) {
-	const address = "10.1.65.1:8080"
-	site.NewWorker(site.WorkerConfig{ID: "i-killed", Service: service, Address: address, Slots: 8, Zone: "z", Stage: stage}).Register(env.store)
-	host := env.newHost(address)
-	l := env.net.Listen(host, address)
-	env.cleanups = append(env.cleanups, func() { _ = l.Close() })
-	answer := func(c net.Conn, host *memnet.Host) {
-		defer c.Close()
-		r, err := http.ReadRequest(bufio.NewReader(c))
-		if err != nil {
-			return
-		}
-		_, _ = io.Copy(io.Discard, r.Body)
+	serveConns(env, site.WorkerConfig{ID: "i-killed", Service: service, Stage: stage}, func(c net.Conn, r *http.Request, host *memnet.Host) {
 		id := r.Header.Get("Quetzallug-Attempt-Id")
-		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nQuetzallug-Attempt-Id: %s\r\nQuetzallug-Response-Signature: x.%s\r\nConnection: close\r\n\r\n%s", id, id, half(id, r.RequestURI))
+		_, _ = io.WriteString(c, answerHead(id)+"Connection: close\r\n\r\n"+half(id, r.RequestURI))
 		time.Sleep(200 * time.Millisecond)
 		env.net.Kill(host)
-	}
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go answer(c, host)
-		}
-	}()
+	})
 }
 
 // Guards against a half of an answer without a length that looks whole because its backend server was killed with all its
--- a/test/site/cuthead_test.go
+++ b/test/site/cuthead_test.go
@@ -1,7 +1,6 @@
 package site
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -12,44 +11,25 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/quetzallug/quetzallug/internal/memnet"
 	"github.com/quetzallug/quetzallug/standin/site"
 )
 
 // serveCutHeads registers a backend server that answers each call with a part of a head, a longer one each time. It
 // returns counters of the prefills and the resumed streams among them.
-func serveCutHeads(env *testEnv, id, stage string) (prefills, resumed *atomic.Int64) {
-	const address = "10.1.65.1:8080"
-	site.NewWorker(site.WorkerConfig{ID: id, Service: "llm", Address: address, Slots: 8, Zone: "z", Stage: stage}).Register(env.store)
-	l := env.net.Listen(env.newHost(address), address)
-	env.cleanups = append(env.cleanups, func() { _ = l.Close() })
+func serveCutHeads(env *testEnv, stage string) (prefills, resumed *atomic.Int64) {
 	prefills, resumed = &atomic.Int64{}, &atomic.Int64{}
 	var calls atomic.Int64
-	answer := func(c net.Conn) {
-		defer c.Close()
-		r, err := http.ReadRequest(bufio.NewReader(c))
-		if err != nil {
-			return
-		}
-		_, _ = io.Copy(io.Discard, r.Body)
-		attempt := r.Header.Get("Quetzallug-Attempt-Id")
+	serveConns(env, site.WorkerConfig{ID: "i-cut", Service: "llm", Stage: stage}, func(c net.Conn, r *http.Request, _ *memnet.Host) {
 		switch {
 		case r.Header.Get("Quetzallug-Stage") == "prefill":
 			prefills.Add(1)
 		case r.Header.Get("Last-Event-Id") != "":
 			resumed.Add(1)
 		}
-		head := fmt.Sprintf("HTTP/1.1 200 OK\r\nQuetzallug-Attempt-Id: %s\r\nQuetzallug-Response-Signature: x.%s\r\nContent-Length: 20\r\n", attempt, attempt)
+		head := answerHead(r.Header.Get("Quetzallug-Attempt-Id")) + "Content-Length: 20\r\n"
 		_, _ = io.WriteString(c, head[:int(calls.Add(7))%(len(head)+1)])
-	}
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go answer(c)
-		}
-	}()
+	})
 	return prefills, resumed
 }
 
@@ -58,7 +38,7 @@
 func TestCutHeadsOfFurtherCalls(t *testing.T) {
 	runInBubble(t, func(t *testing.T, env *testEnv) {
 		env.writeConfig()
-		prefills, _ := serveCutHeads(env, "i-cut", "prefill")
+		prefills, _ := serveCutHeads(env, "prefill")
 		for _, id := range []string{"i-d", "i-e"} {
 			env.addWorker(site.WorkerConfig{ID: id, Service: "llm", Stage: "decode", PrefillTimePerToken: 4 * time.Microsecond, RoleSwitch: 3 * time.Second})
 		}
@@ -79,7 +59,7 @@
 	})
 	runInBubble(t, func(t *testing.T, env *testEnv) {
 		env.writeConfig()
-		_, resumed := serveCutHeads(env, "i-cut", "decode")
+		_, resumed := serveCutHeads(env, "decode")
 		env.addWorker(site.WorkerConfig{ID: "i-d", Service: "llm", Stage: "decode", PrefillTimePerToken: 4 * time.Microsecond})
 		env.workers[0].SetFault(func(r *http.Request) site.Fault {
 			if r.Header.Get("Last-Event-Id") == "" {
--- a/test/site/slow_peers_test.go
+++ b/test/site/slow_peers_test.go
@@ -11,33 +11,26 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/quetzallug/quetzallug/internal/memnet"
 	"github.com/quetzallug/quetzallug/standin/site"
 )
 
-// serveBytes registers one backend server for all requests that answers with the lines of head and then with the pieces, each
-// after a pause, for ever if repeat is set.
-func serveBytes(env *testEnv, service, head string, pieces []string, pause time.Duration, repeat bool) {
-	const address = "10.1.65.1:8080"
-	site.NewWorker(site.WorkerConfig{ID: "i-slow", Service: service, Address: address, Slots: 8, Zone: "z"}).Register(env.store)
-	l := env.net.Listen(env.newHost(address), address)
+// serveConns registers a backend server whose answers handle writes itself. It is called with the first request of each
+// connection, whose body was read, and the connection is closed afterwards.
+func serveConns(env *testEnv, cfg site.WorkerConfig, handle func(c net.Conn, r *http.Request, host *memnet.Host)) {
+	cfg.Address, cfg.Slots, cfg.Zone = "10.1.65.1:8080", 8, "z"
+	site.NewWorker(cfg).Register(env.store)
+	host := env.newHost(cfg.Address)
+	l := env.net.Listen(host, cfg.Address)
 	env.cleanups = append(env.cleanups, func() { _ = l.Close() })
-	answer := func(c net.Conn) {
+	serve := func(c net.Conn) {
 		defer c.Close()
 		r, err := http.ReadRequest(bufio.NewReader(c))
 		if err != nil {
 			return
 		}
 		_, _ = io.Copy(io.Discard, r.Body)
-		id := r.Header.Get("Quetzallug-Attempt-Id")
-		_, err = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nQuetzallug-Attempt-Id: %s\r\nQuetzallug-Response-Signature: x.%s\r\n%s", id, id, head)
-		for first := true; err == nil && (first || repeat); first = false {
-			for _, piece := range pieces {
-				time.Sleep(pause)
-				if _, err = io.WriteString(c, piece); err != nil {
-					return
-				}
-			}
-		}
+		handle(c, r, host)
 	}
 	go func() {
 		for {
@@ -45,11 +38,32 @@
 			if err != nil {
 				return
 			}
-			go answer(c)
+			go serve(c)
 		}
 	}()
 }
 
+// answerHead returns the status line of an answer to a request and the header that marks it, without the blank line.
+func answerHead(id string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nQuetzallug-Attempt-Id: %s\r\nQuetzallug-Response-Signature: x.%s\r\n", id, id)
+}
+
+// serveBytes registers one backend server for all requests that answers with the lines of head and then with the pieces, each
+// after a pause, for ever if repeat is set.
+func serveBytes(env *testEnv, service, head string, pieces []string, pause time.Duration, repeat bool) {
+	serveConns(env, site.WorkerConfig{ID: "i-slow", Service: service}, func(c net.Conn, r *http.Request, _ *memnet.Host) {
+		_, err := io.WriteString(c, answerHead(r.Header.Get("Quetzallug-Attempt-Id"))+head)
+		for first := true; err == nil && (first || repeat); first = false {
+			for _, piece := range pieces {
+				time.Sleep(pause)
+				if _, err = io.WriteString(c, piece); err != nil {
+					return
+				}
+			}
+		}
+	})
+}
+
 // Guards against a server that sends a byte now and then keeping its caller for ever, in a head, a body or a stream.
 func TestStalledAnswersEndAtTheDeadline(t *testing.T) {
 	for name, tc := range map[string]struct{ path, service, head, piece string }{
