--- /dev/null
+++ b/review/standin2/worker.go
@@ -0,0 +1,239 @@
+package main
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// workerConfig configures a worker.
+type workerConfig struct {
+	ID     string `json:"id"`
+	Listen string `json:"listen"`
+	// Stage is prefill or decode, or empty for a worker without an engine.
+	Stage string `json:"stage"`
+	Slots int    `json:"slots"`
+	// WorkMS is the time of a plain request, and of each event of a stream.
+	WorkMS int `json:"work_ms"`
+	// Unframed answers have no length and end with their channel.
+	Unframed bool `json:"unframed"`
+}
+
+// roleSwitch is how long a worker changes its stage.
+const roleSwitch = 3 * time.Second
+
+// worker serves requests on bare channels. It writes a line to its output for each request that reaches it, and for the
+// beginning and end of each run.
+type worker struct {
+	cfg workerConfig
+
+	mu      sync.Mutex
+	stage   string
+	busy    bool
+	seq     int
+	running int
+	handles map[string]string // the attempt by handle
+}
+
+// runWorker serves until the process ends. It returns why it could not.
+func runWorker(config string) error {
+	w := &worker{handles: map[string]string{}}
+	if err := json.Unmarshal([]byte(config), &w.cfg); err != nil {
+		return err
+	}
+	w.stage = w.cfg.Stage
+	l, err := net.Listen("tcp", w.cfg.Listen)
+	if err != nil {
+		return err
+	}
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return err
+		}
+		go w.serve(c)
+	}
+}
+
+func (w *worker) log(event, id, text string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	fmt.Println(event, id, time.Now().UnixMilli(), text)
+}
+
+// serve serves one channel, a request at a time.
+func (w *worker) serve(c net.Conn) {
+	defer c.Close()
+	br := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil || !w.answer(c, r, body) {
+			return
+		}
+	}
+}
+
+// head returns the status line and header of an answer, without the blank line.
+func (w *worker) head(status int, id, extra string) string {
+	w.mu.Lock()
+	load := fmt.Sprintf("Quetzallug-Server-Load: %d,0,%d\r\n", w.running, w.cfg.Slots)
+	w.mu.Unlock()
+	if id != "" {
+		id = "Quetzallug-Attempt-Id: " + id + "\r\n"
+	}
+	return fmt.Sprintf("HTTP/1.1 %d %s\r\n%s%s%s", status, http.StatusText(status), id, load, extra)
+}
+
+func (w *worker) reply(c net.Conn, head, body string) bool {
+	_, err := fmt.Fprintf(c, "%sContent-Length: %d\r\n\r\n%s", head, len(body), body)
+	return err == nil
+}
+
+// answer answers one request and reports whether the channel stays open.
+func (w *worker) answer(c net.Conn, r *http.Request, body []byte) bool {
+	id := r.Header.Get("Quetzallug-Attempt-Id")
+	if expect := r.Header.Get("Quetzallug-Expect-Instance"); expect != "" && expect != w.cfg.ID {
+		return w.reply(c, w.head(http.StatusMisdirectedRequest, id, "Quetzallug-Instance-Id: "+w.cfg.ID+"\r\n"), "")
+	}
+	switch {
+	case r.URL.Path == "/api/report":
+		w.mu.Lock()
+		report := fmt.Sprintf(`{"stage":%q,"models":[{"name":"m","version":1,"adapters":[]}],"busy":%t,"seq":%d,"queued":0,"active":%d,"kv-used":0,"kv-total":90000,"kv-handles":%d}`, w.stage, w.busy, w.seq, w.running, len(w.handles))
+		w.mu.Unlock()
+		return w.reply(c, w.head(http.StatusOK, "", "Content-Type: application/json\r\n"), report)
+	case r.URL.Path == "/api/order":
+		return w.reply(c, w.head(w.order(body), "", ""), "")
+	case strings.HasPrefix(r.URL.Path, "/api/kv-handle/"):
+		w.mu.Lock()
+		delete(w.handles, strings.TrimPrefix(r.URL.Path, "/api/kv-handle/"))
+		w.mu.Unlock()
+		return w.reply(c, w.head(http.StatusOK, "", ""), "")
+	}
+	w.log("arrives", id, r.Method+" "+r.RequestURI)
+	w.mu.Lock()
+	stage, full := w.stage, w.running >= w.cfg.Slots || w.busy
+	w.mu.Unlock()
+	prefill := r.Header.Get("Quetzallug-Stage") == "prefill"
+	switch {
+	case id == "":
+		return w.reply(c, w.head(http.StatusBadRequest, "", "Quetzallug-Not-Executed: 1\r\n"), "")
+	case stage != "" && prefill != (stage == "prefill"):
+		return w.reply(c, w.head(http.StatusMisdirectedRequest, id, ""), "")
+	case full:
+		return w.reply(c, w.head(http.StatusServiceUnavailable, id, "Quetzallug-Not-Executed: 1\r\n"), "")
+	case prefill:
+		time.Sleep(10 * time.Millisecond)
+		handle := "h" + id
+		w.mu.Lock()
+		w.handles[handle] = id
+		w.mu.Unlock()
+		return w.reply(c, w.head(http.StatusOK, id, "Content-Type: application/json\r\n"), fmt.Sprintf(`{"handle":%q,"tokens":1,"version":1}`, handle))
+	}
+	w.mu.Lock()
+	w.running++
+	w.mu.Unlock()
+	w.log("runs", id, r.Method+" "+r.RequestURI)
+	keep := w.run(c, r, id, string(body))
+	w.mu.Lock()
+	w.running--
+	w.mu.Unlock()
+	w.log("ends", id, "")
+	return keep
+}
+
+// run runs a request and reports whether the channel stays open.
+func (w *worker) run(c net.Conn, r *http.Request, id, body string) bool {
+	work := time.Duration(w.cfg.WorkMS) * time.Millisecond
+	signature := "Quetzallug-Response-Signature: " + w.cfg.ID + "." + id + "\r\n"
+	events := eventCount(r)
+	if events == 0 {
+		time.Sleep(work)
+		text := plainAnswer(id, r.RequestURI, body)
+		if !w.cfg.Unframed {
+			return w.reply(c, w.head(http.StatusOK, id, signature), text)
+		}
+		_, _ = io.WriteString(c, w.head(http.StatusOK, id, signature+"Connection: close\r\n")+"\r\n"+text)
+		return false
+	}
+	framing := "Transfer-Encoding: chunked\r\n"
+	if w.cfg.Unframed {
+		framing = "Connection: close\r\n"
+	}
+	if _, err := io.WriteString(c, w.head(http.StatusOK, id, signature+"Content-Type: text/event-stream\r\n"+framing)+"\r\n"); err != nil {
+		return false
+	}
+	first, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	for n := first + 1; n <= events; n++ {
+		time.Sleep(work)
+		text := event(id, n)
+		if !w.cfg.Unframed {
+			text = fmt.Sprintf("%x\r\n%s\r\n", len(text), text)
+		}
+		if _, err := io.WriteString(c, text); err != nil {
+			return false
+		}
+	}
+	if w.cfg.Unframed {
+		return false
+	}
+	_, err := io.WriteString(c, "0\r\n\r\n")
+	return err == nil
+}
+
+// order obeys an order and returns the status of its answer.
+func (w *worker) order(body []byte) int {
+	var o struct {
+		Op           string `json:"op"`
+		Stage        string `json:"stage"`
+		Holder       string `json:"holder"`
+		Fence        int    `json:"fencing-token"`
+		Precondition *int   `json:"precondition"`
+	}
+	if err := json.Unmarshal(body, &o); err != nil || o.Op != "stage" || o.Holder == "" || o.Fence == 0 {
+		return http.StatusBadRequest
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	switch {
+	case w.busy || o.Precondition != nil && *o.Precondition != w.seq:
+		return http.StatusConflict
+	case o.Stage == w.stage:
+		return http.StatusOK
+	}
+	w.busy = true
+	w.seq++
+	time.AfterFunc(roleSwitch, func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.stage, w.busy = o.Stage, false
+	})
+	return http.StatusAccepted
+}
+
+// eventCount returns the number of events of the answer to a request; 0 if it is not a stream.
+func eventCount(r *http.Request) int {
+	_, out, _ := strings.Cut(r.Header.Get("Quetzallug-Token-Count"), ",")
+	n, _ := strconv.Atoi(out)
+	return n
+}
+
+func event(id string, n int) string { return fmt.Sprintf("id: %d\ndata: piece %d of %s\n\n", n, n, id) }
+
+func plainAnswer(id, target, body string) string {
+	return fmt.Sprintf("answer to %s at %s with %q%s", id, target, body, strings.Repeat(".", 700))
+}
+
+// logWorker is where the log lines of a worker process go.
+func logWorker(dir, id string) string { return dir + string(os.PathSeparator) + id + ".log" }
