--- a/review/standin2/deployment.go
+++ b/review/standin2/deployment.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -322,3 +323,31 @@
 	_ = resp.Body.Close()
 	return resp.StatusCode == http.StatusOK
 }
+
+// workerEvent is a line of a worker's log.
+type workerEvent struct {
+	worker, event, id string
+	at                time.Time
+}
+
+// workerEvents returns what the workers have logged.
+func (d *deployment) workerEvents() ([]workerEvent, error) {
+	var out []workerEvent
+	for _, w := range d.workers {
+		f, err := os.Open(logWorker(d.dir, w.cfg.ID))
+		if err != nil {
+			return nil, err
+		}
+		s := bufio.NewScanner(f)
+		for s.Scan() {
+			e := workerEvent{worker: w.cfg.ID}
+			var ms int64
+			if n, _ := fmt.Sscan(s.Text(), &e.event, &e.id, &ms); n == 3 {
+				e.at = time.UnixMilli(ms)
+				out = append(out, e)
+			}
+		}
+		_ = f.Close()
+	}
+	return out, nil
+}
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -20,7 +20,8 @@
 
 // cases holds the cases by their name on the command line.
 var cases = map[string]func(d *deployment, trouble bool) error{
-	"spot": playSpot,
+	"spot":  playSpot,
+	"quiet": playQuiet,
 }
 
 func main() {
