--- a/review/standin2/deployment.go
+++ b/review/standin2/deployment.go
@@ -54,7 +54,9 @@
 	*testcluster.Process
 	cfg     workerConfig
 	service string
-	born    int64
+	// listed is the address in the registration: that of a proxy if there is one.
+	listed string
+	born   int64
 
 	mu       sync.Mutex
 	state    string
@@ -144,6 +146,11 @@
 
 // addWorker starts a worker of a service and registers it.
 func (d *deployment) addWorker(service string, cfg workerConfig) (*workerProcess, error) {
+	return d.addForgetfulWorker(service, cfg, 0)
+}
+
+// addForgetfulWorker is addWorker for a worker that forgets channels which have rested for a time, unless that is 0.
+func (d *deployment) addForgetfulWorker(service string, cfg workerConfig, forgetAfter time.Duration) (*workerProcess, error) {
 	address, err := testcluster.FreeAddress()
 	if err != nil {
 		return nil, err
@@ -161,7 +168,13 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &workerProcess{Process: p, cfg: cfg, service: service, born: time.Now().UnixMilli(), state: "ready", stage: cfg.Stage}
+	listed := address
+	if forgetAfter > 0 {
+		if _, listed, err = newProxy(address, forgetAfter); err != nil {
+			return nil, err
+		}
+	}
+	w := &workerProcess{Process: p, cfg: cfg, service: service, listed: listed, born: time.Now().UnixMilli(), state: "ready", stage: cfg.Stage}
 	d.workers = append(d.workers, w)
 	w.register(d)
 	return w, nil
@@ -177,7 +190,7 @@
 	w.seq++
 	w.lastBeat = time.Now()
 	entry := map[string]any{
-		"service": w.service, "address": w.cfg.Listen, "zone": zone, "version": "v1", "slots": w.cfg.Slots, "state": w.state,
+		"service": w.service, "address": w.listed, "zone": zone, "version": "v1", "slots": w.cfg.Slots, "state": w.state,
 		"cold-remaining-ms": 0, "seq": w.seq, "born": w.born,
 	}
 	if w.stage != "" {
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -20,8 +20,9 @@
 
 // cases holds the cases by their name on the command line.
 var cases = map[string]func(d *deployment, trouble bool) error{
-	"spot":  playSpot,
-	"quiet": playQuiet,
+	"spot":   playSpot,
+	"forget": playForget,
+	"quiet":  playQuiet,
 }
 
 func main() {
--- a/review/standin2/quiet.go
+++ b/review/standin2/quiet.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -22,76 +20,6 @@
 	quietCallGap  = 25 * time.Millisecond
 )
 
-// proxy passes channels on to an address. Silence stops those that are open for good: they stay open and carry nothing more.
-type proxy struct {
-	target string
-	mu     sync.Mutex
-	silent chan struct{} // closed when the channels that are open now fall silent
-}
-
-// newProxy returns a proxy and its address.
-func newProxy(target string) (*proxy, string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return nil, "", err
-	}
-	p := &proxy{target: target, silent: make(chan struct{})}
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go p.pass(c)
-		}
-	}()
-	return p, l.Addr().String(), nil
-}
-
-func (p *proxy) silence() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	close(p.silent)
-	p.silent = make(chan struct{})
-}
-
-func (p *proxy) pass(c net.Conn) {
-	p.mu.Lock()
-	silent := p.silent
-	p.mu.Unlock()
-	s, err := net.Dial("tcp", p.target)
-	if err != nil {
-		_ = c.Close()
-		return
-	}
-	go pump(c, s, silent)
-	go pump(s, c, silent)
-}
-
-// pump copies from one channel to another until one of them ends. Once they are silent, it takes and drops what comes.
-func pump(from, to net.Conn, silent <-chan struct{}) {
-	defer from.Close()
-	buf := make([]byte, 32<<10)
-	for {
-		n, err := from.Read(buf)
-		select {
-		case <-silent:
-			_, _ = io.Copy(io.Discard, from)
-			return
-		default:
-		}
-		if n > 0 {
-			if _, err := to.Write(buf[:n]); err != nil {
-				return
-			}
-		}
-		if err != nil {
-			_ = to.Close()
-			return
-		}
-	}
-}
-
 // playQuiet lets the channels between the gateways and the store fall silent, without a reset, while new ones work. A route
 // moves to another service 0.3 s later.
 func playQuiet(d *deployment, trouble bool) error {
@@ -112,7 +40,7 @@
 			serviceOf[w.cfg.ID] = service
 		}
 	}
-	p, address, err := newProxy(d.storeAddress)
+	p, address, err := newProxy(d.storeAddress, 0)
 	if err != nil {
 		return err
 	}
--- a/review/standin2/spot.go
+++ b/review/standin2/streams.go
@@ -17,17 +17,51 @@
 	spotGapMS  = 100
 	// spotNotice is how long after its notice a worker is gone.
 	spotNotice = 2 * time.Second
+	// forgetAfter is the time after which a worker drops an idle channel without notice.
+	forgetAfter = 300 * time.Millisecond
 )
 
+// streamCase is a case with streams whose answers have no length and end with their channel.
+type streamCase struct {
+	// forgetAfter is the time after which workers forget a channel that rests; 0 if they don't.
+	forgetAfter time.Duration
+	// end ends a worker while streams run on it.
+	end func(w *workerProcess)
+}
+
 // playSpot takes a worker away as a spot machine goes: it reports draining, and is gone 2 s later, while streams that it
 // took before the notice are still running. Its answers have no length and end with their channel.
 func playSpot(d *deployment, trouble bool) error {
+	return playStreams(d, trouble, streamCase{end: func(w *workerProcess) {
+		if os.Getenv("NOTICE") != "0" { // for comparison: the same without the notice
+			w.drain(d)
+		}
+		time.Sleep(spotNotice)
+		w.crash(d)
+	}})
+}
+
+// playForget crashes a worker that drops idle channels without notice, while streams run on it.
+func playForget(d *deployment, trouble bool) error {
+	c := streamCase{forgetAfter: forgetAfter, end: func(w *workerProcess) { w.crash(d) }}
+	if os.Getenv("FORGET") == "0" { // for comparison: the same with workers that keep idle channels
+		c.forgetAfter = 0
+	}
+	return playStreams(d, trouble, c)
+}
+
+// playStreams lets clients ask for streams, ends a worker and checks the answers.
+func playStreams(d *deployment, trouble bool, sc streamCase) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	d.configure(route{name: "ask", kind: "streaming", service: "llm", timeoutMS: 15000, attempts: 1, prompt: true})
 	var decode []*workerProcess
 	for _, stage := range []string{"prefill", "decode", "decode", "decode"} {
-		w, err := d.addWorker("llm", workerConfig{Stage: stage, Slots: 48, WorkMS: spotGapMS, Unframed: true})
+		forget := sc.forgetAfter
+		if stage != "decode" || len(decode) == 2 {
+			forget = 0 // at most half of the workers
+		}
+		w, err := d.addForgetfulWorker("llm", workerConfig{Stage: stage, Slots: 48, WorkMS: spotGapMS, Unframed: true}, forget)
 		if err != nil {
 			return err
 		}
@@ -61,11 +95,7 @@
 	}
 	if trouble {
 		time.Sleep(6 * time.Second)
-		if os.Getenv("NOTICE") != "0" { // for comparison: the same without the notice
-			decode[0].drain(d)
-		}
-		time.Sleep(spotNotice)
-		decode[0].crash(d)
+		sc.end(decode[0])
 	}
 	callers.Wait()
 	close(calls)
