--- a/review/standin2/proxy.go
+++ b/review/standin2/proxy.go
@@ -4,7 +4,6 @@
 	"errors"
 	"io"
 	"net"
-
 	"sync"
 	"time"
 )
