--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -22,6 +22,7 @@
 var cases = map[string]func(d *deployment, trouble bool) error{
 	"spot":   playSpot,
 	"forget": playForget,
+	"gone":   playGone,
 	"quiet":  playQuiet,
 }
 
--- a/review/standin2/quiet.go
+++ b/review/standin2/quiet.go
@@ -40,41 +40,12 @@
 			serviceOf[w.cfg.ID] = service
 		}
 	}
-	p, address, err := newProxy(d.storeAddress, 0)
+	p, err := d.startBehindProxy(ctx)
 	if err != nil {
 		return err
 	}
-	for range quietGateways {
-		if err := d.addGateway(address); err != nil {
-			return err
-		}
-	}
-	if err := d.waitReady(ctx); err != nil {
-		return err
-	}
 	go d.beat(ctx)
-	var mu sync.Mutex
-	var calls []*call
-	stop := make(chan struct{})
-	var callers sync.WaitGroup
-	for _, g := range d.gateways {
-		callers.Go(func() {
-			c := &caller{address: g.front}
-			defer c.close()
-			for {
-				select {
-				case <-stop:
-					return
-				case <-time.After(quietCallGap):
-				}
-				q := &call{id: newID(), method: http.MethodPost, path: "/ack/2f", body: g.Name, deadlineMS: 2500}
-				c.do(q)
-				mu.Lock()
-				calls = append(calls, q)
-				mu.Unlock()
-			}
-		})
-	}
+	callers := d.startAcks()
 	type change struct{ silentAt, confirmedAt, endAt time.Time }
 	var changes []change
 	time.Sleep(9 * time.Second) // each gateway has looked once for a vacant lease
@@ -89,8 +60,7 @@
 		time.Sleep(quietRound)
 		changes = append(changes, change{silentAt, confirmed, time.Now()})
 	}
-	close(stop)
-	callers.Wait()
+	calls := callers.finish()
 	events, err := d.workerEvents()
 	if err != nil {
 		return err
@@ -132,3 +102,55 @@
 	}
 	return nil
 }
+
+// startBehindProxy starts gateways that reach the store through a proxy and waits until they are ready.
+func (d *deployment) startBehindProxy(ctx context.Context) (*proxy, error) {
+	p, address, err := newProxy(d.storeAddress, 0)
+	if err != nil {
+		return nil, err
+	}
+	for range quietGateways {
+		if err := d.addGateway(address); err != nil {
+			return nil, err
+		}
+	}
+	return p, d.waitReady(ctx)
+}
+
+// ackCallers are clients that send a request to each gateway every quietCallGap, on a channel that they keep.
+type ackCallers struct {
+	stop    chan struct{}
+	callers sync.WaitGroup
+	mu      sync.Mutex
+	calls   []*call
+}
+
+func (d *deployment) startAcks() *ackCallers {
+	a := &ackCallers{stop: make(chan struct{})}
+	for _, g := range d.gateways {
+		a.callers.Go(func() {
+			c := &caller{address: g.front}
+			defer c.close()
+			for {
+				select {
+				case <-a.stop:
+					return
+				case <-time.After(quietCallGap):
+				}
+				q := &call{id: newID(), method: http.MethodPost, path: "/ack/2f", body: g.Name, deadlineMS: 2500}
+				c.do(q)
+				a.mu.Lock()
+				a.calls = append(a.calls, q)
+				a.mu.Unlock()
+			}
+		})
+	}
+	return a
+}
+
+// finish ends the clients and returns what they have sent.
+func (a *ackCallers) finish() []*call {
+	close(a.stop)
+	a.callers.Wait()
+	return a.calls
+}
