--- a/review/standin2/client.go
+++ b/review/standin2/client.go
@@ -58,9 +58,9 @@
 		c.conn, c.br = conn, bufio.NewReader(conn)
 	}
 	_ = c.conn.SetDeadline(time.Now().Add(time.Duration(q.deadlineMS) * time.Millisecond))
-	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nQuetzallug-Attempt-Id: %s\r\nQuetzallug-Deadline-Ms: %d\r\n", q.method, q.path, hostname, q.id, q.deadlineMS)
+	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n", q.method, q.path, hostname, name("attempt"), q.id, name("deadline"), q.deadlineMS)
 	if q.events > 0 {
-		head += fmt.Sprintf("Quetzallug-Model: m\r\nQuetzallug-Token-Count: 141,%d\r\nQuetzallug-Prefix-Hash: %s\r\n", q.events, q.prompt)
+		head += fmt.Sprintf("%s: m\r\n%s: 141,%d\r\n%s: %s\r\n", name("model"), name("tokens"), q.events, name("prefix"), q.prompt)
 	}
 	if q.method != http.MethodGet {
 		head += fmt.Sprintf("Content-Length: %d\r\n", len(q.body))
@@ -80,7 +80,7 @@
 		return
 	}
 	defer resp.Body.Close()
-	q.status, q.signature = resp.StatusCode, resp.Header.Get("Quetzallug-Response-Signature")
+	q.status, q.signature = resp.StatusCode, resp.Header.Get(name("signature"))
 	b, err := io.ReadAll(resp.Body)
 	q.answer, q.err, q.whole = string(b), err, err == nil
 	if err != nil || resp.Close {
--- a/review/standin2/deployment.go
+++ b/review/standin2/deployment.go
@@ -123,7 +123,7 @@
 
 // addGateway starts a gateway with the command of the deploy file. Its store is at storeAddress.
 func (d *deployment) addGateway(storeAddress string) error {
-	name := fmt.Sprintf("edge-%s-%d", zone, len(d.gateways)+1)
+	instance := fmt.Sprintf("edge-%s-%d", zone, len(d.gateways)+1)
 	var addresses [4]string
 	for i := range addresses {
 		var err error
@@ -131,8 +131,8 @@
 			return err
 		}
 	}
-	p, err := testcluster.NewProcess(name, d.program, filepath.Join(d.dir, name+".log"), []string{
-		"gateway", "--instance", name, "--data-centre", zone, "--listen", addresses[0], "--ready-listen", addresses[1],
+	p, err := testcluster.NewProcess(instance, d.program, filepath.Join(d.dir, instance+".log"), []string{
+		"gateway", "--instance", instance, "--data-centre", zone, "--listen", addresses[0], "--ready-listen", addresses[1],
 		"--metrics-listen", addresses[2], "--adapter-address", storeAddress, "--retry-share", "0.2", "--retry-slack", "54",
 		"--retry-window", "10s", "--config-bound", "2000ms", "--drain-bound", "2000ms", "--grace", "8s", "--max-files", "4100",
 		"--machine-memory", "284", "--order-guard", "3000ms",
@@ -196,7 +196,7 @@
 	if w.stage != "" {
 		entry["stage"], entry["models"] = w.stage, []any{map[string]any{"name": "m", "version": 1, "adapters": []any{}}}
 	}
-	d.store.Put("servers/"+w.cfg.ID, entry)
+	d.store.Put(name("servers")+w.cfg.ID, entry)
 }
 
 // drain registers the worker as draining.
@@ -237,7 +237,7 @@
 			}
 			w.mu.Unlock()
 			if remove {
-				d.store.Remove("servers/" + w.cfg.ID)
+				d.store.Remove(name("servers") + w.cfg.ID)
 				d.note("the registration of %s is removed", w.cfg.ID)
 			}
 			if now := stageOf(ctx, w.cfg.Listen); !silent && stage != "" && now != "" && now != stage {
@@ -255,7 +255,7 @@
 func stageOf(ctx context.Context, address string) string {
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/api/report", http.NoBody)
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+name("report"), http.NoBody)
 	if err != nil {
 		return ""
 	}
@@ -285,15 +285,15 @@
 	var list []m
 	for _, r := range routes {
 		e := m{
-			"name": "r-" + r.name, "hostname": hostname, "path-prefix": "/" + r.name + "/", "type": r.kind, "timeout-ms": r.timeoutMS,
+			"name": "r-" + r.name, "hostname": hostname, name("path prefix"): "/" + r.name + "/", "type": r.kind, "timeout-ms": r.timeoutMS,
 			"target-latency-ms": 150, "priority": 0, "service": r.service, "max-attempts": r.attempts,
 		}
 		if r.prompt {
-			e["sticky-sessions"], e["resumable"], e["gap-aim-ms"] = true, r.resumable, 200
+			e[name("prompt")], e["resumable"], e[name("gap")] = true, r.resumable, 200
 		}
 		list = append(list, e)
 	}
-	d.store.Put("op/config", m{
+	d.store.Put(name("config"), m{
 		"version": d.version, "routes": list,
 		"services": []m{
 			{"name": "llm", "health-path": "/health", "max-connections": 300, "protocol": "h1", "tls": false, "engine": m{"slots": 48, "kv-capacity-tokens": 1466667, "kv-token-bytes": 18432, "stride": 1, "kv-hold-s": 5.0, "role-switch-s": roleSwitch.Seconds()}},
--- a/review/standin2/gone.go
+++ b/review/standin2/gone.go
@@ -58,7 +58,7 @@
 			d.note("the open channels to the store are silent from now on")
 		}
 		time.Sleep(300 * time.Millisecond)
-		d.store.Remove("servers/" + l.worker)
+		d.store.Remove(name("servers") + l.worker)
 		l.removedAt = time.Now()
 		d.note("the registration of %s is removed", l.worker)
 		time.Sleep(goneServes)
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -39,13 +39,13 @@
 }
 
 // play plays a case and returns the exit code.
-func play(name, gateway, recordPath string, trouble bool) int {
+func play(which, gateway, recordPath string, trouble bool) int {
 	d, err := newDeployment(gateway, recordPath)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "cannot run:", err)
 		return exitNotRun
 	}
-	err = cases[name](d, trouble)
+	err = cases[which](d, trouble)
 	d.close()
 	switch {
 	case err == nil:
--- a/review/standin2/quiet.go
+++ b/review/standin2/quiet.go
@@ -14,7 +14,7 @@
 	applyBound = 2 * time.Second
 	// judgeSlack is left out of both, in favour of the gateways.
 	judgeSlack    = 50 * time.Millisecond
-	quietRounds   = 6
+	quietRounds   = 8
 	quietGateways = 4
 	quietRound    = 11 * time.Second
 	quietCallGap  = 25 * time.Millisecond
@@ -57,7 +57,8 @@
 		}
 		time.Sleep(300 * time.Millisecond)
 		confirmed := move(n + 1)
-		time.Sleep(quietRound)
+		// The gateways are at another point of their watch each time.
+		time.Sleep(quietRound + time.Duration(n%4)*gonePhase)
 		changes = append(changes, change{silentAt, confirmed, time.Now()})
 	}
 	calls := callers.finish()
--- a/review/standin2/worker.go
+++ b/review/standin2/worker.go
@@ -88,10 +88,10 @@
 // head returns the status line and header of an answer, without the blank line.
 func (w *worker) head(status int, id, extra string) string {
 	w.mu.Lock()
-	load := fmt.Sprintf("Quetzallug-Server-Load: %d,0,%d\r\n", w.running, w.cfg.Slots)
+	load := fmt.Sprintf("%s: %d,0,%d\r\n", name("load"), w.running, w.cfg.Slots)
 	w.mu.Unlock()
 	if id != "" {
-		id = "Quetzallug-Attempt-Id: " + id + "\r\n"
+		id = name("attempt") + ": " + id + "\r\n"
 	}
 	return fmt.Sprintf("HTTP/1.1 %d %s\r\n%s%s%s", status, http.StatusText(status), id, load, extra)
 }
@@ -103,21 +103,21 @@
 
 // answer answers one request and reports whether the channel stays open.
 func (w *worker) answer(c net.Conn, r *http.Request, body []byte) bool {
-	id := r.Header.Get("Quetzallug-Attempt-Id")
-	if expect := r.Header.Get("Quetzallug-Expect-Instance"); expect != "" && expect != w.cfg.ID {
-		return w.reply(c, w.head(http.StatusMisdirectedRequest, id, "Quetzallug-Instance-Id: "+w.cfg.ID+"\r\n"), "")
+	id := r.Header.Get(name("attempt"))
+	if expect := r.Header.Get(name("expect")); expect != "" && expect != w.cfg.ID {
+		return w.reply(c, w.head(http.StatusMisdirectedRequest, id, name("instance")+": "+w.cfg.ID+"\r\n"), "")
 	}
 	switch {
-	case r.URL.Path == "/api/report":
+	case r.URL.Path == name("report"):
 		w.mu.Lock()
-		report := fmt.Sprintf(`{"stage":%q,"models":[{"name":"m","version":1,"adapters":[]}],"busy":%t,"seq":%d,"queued":0,"active":%d,"kv-used":0,"kv-total":90000,"kv-handles":%d}`, w.stage, w.busy, w.seq, w.running, len(w.handles))
+		report := fmt.Sprintf(name("report body"), w.stage, w.busy, w.seq, w.running, len(w.handles))
 		w.mu.Unlock()
 		return w.reply(c, w.head(http.StatusOK, "", "Content-Type: application/json\r\n"), report)
-	case r.URL.Path == "/api/order":
+	case r.URL.Path == name("order"):
 		return w.reply(c, w.head(w.order(body), "", ""), "")
-	case strings.HasPrefix(r.URL.Path, "/api/kv-handle/"):
+	case strings.HasPrefix(r.URL.Path, name("handle")):
 		w.mu.Lock()
-		delete(w.handles, strings.TrimPrefix(r.URL.Path, "/api/kv-handle/"))
+		delete(w.handles, strings.TrimPrefix(r.URL.Path, name("handle")))
 		w.mu.Unlock()
 		return w.reply(c, w.head(http.StatusOK, "", ""), "")
 	}
@@ -125,14 +125,14 @@
 	w.mu.Lock()
 	stage, full := w.stage, w.running >= w.cfg.Slots || w.busy
 	w.mu.Unlock()
-	prefill := r.Header.Get("Quetzallug-Stage") == "prefill"
+	prefill := r.Header.Get(name("stage")) == "prefill"
 	switch {
 	case id == "":
-		return w.reply(c, w.head(http.StatusBadRequest, "", "Quetzallug-Not-Executed: 1\r\n"), "")
+		return w.reply(c, w.head(http.StatusBadRequest, "", name("not executed")+": 1\r\n"), "")
 	case stage != "" && prefill != (stage == "prefill"):
 		return w.reply(c, w.head(http.StatusMisdirectedRequest, id, ""), "")
 	case full:
-		return w.reply(c, w.head(http.StatusServiceUnavailable, id, "Quetzallug-Not-Executed: 1\r\n"), "")
+		return w.reply(c, w.head(http.StatusServiceUnavailable, id, name("not executed")+": 1\r\n"), "")
 	case prefill:
 		time.Sleep(10 * time.Millisecond)
 		handle := "h" + id
@@ -156,7 +156,7 @@
 // run runs a request and reports whether the channel stays open.
 func (w *worker) run(c net.Conn, r *http.Request, id, body string) bool {
 	work := time.Duration(w.cfg.WorkMS) * time.Millisecond
-	signature := "Quetzallug-Response-Signature: " + w.cfg.ID + "." + id + "\r\n"
+	signature := name("signature") + ": " + w.cfg.ID + "." + id + "\r\n"
 	events := eventCount(r)
 	if events == 0 {
 		time.Sleep(work)
@@ -194,22 +194,23 @@
 
 // order obeys an order and returns the status of its answer.
 func (w *worker) order(body []byte) int {
-	var o struct {
-		Op           string `json:"op"`
-		Stage        string `json:"stage"`
-		Holder       string `json:"holder"`
-		Fence        int    `json:"fencing-token"`
-		Precondition *int   `json:"precondition"`
-	}
-	if err := json.Unmarshal(body, &o); err != nil || o.Op != "stage" || o.Holder == "" || o.Fence == 0 {
+	var o map[string]any
+	if err := json.Unmarshal(body, &o); err != nil {
 		return http.StatusBadRequest
 	}
+	next, _ := o["stage"].(string)
+	holder, _ := o["holder"].(string)
+	_, fenced := o[name("fence")].(float64)
+	if o["op"] != "stage" || holder == "" || !fenced {
+		return http.StatusBadRequest
+	}
+	expected, conditional := o["precondition"].(float64)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	switch {
-	case w.busy || o.Precondition != nil && *o.Precondition != w.seq:
+	case w.busy || conditional && int(expected) != w.seq:
 		return http.StatusConflict
-	case o.Stage == w.stage:
+	case next == w.stage:
 		return http.StatusOK
 	}
 	w.busy = true
@@ -217,14 +218,14 @@
 	time.AfterFunc(roleSwitch, func() {
 		w.mu.Lock()
 		defer w.mu.Unlock()
-		w.stage, w.busy = o.Stage, false
+		w.stage, w.busy = next, false
 	})
 	return http.StatusAccepted
 }
 
 // eventCount returns the number of events of the answer to a request; 0 if it is not a stream.
 func eventCount(r *http.Request) int {
-	_, out, _ := strings.Cut(r.Header.Get("Quetzallug-Token-Count"), ",")
+	_, out, _ := strings.Cut(r.Header.Get(name("tokens")), ",")
 	n, _ := strconv.Atoi(out)
 	return n
 }
