--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -23,6 +23,7 @@
 	"spot":   playSpot,
 	"forget": playForget,
 	"gone":   playGone,
+	"limit":  playLimit,
 	"quiet":  playQuiet,
 }
 
--- a/review/standin2/worker.go
+++ b/review/standin2/worker.go
@@ -25,6 +25,11 @@
 	WorkMS int `json:"work_ms"`
 	// Unframed answers have no length and end with their channel.
 	Unframed bool `json:"unframed"`
+	// SlowFromMS and SlowForMS are when the worker turns slow, in milliseconds from its start, and for how long; SlowX is how
+	// many times as long its work takes then.
+	SlowFromMS int `json:"slow_from_ms"`
+	SlowForMS  int `json:"slow_for_ms"`
+	SlowX      int `json:"slow_x"`
 }
 
 // roleSwitch is how long a worker changes its stage.
@@ -33,7 +38,8 @@
 // worker serves requests on bare channels. It writes a line to its output for each request that reaches it, and for the
 // beginning and end of each run.
 type worker struct {
-	cfg workerConfig
+	cfg     workerConfig
+	started time.Time
 
 	mu      sync.Mutex
 	stage   string
@@ -45,7 +51,7 @@
 
 // runWorker serves until the process ends. It returns why it could not.
 func runWorker(config string) error {
-	w := &worker{handles: map[string]string{}}
+	w := &worker{started: time.Now(), handles: map[string]string{}}
 	if err := json.Unmarshal([]byte(config), &w.cfg); err != nil {
 		return err
 	}
@@ -155,11 +161,11 @@
 
 // run runs a request and reports whether the channel stays open.
 func (w *worker) run(c net.Conn, r *http.Request, id, body string) bool {
-	work := time.Duration(w.cfg.WorkMS) * time.Millisecond
+	limit := time.Now().Add(timeLimit(r))
 	signature := name("signature") + ": " + w.cfg.ID + "." + id + "\r\n"
 	events := eventCount(r)
 	if events == 0 {
-		time.Sleep(work)
+		time.Sleep(w.work())
 		text := plainAnswer(id, r.RequestURI, body)
 		if !w.cfg.Unframed {
 			return w.reply(c, w.head(http.StatusOK, id, signature), text)
@@ -176,7 +182,11 @@
 	}
 	first, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	for n := first + 1; n <= events; n++ {
-		time.Sleep(work)
+		time.Sleep(min(w.work(), time.Until(limit)))
+		if !time.Now().Before(limit) {
+			w.log("stops", id, "at its time limit")
+			return false
+		}
 		text := event(id, n)
 		if !w.cfg.Unframed {
 			text = fmt.Sprintf("%x\r\n%s\r\n", len(text), text)
@@ -192,6 +202,25 @@
 	return err == nil
 }
 
+// timeLimit returns the time after which the worker stops work on a request.
+func timeLimit(r *http.Request) time.Duration {
+	ms, err := strconv.Atoi(r.Header.Get(name("deadline")))
+	if err != nil {
+		return time.Hour
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
+// work returns the time of a plain request or an event now.
+func (w *worker) work() time.Duration {
+	work := time.Duration(w.cfg.WorkMS) * time.Millisecond
+	since := time.Since(w.started) - time.Duration(w.cfg.SlowFromMS)*time.Millisecond
+	if w.cfg.SlowX > 0 && since >= 0 && since < time.Duration(w.cfg.SlowForMS)*time.Millisecond {
+		work *= time.Duration(w.cfg.SlowX)
+	}
+	return work
+}
+
 // order obeys an order and returns the status of its answer.
 func (w *worker) order(body []byte) int {
 	var o map[string]any
