--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -25,6 +25,7 @@
 	"entry-of-other-writer":  entryOfOtherWriter,
 	"store-turns-away":       storeTurnsAway,
 	"late-heartbeat":         lateHeartbeat,
+	"stale-entry":            staleEntry,
 	"restart-after-crashes":  restartAfterCrashes,
 }
 
