--- a/gateway/caller_test.go
+++ b/gateway/caller_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/quetzallug/quetzallug/account"
+	"github.com/quetzallug/quetzallug/internal/contain"
 	"github.com/quetzallug/quetzallug/route"
 	"github.com/quetzallug/quetzallug/upstream"
 )
@@ -71,7 +72,7 @@
 	roster.Replace([]Registration{{ID: "i", Service: "s", Address: backend.Addr().String(), Slots: 4}}, time.Now())
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	g := New(Config{RetryWindow: time.Second}, plainCodec{}, tables, roster, upstream.NewPool(), NewQuarantine("edge-1", nil, log), noMetrics{}, log)
+	g := New(Config{RetryWindow: time.Second}, plainCodec{}, tables, roster, upstream.NewPool(), NewQuarantine("edge-1", nil, log), noMetrics{}, contain.New(log, func(string) {}), log)
 
 	l := listen()
 	const callers = 20
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"github.com/quetzallug/quetzallug/internal/contain"
 )
 
 const (
@@ -51,6 +53,7 @@
 	// onCrash is called with the backend servers that crashed together.
 	onCrash func(crashed []*brokenServer)
 	metrics Metrics
+	guard   *contain.Guard
 	logger  logrus.FieldLogger
 
 	mu     sync.Mutex
@@ -59,8 +62,8 @@
 	crashed []*brokenServer
 }
 
-func newCrashWatch(probe func(context.Context, string) error, onCrash func([]*brokenServer), m Metrics, log logrus.FieldLogger) *crashWatch {
-	return &crashWatch{probe: probe, onCrash: onCrash, metrics: m, logger: log, broken: make(map[*serverState]*brokenServer)}
+func newCrashWatch(probe func(context.Context, string) error, onCrash func([]*brokenServer), m Metrics, guard *contain.Guard, log logrus.FieldLogger) *crashWatch {
+	return &crashWatch{probe: probe, onCrash: onCrash, metrics: m, guard: guard, logger: log, broken: make(map[*serverState]*brokenServer)}
 }
 
 // recordBroken records a broken response and finds out, after the end of ctx if need be, whether the backend
@@ -75,7 +78,7 @@
 		}
 		b = &brokenServer{server: s, gone: make(chan struct{})}
 		w.broken[s.state] = b
-		go w.confirm(context.WithoutCancel(ctx), b)
+		w.guard.Go("crash watch", func() { w.confirm(context.WithoutCancel(ctx), b) })
 	}
 	if len(b.requests) < maxBrokenRequests {
 		b.requests = append(b.requests, r)
@@ -109,7 +112,7 @@
 		return
 	}
 	if len(w.crashed) == 0 {
-		time.AfterFunc(crashCollectTime, w.reportCrashes)
+		time.AfterFunc(crashCollectTime, w.guard.Func("crash watch", w.reportCrashes))
 	}
 	w.crashed = append(w.crashed, b)
 }
--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/quetzallug/quetzallug/external"
+	"github.com/quetzallug/quetzallug/internal/contain"
 )
 
 type crashMetrics struct{ Metrics }
@@ -50,7 +51,7 @@
 					n := calls[addr]
 					calls[addr]++
 					return tc.probes[min(n, len(tc.probes)-1)]
-				}, func(crashed []*brokenServer) { moments = append(moments, crashed) }, crashMetrics{}, log)
+				}, func(crashed []*brokenServer) { moments = append(moments, crashed) }, crashMetrics{}, contain.New(log, func(string) {}), log)
 				servers := []*Server{newServer("a", external.EngineRoleDecode), newServer("b", external.EngineRoleDecode)}
 				for i := range 6 {
 					w.recordBroken(t.Context(), servers[i%2], brokenRequest{id: fmt.Sprint(i)})
--- a/gateway/feed.go
+++ b/gateway/feed.go
@@ -6,12 +6,13 @@
 	"math/rand/v2"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
-	"golang.org/x/sync/errgroup"
 
 	"github.com/quetzallug/quetzallug/external"
+	"github.com/quetzallug/quetzallug/internal/contain"
 	"github.com/quetzallug/quetzallug/internal/pause"
 	"github.com/quetzallug/quetzallug/route"
 )
@@ -58,7 +59,9 @@
 	// quarantine shares the watch.
 	quarantine  *Quarantine
 	subscribers []Subscriber
-	log         logrus.FieldLogger
+	// guard contains the panics of the loops and of the handling of single entries.
+	guard *contain.Guard
+	log   logrus.FieldLogger
 }
 
 // Subscriber gets the entries of the store whose keys have a prefix. It shares the watch of the StoreWatcher, because
@@ -75,22 +78,16 @@
 func (f *StoreWatcher) Subscribe(s Subscriber) { f.subscribers = append(f.subscribers, s) }
 
 // NewStoreWatcher returns a StoreWatcher.
-func NewStoreWatcher(s Source, t *route.ActiveTable, r *Roster, q *Quarantine, log logrus.FieldLogger) *StoreWatcher {
-	return &StoreWatcher{source: s, tables: t, roster: r, quarantine: q, log: log}
+func NewStoreWatcher(s Source, t *route.ActiveTable, r *Roster, q *Quarantine, guard *contain.Guard, log logrus.FieldLogger) *StoreWatcher {
+	return &StoreWatcher{source: s, tables: t, roster: r, quarantine: q, guard: guard, log: log}
 }
 
 // Run watches the store until the context ends.
 func (f *StoreWatcher) Run(ctx context.Context) {
-	var g errgroup.Group
-	g.Go(func() error {
-		f.listAndWatch(ctx)
-		return nil
-	})
-	g.Go(func() error {
-		f.dropLapsed(ctx)
-		return nil
-	})
-	_ = g.Wait()
+	var wg sync.WaitGroup
+	wg.Go(func() { f.guard.Loop("store watch", f.listAndWatch)(ctx) })
+	wg.Go(func() { f.guard.Loop("registration expiry", f.dropLapsed)(ctx) })
+	wg.Wait()
 }
 
 // listAndWatch lists the configuration and the registrations and then watches the store. Both share
@@ -145,13 +142,22 @@
 		}
 	}
 	f.replaceServers(servers)
-	f.quarantine.replace(records)
+	f.contain(func() { f.quarantine.replace(records) })
 	for _, s := range f.subscribers {
-		s.Replace(slices.DeleteFunc(slices.Clone(entries), func(e external.KVEntry) bool { return !strings.HasPrefix(e.Key, s.Prefix()) }))
+		f.contain(func() { f.replaceSubscribed(s, entries) })
 	}
 	return revision, nil
 }
 
+// replaceSubscribed passes the entries of a list to a subscriber.
+func (f *StoreWatcher) replaceSubscribed(s Subscriber, entries []external.KVEntry) {
+	s.Replace(slices.DeleteFunc(slices.Clone(entries), func(e external.KVEntry) bool { return !strings.HasPrefix(e.Key, s.Prefix()) }))
+}
+
+// contain keeps an entry that cannot be handled from ending the watch, which would fail at it again after each list. It
+// reports whether handle returned.
+func (f *StoreWatcher) contain(handle func()) bool { return f.guard.Call("store entry", handle) }
+
 func (f *StoreWatcher) watch(ctx context.Context, revision uint64) {
 	for ctx.Err() == nil {
 		events, next, err := f.source.Watch(ctx, allKeys, revision)
@@ -183,7 +189,7 @@
 		log.Warn("configuration deleted; the last one stays in force")
 		return
 	}
-	t, err := f.source.Table(e.Value)
+	t, err := f.decodeTable(e.Value)
 	if err != nil {
 		log.WithError(err).Error("configuration unreadable; the last one stays in force")
 		return
@@ -199,6 +205,16 @@
 	}
 }
 
+// errDecoderFailed means that the decoder panicked at a value.
+var errDecoderFailed = errors.New("decoder failed unexpectedly")
+
+func (f *StoreWatcher) decodeTable(value []byte) (t *route.Table, err error) {
+	if !f.contain(func() { t, err = f.source.Table(value) }) {
+		return nil, errDecoderFailed
+	}
+	return t, err
+}
+
 func (f *StoreWatcher) replaceServers(entries []external.KVEntry) {
 	regs := make([]Registration, 0, len(entries))
 	invalid := 0
@@ -214,7 +230,11 @@
 // decodeRegistration decodes a registration. invalid counts the entries of one response of the store that name no
 // backend server; it limits their log lines.
 func (f *StoreWatcher) decodeRegistration(e external.KVEntry, invalid *int) (Registration, bool) {
-	reg, err := f.source.Registration(e.Key, e.Value)
+	var reg Registration
+	var err error
+	if !f.contain(func() { reg, err = f.source.Registration(e.Key, e.Value) }) {
+		err = errDecoderFailed
+	}
 	if err == nil {
 		return reg, true
 	}
@@ -235,14 +255,14 @@
 	for _, e := range events {
 		for _, s := range f.subscribers {
 			if strings.HasPrefix(e.Key, s.Prefix()) {
-				s.Apply(e)
+				f.contain(func() { s.Apply(e) })
 			}
 		}
 		switch {
 		case e.Key == f.source.ConfigKey():
 			f.applyConfig(e)
 		case strings.HasPrefix(e.Key, quarantinePrefix):
-			f.quarantine.apply(e)
+			f.contain(func() { f.quarantine.apply(e) })
 		case strings.HasPrefix(e.Key, f.source.ServersPrefix()):
 			c := Change{ID: f.source.RegistrationID(e.Key)}
 			if !e.Deleted {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/quetzallug/quetzallug/account"
+	"github.com/quetzallug/quetzallug/internal/contain"
 	"github.com/quetzallug/quetzallug/retry"
 	"github.com/quetzallug/quetzallug/route"
 	"github.com/quetzallug/quetzallug/upstream"
@@ -163,7 +164,9 @@
 	// accounts counts the requests of client accounts for operators.
 	accounts accountTotals
 	metrics  Metrics
-	log      logrus.FieldLogger
+	// guard contains the panics of background tasks.
+	guard *contain.Guard
+	log   logrus.FieldLogger
 
 	mu           sync.Mutex
 	retryBudgets map[string]*retry.WindowBudget
@@ -205,10 +208,10 @@
 }
 
 // New returns a Gateway.
-func New(cfg Config, codec Codec, tables *route.ActiveTable, roster *Roster, pool *upstream.Pool, q *Quarantine, m Metrics, log logrus.FieldLogger) *Gateway {
+func New(cfg Config, codec Codec, tables *route.ActiveTable, roster *Roster, pool *upstream.Pool, q *Quarantine, m Metrics, guard *contain.Guard, log logrus.FieldLogger) *Gateway {
 	return &Gateway{
 		cfg: cfg, memory: newMemoryBudget(cfg.MemoryBudget), codec: codec, tables: tables, roster: roster, pool: pool, decider: NewDecider(cfg.DataCentre, roster, rand.Float64),
-		stop: newStopState(), crashes: newCrashWatch(pool.Probe, q.recordCrashes, m, log), quarantine: q, metrics: m, log: log, retryBudgets: make(map[string]*retry.WindowBudget),
+		stop: newStopState(), crashes: newCrashWatch(pool.Probe, q.recordCrashes, m, guard, log), quarantine: q, metrics: m, guard: guard, log: log, retryBudgets: make(map[string]*retry.WindowBudget),
 	}
 }
 
--- a/gateway/lifetimes.go
+++ b/gateway/lifetimes.go
@@ -53,7 +53,8 @@
 // and orders the registrations. It has no lock of its own.
 type lifetimes struct {
 	byID map[string]*lifetime
-	// heldBack holds older registrations and since when each is known.
+	// heldBack holds older registrations and since when each is known. The run that each is older than is in byID: it is
+	// not forgotten meanwhile.
 	heldBack map[string]heldEntry
 }
 
@@ -113,12 +114,14 @@
 	return due
 }
 
-// forgetEnded forgets the runs that ended long ago, and the earliest ones if there are too many.
+// forgetEnded forgets the runs that ended long ago, and the earliest ones if there are too many. Runs for which an older
+// registration is held back are kept.
 func (ls *lifetimes) forgetEnded(now time.Time) {
 	var ended []*lifetime
 	for id, l := range ls.byID {
+		_, held := ls.heldBack[id]
 		switch {
-		case l.endedAt.IsZero():
+		case l.endedAt.IsZero() || held:
 		case now.Sub(l.endedAt) >= l.memory():
 			delete(ls.byID, id)
 		default:
--- a/gateway/lifetimes_test.go
+++ b/gateway/lifetimes_test.go
@@ -55,6 +55,23 @@
 	}
 }
 
+// Guards against an older entry that ends the process because its run is forgotten while the entry is held back. One that
+// stays is applied, as its run may be newer on a clock that was set back.
+func TestRunsOfOlderEntriesAreRemembered(t *testing.T) {
+	r := NewRoster()
+	apply := func(reg Registration, at time.Time) { r.Apply([]Change{{ID: "i", Registration: &reg}}, at) }
+	apply(registration(9, 5, false), start)
+	r.Apply([]Change{{ID: "i"}}, start)
+	heldAt := start.Add(lifetimeMemory - time.Second)
+	apply(registration(9, 4, false), heldAt)
+	for at := heldAt; at.Before(heldAt.Add(olderEntryHold)); at = at.Add(expiryInterval) {
+		r.Expire(at)
+		require.Empty(t, r.Servers("s"))
+	}
+	r.Expire(heldAt.Add(olderEntryHold))
+	require.Len(t, r.Servers("s"), 1)
+}
+
 // Guards against memory that grows with the backend servers that came and went.
 func TestEndedRunsAreForgotten(t *testing.T) {
 	r := NewRoster()
--- a/gateway/prefill.go
+++ b/gateway/prefill.go
@@ -112,7 +112,7 @@
 func (q *request) releasePrefills(ctx context.Context) {
 	q.discardPrefill()
 	for _, v := range q.unusedPrefills {
-		go q.g.releaseHandle(ctx, v.server, v.handle)
+		q.g.guard.Go("release of a prefilled prompt", func() { q.g.releaseHandle(ctx, v.server, v.handle) })
 	}
 }
 
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -124,7 +124,7 @@
 func (q *request) limitBody(conn *http.ResponseController) *bodyLimit {
 	l := &bodyLimit{q: q, conn: conn}
 	l.apply()
-	l.detach = context.AfterFunc(q.g.stop.begun, l.apply)
+	l.detach = context.AfterFunc(q.g.stop.begun, q.g.guard.Func("body limit", l.apply))
 	return l
 }
 
--- a/internal/app/duties.go
+++ b/internal/app/duties.go
@@ -6,6 +6,7 @@
 
 	"github.com/quetzallug/quetzallug/duty"
 	"github.com/quetzallug/quetzallug/gateway"
+	"github.com/quetzallug/quetzallug/internal/contain"
 	"github.com/quetzallug/quetzallug/internal/settings"
 	"github.com/quetzallug/quetzallug/internal/telemetry"
 	"github.com/quetzallug/quetzallug/lease"
@@ -49,8 +50,8 @@
 }
 
 // runScaler sends the orders that the rounds of the role planner plan.
-func runScaler(lc fx.Lifecycle, s *gateway.Scaler, m *telemetry.Gateway, log logrus.FieldLogger) {
+func runScaler(lc fx.Lifecycle, s *gateway.Scaler, guard *contain.Guard) {
 	if s != nil {
-		runInBackground(lc, containPanics("scaling", log, m.Panic, s.Run))
+		runInBackground(lc, guard.Loop("scaling", s.Run))
 	}
 }
--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/quetzallug/quetzallug/duty"
 	"github.com/quetzallug/quetzallug/external"
 	"github.com/quetzallug/quetzallug/gateway"
+	"github.com/quetzallug/quetzallug/internal/contain"
 	"github.com/quetzallug/quetzallug/internal/pause"
 	"github.com/quetzallug/quetzallug/internal/settings"
 	"github.com/quetzallug/quetzallug/internal/telemetry"
@@ -54,7 +55,7 @@
 		fx.Supply(s, log),
 		fx.Provide(
 			func(l *logrus.Logger) logrus.FieldLogger { return l.WithField("instance", s.Instance) },
-			telemetry.New, telemetry.NewGateway, newAdapter, newQuarantine, newGateway, newGatewayHealth, newStoreWatcher, gateway.NewRoster,
+			telemetry.New, telemetry.NewGateway, newGuard, newAdapter, newQuarantine, newGateway, newGatewayHealth, newStoreWatcher, gateway.NewRoster,
 			func() *route.ActiveTable { return &route.ActiveTable{} }, newUpstream, newLeases, newDuties, newUsageCounting, newHolderWatch, newDemand, newScaler, newStatus,
 		),
 		// Stop hooks run in reverse order, so beginStop comes first.
@@ -99,40 +100,44 @@
 	duty.Translator
 }
 
-func newUpstream(lc fx.Lifecycle, s *settings.Gateway) *upstream.Pool {
+func newGuard(m *telemetry.Gateway, log logrus.FieldLogger) *contain.Guard {
+	return contain.New(log, m.Panic)
+}
+
+func newUpstream(lc fx.Lifecycle, s *settings.Gateway, guard *contain.Guard) *upstream.Pool {
 	p := upstream.NewPool()
 	p.SetLimit(s.Shares().Backends)
 	lc.Append(fx.StopHook(p.Close))
-	runInBackground(lc, func(ctx context.Context) {
+	runInBackground(lc, guard.Loop("idle connections", func(ctx context.Context) {
 		for ctx.Err() == nil {
 			pause.For(ctx, sweepInterval)
 			p.CloseExpired(time.Now())
 		}
-	})
+	}))
 	return p
 }
 
-func newGateway(s *settings.Gateway, a Adapter, u *usageCounting, t *route.ActiveTable, r *gateway.Roster, p *upstream.Pool, q *gateway.Quarantine, m *gateway.Demand, log logrus.FieldLogger) *gateway.Gateway {
+func newGateway(s *settings.Gateway, a Adapter, u *usageCounting, t *route.ActiveTable, r *gateway.Roster, p *upstream.Pool, q *gateway.Quarantine, m *gateway.Demand, guard *contain.Guard, log logrus.FieldLogger) *gateway.Gateway {
 	return gateway.New(gateway.Config{
 		Instance: s.Instance, DataCentre: s.DataCentre, RetryWindow: s.RetryWindow, RetryShare: s.RetryShare, RetrySlack: s.RetrySlackPerInstance(),
 		MaxRest: s.MaxServerRest, MemoryBudget: s.RequestMemory(), RevocationBound: s.MaxUnconfirmed(), Usage: u.recorder(),
-	}, a, t, r, p, q, m, log)
+	}, a, t, r, p, q, m, guard, log)
 }
 
 func newQuarantine(s *settings.Gateway, a Adapter, log logrus.FieldLogger) *gateway.Quarantine {
 	return gateway.NewQuarantine(s.Instance, a, log)
 }
 
-func runQuarantine(lc fx.Lifecycle, q *gateway.Quarantine, m *telemetry.Gateway, log logrus.FieldLogger) {
-	runInBackground(lc, containPanics("quarantine", log, m.Panic, q.Run))
+func runQuarantine(lc fx.Lifecycle, q *gateway.Quarantine, guard *contain.Guard) {
+	runInBackground(lc, guard.Loop("quarantine", q.Run))
 }
 
-func newStoreWatcher(a Adapter, t *route.ActiveTable, r *gateway.Roster, q *gateway.Quarantine, log logrus.FieldLogger) *gateway.StoreWatcher {
-	return gateway.NewStoreWatcher(a, t, r, q, log)
+func newStoreWatcher(a Adapter, t *route.ActiveTable, r *gateway.Roster, q *gateway.Quarantine, guard *contain.Guard, log logrus.FieldLogger) *gateway.StoreWatcher {
+	return gateway.NewStoreWatcher(a, t, r, q, guard, log)
 }
 
-func runStoreWatcher(lc fx.Lifecycle, w *gateway.StoreWatcher, m *telemetry.Gateway, log logrus.FieldLogger) {
-	runInBackground(lc, containPanics("store watch", log, m.Panic, w.Run))
+func runStoreWatcher(lc fx.Lifecycle, w *gateway.StoreWatcher) {
+	runInBackground(lc, w.Run)
 }
 
 // leaseMarginDivisor is the ratio between the time to live of a lease and its safety margin.
@@ -160,16 +165,16 @@
 }
 
 // runRolePlanning competes for the lease for orders, and plans the roles of engines while it is held.
-func runRolePlanning(lc fx.Lifecycle, s *settings.Gateway, leases *lease.Manager, a Adapter, t *route.ActiveTable, r *gateway.Roster, p *upstream.Pool, scaler *gateway.Scaler, m *telemetry.Gateway, log logrus.FieldLogger) {
+func runRolePlanning(lc fx.Lifecycle, s *settings.Gateway, leases *lease.Manager, a Adapter, t *route.ActiveTable, r *gateway.Roster, p *upstream.Pool, scaler *gateway.Scaler, m *telemetry.Gateway, guard *contain.Guard, log logrus.FieldLogger) {
 	if leases == nil {
 		return
 	}
-	runInBackground(lc, leases.Run)
+	runInBackground(lc, guard.Loop("leases", leases.Run))
 	// The guard includes the TTL of the lease, because a previous holder that has not noticed the loss of
 	// its lease may send orders until then.
 	planner := gateway.NewRolePlanner(s.Instance, s.LeaseTTL+s.OrderGuard, a, leases, t, r, p, m, log)
 	planner.SetScaler(scaler)
-	runInBackground(lc, containPanics("role plan", log, m.Panic, planner.Run))
+	runInBackground(lc, guard.Loop("role plan", planner.Run))
 }
 
 // statusFunc returns the current status of the process.
@@ -200,10 +205,10 @@
 
 // ignoreHangup logs and ignores SIGHUP. The settings are flags and environment variables, which a
 // running process cannot reload.
-func ignoreHangup(lc fx.Lifecycle, log logrus.FieldLogger) {
+func ignoreHangup(lc fx.Lifecycle, guard *contain.Guard, log logrus.FieldLogger) {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGHUP)
-	runInBackground(lc, func(ctx context.Context) {
+	runInBackground(lc, guard.Loop("signals", func(ctx context.Context) {
 		for {
 			select {
 			case <-ctx.Done():
@@ -212,5 +217,5 @@
 				log.Info("SIGHUP ignored: settings are only read at startup")
 			}
 		}
-	})
+	}))
 }
--- a/internal/app/usage.go
+++ b/internal/app/usage.go
@@ -13,6 +13,7 @@
 	"github.com/quetzallug/quetzallug/duty"
 	"github.com/quetzallug/quetzallug/gateway"
 	"github.com/quetzallug/quetzallug/internal/boottime"
+	"github.com/quetzallug/quetzallug/internal/contain"
 	"github.com/quetzallug/quetzallug/internal/rpc"
 	"github.com/quetzallug/quetzallug/internal/settings"
 	"github.com/quetzallug/quetzallug/internal/telemetry"
@@ -78,7 +79,7 @@
 func (noAuthority) Authority(string) (lease.Authority, bool) { return lease.Authority{}, false }
 
 // runUsage sends the counts of this instance, and reports those of all instances while it holds the lease.
-func runUsage(lc fx.Lifecycle, sd fx.Shutdowner, s *settings.Gateway, u *usageCounting, d *duties, leases *lease.Manager, w *usage.HolderWatch, sw *gateway.StoreWatcher, a Adapter, h *health, mm *telemetry.Metrics, m *telemetry.Gateway, log logrus.FieldLogger) error {
+func runUsage(lc fx.Lifecycle, sd fx.Shutdowner, s *settings.Gateway, u *usageCounting, d *duties, leases *lease.Manager, w *usage.HolderWatch, sw *gateway.StoreWatcher, a Adapter, h *health, mm *telemetry.Metrics, m *telemetry.Gateway, guard *contain.Guard, log logrus.FieldLogger) error {
 	if u == nil {
 		return nil
 	}
@@ -111,8 +112,8 @@
 	}
 	drainDeadline := func() time.Time { return h.stoppingSince.Add(drainTime(s.Grace)) }
 	serveUntilDrainDeadline(lc, sd, log, srv, s.PeerListen, limit, drainDeadline, func(context.Context) {})
-	runInBackground(lc, containPanics("usage counts", log, m.Panic, u.sender.Run))
-	runInBackground(lc, containPanics("usage reports", log, m.Panic, holder.Run))
+	runInBackground(lc, guard.Loop("usage counts", u.sender.Run))
+	runInBackground(lc, guard.Loop("usage reports", holder.Run))
 	return nil
 }
 
--- a/internal/app/contain_test.go
+++ b/internal/contain/contain_test.go
@@ -1,4 +1,4 @@
-package app
+package contain
 
 import (
 	"context"
@@ -21,10 +21,10 @@
 		var missing map[string]int
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
-		loop := containPanics("watch", log, func(name string) {
-			require.Equal(t, "watch", name)
+		loop := New(log, func(task string) {
+			require.Equal(t, "watch", task)
 			panics++
-		}, func(ctx context.Context) {
+		}).Loop("watch", func(ctx context.Context) {
 			if runs++; runs < 4 {
 				missing["message"]++ // a write to a nil map panics
 			}
@@ -40,7 +40,7 @@
 		require.Equal(t, 3, panics)
 		require.Equal(t, time.Minute, time.Since(started))
 
-		always := containPanics("watch", log, func(string) { panics++ }, func(context.Context) { panic("always") })
+		always := New(log, func(string) { panics++ }).Loop("watch", func(context.Context) { panic("always") })
 		panics = 0
 		ctx, cancel = context.WithTimeout(context.Background(), 10*restartPause)
 		defer cancel()
@@ -48,3 +48,18 @@
 		require.InDelta(t, 10, panics, 1)
 	})
 }
+
+// Guards against a callback or a goroutine for one message that ends the process.
+func TestPanicsOfCallsAreContained(t *testing.T) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	panics := make(chan string, 4)
+	g := New(log, func(task string) { panics <- task })
+	require.True(t, g.Call("call", func() {}))
+	require.False(t, g.Call("call", func() { panic("once") }))
+	g.Func("callback", func() { panic("once") })()
+	g.Go("goroutine", func() { panic("once") })
+	for _, task := range []string{"call", "callback", "goroutine"} {
+		require.Equal(t, task, <-panics)
+	}
+}
--- a/internal/telemetry/gateway.go
+++ b/internal/telemetry/gateway.go
@@ -63,7 +63,7 @@
 		scaleOrders:  b.counter("quetzallug_gateway_scale_orders", "Orders that set the number of a service's backend servers in a data centre, by service and outcome."),
 		storeCalls:   b.counter("quetzallug_gateway_store_calls", "Calls to the store, by operation and result."),
 		droppedConns: b.counter("quetzallug_gateway_dropped_connections", "Connections closed because of a limit, by listener and by what they were doing."),
-		panics:       b.counter("quetzallug_gateway_panics", "Background loops that failed unexpectedly and were started again, by loop."),
+		panics:       b.counter("quetzallug_gateway_panics", "Background tasks that failed unexpectedly, by task. Loops are started again."),
 		usageReports: b.counter("quetzallug_gateway_usage_reports", "Usage windows that this process reported or missed, and calls that were not accepted, by outcome."),
 		usageLag:     b.durationHistogram("quetzallug_gateway_usage_lag", "Time from the end of a usage window to the acceptance of its report."),
 		unreadConns:  b.counter("quetzallug_gateway_unread_requests", "Connections of callers that ended before their request's header could be read."),
@@ -154,9 +154,9 @@
 	return out
 }
 
-// Panic counts a background loop that failed unexpectedly.
-func (g *Gateway) Panic(loop string) {
-	g.panics.Add(context.Background(), 1, metric.WithAttributes(attribute.String("loop", loop)))
+// Panic counts a background task that failed unexpectedly.
+func (g *Gateway) Panic(task string) {
+	g.panics.Add(context.Background(), 1, metric.WithAttributes(attribute.String("task", task)))
 }
 
 func boolValue(b bool) int64 {
--- a/test/site/bench_test.go
+++ b/test/site/bench_test.go
@@ -16,6 +16,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/quetzallug/quetzallug/gateway"
+	"github.com/quetzallug/quetzallug/internal/contain"
 	"github.com/quetzallug/quetzallug/kernel"
 	"github.com/quetzallug/quetzallug/platform"
 	"github.com/quetzallug/quetzallug/route"
@@ -51,10 +52,11 @@
 	tables, roster, pool := &route.ActiveTable{}, gateway.NewRoster(), upstream.NewPool()
 	defer pool.Close()
 	quarantined := gateway.NewQuarantine("edge-1", adapter, log)
-	g := gateway.New(gateway.Config{DataCentre: "z", RetryWindow: 10 * time.Second, RetryShare: 0.2}, adapter, tables, roster, pool, quarantined, noopMetrics{}, log)
+	guard := contain.New(log, func(string) {})
+	g := gateway.New(gateway.Config{DataCentre: "z", RetryWindow: 10 * time.Second, RetryShare: 0.2}, adapter, tables, roster, pool, quarantined, noopMetrics{}, guard, log)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	go gateway.NewStoreWatcher(adapter, tables, roster, quarantined, log).Run(ctx)
+	go gateway.NewStoreWatcher(adapter, tables, roster, quarantined, guard, log).Run(ctx)
 	require.Eventually(b, func() bool { ok, _ := g.Ready(); return ok }, 10*time.Second, 10*time.Millisecond)
 	gatewayServer := httptest.NewServer(g)
 	defer gatewayServer.Close()
--- a/test/site/world_test.go
+++ b/test/site/world_test.go
@@ -21,6 +21,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/quetzallug/quetzallug/gateway"
+	"github.com/quetzallug/quetzallug/internal/contain"
 	"github.com/quetzallug/quetzallug/internal/memnet"
 	"github.com/quetzallug/quetzallug/kernel"
 	"github.com/quetzallug/quetzallug/lease"
@@ -150,10 +151,11 @@
 	if env.usage != nil {
 		n.usage = env.usage.newNode(n, &cfg, &leaseCfg)
 	}
-	n.gateway = gateway.New(cfg, adapter, n.tables, n.roster, pool, quarantined, n.demand, log)
+	guard := contain.New(log, func(task string) { panic("panic contained in " + task) })
+	n.gateway = gateway.New(cfg, adapter, n.tables, n.roster, pool, quarantined, n.demand, guard, log)
 	leases, err := lease.NewManager(adapter, leaseCfg)
 	require.NoError(env.t, err)
-	watcher := gateway.NewStoreWatcher(adapter, n.tables, n.roster, quarantined, log)
+	watcher := gateway.NewStoreWatcher(adapter, n.tables, n.roster, quarantined, guard, log)
 	roles := gateway.NewRolePlanner(name, leaseTTL+orderGuard, adapter, leases, n.tables, n.roster, pool, metrics, log)
 	env.addScaler(n, adapter, roles, log)
 	runs := []func(context.Context){watcher.Run, quarantined.Run, leases.Run, roles.Run}
