--- a/gateway/bodyend.go
+++ b/gateway/bodyend.go
@@ -52,7 +52,7 @@
 // watchBody begins to watch the process that sends a body.
 func (a *attempt) watchBody(resp *upstream.Response) *bodyWatch {
 	w := &bodyWatch{}
-	if framing(resp) == framingConnection {
+	if resp.Framing() == upstream.FramingConnection {
 		w.g, w.server = a.q.g, a.server
 		w.refresh(a.q.ctx)
 	}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -64,7 +64,7 @@
 func (a *attempt) relayStream(resp *upstream.Response) attemptResult {
 	q := a.q
 	reader := &eventReader{br: bufio.NewReaderSize(resp, streamBufferSize)}
-	q.framing = framing(resp)
+	q.framing = string(resp.Framing())
 	q.sequence.begin()
 	watch := a.watchBody(resp)
 	defer watch.close()
@@ -152,7 +152,7 @@
 		return nil
 	case holdsEvent(tail):
 		return errEventCut
-	case !anyEvent && framing(resp) == framingConnection:
+	case !anyEvent && resp.Framing() == upstream.FramingConnection:
 		return errNoEvent
 	}
 	return nil
@@ -177,24 +177,6 @@
 	return false
 }
 
-// Framings of a response body: what tells the gateway where it ends.
-const (
-	framingLength     = "length"
-	framingChunks     = "chunks"
-	framingConnection = "connection" // the body ends with the connection
-)
-
-// framing returns the framing of a response's body.
-func framing(resp *upstream.Response) string {
-	switch {
-	case resp.ContentLength >= 0 || resp.Body == http.NoBody:
-		return framingLength
-	case len(resp.TransferEncoding) > 0:
-		return framingChunks
-	}
-	return framingConnection
-}
-
 func (a *attempt) recordFirstEvent(now time.Time) {
 	q := a.q
 	if q.timeToFirst == 0 {
--- a/internal/httpjson/client.go
+++ b/internal/httpjson/client.go
@@ -15,6 +15,7 @@
 	"net/url"
 	"time"
 
+	"github.com/quetzallug/quetzallug/internal/httpcheck"
 	"github.com/quetzallug/quetzallug/internal/traffic"
 	"github.com/quetzallug/quetzallug/kernel"
 )
@@ -66,12 +67,12 @@
 func (c *Client) Provision(_ context.Context, s kernel.Settings) error {
 	c.addr = s["address"]
 	c.http = &http.Client{
-		Transport: &http.Transport{
+		Transport: &httpcheck.Transport{Base: &http.Transport{
 			DialContext:         c.dial,
 			MaxIdleConnsPerHost: maxIdleConns,
 			IdleConnTimeout:     idleConnTimeout,
 			DisableCompression:  true,
-		},
+		}},
 		// Following a redirect would send the request a second time.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
--- a/standin/site/process.go
+++ b/standin/site/process.go
@@ -30,6 +30,9 @@
 	Unframed float64
 	// CutHead is the rate of answers that end within their head, by a close or a reset.
 	CutHead float64
+	// EarlyReset is the rate of requests with a body above earlyResetBytes that are answered with a part of a body without
+	// a length before they are read, on a connection that is then reset.
+	EarlyReset float64
 	// BreakOff is the rate of streams that are broken off after their first event.
 	BreakOff float64
 	// FailResumed is the rate of resumed streams that are answered with 404 and a signature.
@@ -89,6 +92,10 @@
 		if err != nil {
 			return
 		}
+		if r.ContentLength > earlyResetBytes && occurs(w.cfg.EarlyReset) {
+			w.resetEarly(c, r)
+			return
+		}
 		if _, err := io.Copy(io.Discard, r.Body); err != nil {
 			return
 		}
@@ -192,6 +199,30 @@
 	}
 }
 
+const (
+	// earlyResetBytes is more than the operating system holds for a connection.
+	earlyResetBytes = 6 << 20
+	// earlyResetDelay is enough for the part of the answer to be read before the reset.
+	earlyResetDelay = 60 * time.Millisecond
+)
+
+// resetEarly runs a request without reading it, and resets the connection after a part of an answer without a length.
+func (w *ProcessWorker) resetEarly(c net.Conn, r *http.Request) {
+	id := r.Header.Get("Quetzallug-Attempt-Id")
+	w.record("arrives", id, r.URL.Path)
+	w.record("runs", id, r.URL.Path)
+	defer w.record("ends", id, r.URL.Path)
+	status, part := [...]int{http.StatusOK, http.StatusInternalServerError}[rand.IntN(2)], Answer(id, r.RequestURI)[:4]
+	if EventCount(r) > 0 {
+		status, part = http.StatusOK, Event(id, 1)
+	}
+	_, _ = io.WriteString(c, w.head(status, id, "Quetzallug-Response-Signature: "+Signature(w.cfg.ID, id)+"\r\n")+"\r\n"+part)
+	time.Sleep(earlyResetDelay)
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+}
+
 // plain writes a plain response and reports whether the connection may be used again.
 func (w *ProcessWorker) plain(c net.Conn, r *http.Request, status int, id, signature string) bool {
 	time.Sleep(w.cfg.ServiceTime)
--- a/test/soak/deployment_test.go
+++ b/test/soak/deployment_test.go
@@ -18,6 +18,10 @@
 	"github.com/quetzallug/quetzallug/standin/site"
 )
 
+// maxBodyBytes is the limit of request bodies in the configuration. It allows uploads that the operating system doesn't
+// hold for a connection.
+const maxBodyBytes = 8 << 20
+
 const (
 	gatewayCount     = 3
 	plainWorkerCount = 3
@@ -179,7 +183,7 @@
 			{"name": "api", "health-path": "/health", "max-connections": 100},
 			{"name": "llm", "health-path": "/health", "max-connections": 100, "engine": m{"slots": 16, "role-switch-s": roleSwitchTime.Seconds()}},
 		},
-		"limits": m{"max-body-bytes": 65536},
+		"limits": m{"max-body-bytes": maxBodyBytes},
 	}
 	if d.duties != nil {
 		config["tenants"] = tenants
--- a/test/soak/load_test.go
+++ b/test/soak/load_test.go
@@ -40,6 +40,8 @@
 	halfClose float64
 	// errorBodies makes the callers check the bodies of the workers' error responses, too.
 	errorBodies bool
+	// uploadBytes is the size of some of the bodies; 0 if all are small.
+	uploadBytes int
 	// timeLeft is how long callers wait.
 	timeLeft time.Duration
 
@@ -120,6 +122,9 @@
 	target := fmt.Sprintf("/%s/%s", kind, id)
 	events := 0
 	body := strings.Repeat("b", rand.IntN(6000))
+	if l.uploadBytes > 0 && rand.IntN(4) == 0 {
+		body = strings.Repeat("b", l.uploadBytes)
+	}
 	r, err := http.NewRequest(http.MethodPost, "http://a.example"+target, strings.NewReader(body))
 	require.NoError(l.t, err)
 	r.Header.Set("Quetzallug-Attempt-Id", id)
--- a/test/soak/processes_test.go
+++ b/test/soak/processes_test.go
@@ -243,6 +243,8 @@
 		// kill kills gateways, which start again.
 		kill      bool
 		halfClose float64
+		// uploadBytes is the size of some of the bodies of requests.
+		uploadBytes int
 		// entries are written among those of the workers, again and again.
 		entries map[string]string
 	}{
@@ -254,6 +256,7 @@
 		"gateways killed within answers without a length": {kill: true, faults: site.ProcessConfig{Unframed: 1}},
 		"crashes within errors without a length":          {crash: true, faults: site.ProcessConfig{Unframed: 1, Error: 0.5}},
 		"heads that are cut":                              {faults: site.ProcessConfig{CutHead: 0.2, BreakOff: 0.3}},
+		"answers reset during uploads":                    {faults: site.ProcessConfig{EarlyReset: 0.5}, uploadBytes: 7 << 20},
 		"callers that end their own side":                 {halfClose: 0.3},
 		"errors in answer to resumed streams":             {faults: site.ProcessConfig{BreakOff: 0.3, FailResumed: 0.5}},
 		"resumed streams without event IDs":               {faults: site.ProcessConfig{BreakOff: 0.3, RestartEvents: 0.5}},
@@ -264,7 +267,7 @@
 			d := newProcessDeployment(t, bin, tc.faults, nil)
 			defer d.stop()
 			load := newLoadGenerator(t, d.gateways)
-			load.halfClose, load.errorBodies = tc.halfClose, true
+			load.halfClose, load.errorBodies, load.uploadBytes = tc.halfClose, true, tc.uploadBytes
 			load.start(processCallers * *processScale)
 			switch {
 			case tc.crash:
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -16,6 +16,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/quetzallug/quetzallug/internal/httpcheck"
 )
 
 // Errors of Pool.Do. Their texts may be part of HTTP responses of the gateway.
@@ -66,39 +68,10 @@
 	maxResponsesPerRequest = 4
 	// maxSkippedBytes limits the body size of a skipped response.
 	maxSkippedBytes = 1 << 20
-	// maxHeadBytes limits the status line and header of one response. Backend servers send a few hundred
-	// bytes; without a limit, one that sends without end fills the memory of the process.
-	maxHeadBytes = 32 << 10
-	// bodyWriteWait is how long Response.Close waits for the goroutine that writes the body to finish.
-	bodyWriteWait   = 20 * time.Millisecond
 	readBufferSize  = 4 << 10
 	writeBufferSize = 4 << 10
 )
 
-// ErrHeadTooLarge means that a response's status line and header exceed maxHeadBytes. It is wrapped in
-// ErrExchangeFailed.
-var ErrHeadTooLarge = errors.New("head of the answer too large")
-
-// headLimiter limits the bytes that are read from a connection while a response's head is expected. The
-// body is limited by its reader.
-type headLimiter struct {
-	net.Conn
-	limited bool
-	left    int
-}
-
-func (l *headLimiter) Read(b []byte) (int, error) {
-	if !l.limited {
-		return l.Conn.Read(b)
-	}
-	if l.left <= 0 {
-		return 0, ErrHeadTooLarge
-	}
-	n, err := l.Conn.Read(b[:min(len(b), l.left)])
-	l.left -= n
-	return n, err
-}
-
 // Request is an HTTP request to a backend server.
 type Request struct {
 	Method string
@@ -128,8 +101,6 @@
 	singleUse bool
 	// complete is true once the whole body has been read.
 	complete bool
-	// err is the last error of Read, including io.EOF. It is currently not used.
-	err error
 }
 
 // Pool is a pool of connections to backend servers. It is safe for concurrent use.
@@ -158,8 +129,8 @@
 	addr   string
 	br     *bufio.Reader
 	bw     *bufio.Writer
-	// limiter is the source of br.
-	limiter *headLimiter
+	// source is the source of br.
+	source *headSource
 	// number identifies the connection in the logs of this process.
 	number uint64
 	// uses is the number of requests that the connection has carried.
@@ -167,7 +138,7 @@
 	// idleUntil is the time after which the idle connection is no longer used.
 	idleUntil time.Time
 	// writeResult receives the result of writing a large request body. It is nil if the request was
-	// written before the response was read.
+	// written before the response was read, or once its result is known to be a success.
 	writeResult chan error
 }
 
@@ -248,8 +219,8 @@
 		p.unreserve()
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	limiter := &headLimiter{Conn: nc}
-	return &conn{Conn: nc, pool: p, addr: addr, number: p.recordOpened(addr), limiter: limiter, br: bufio.NewReaderSize(limiter, readBufferSize), bw: bufio.NewWriterSize(nc, writeBufferSize)}, nil
+	source := &headSource{Conn: nc}
+	return &conn{Conn: nc, pool: p, addr: addr, number: p.recordOpened(addr), source: source, br: bufio.NewReaderSize(source, readBufferSize), bw: bufio.NewWriterSize(nc, writeBufferSize)}, nil
 }
 
 // Probe opens a connection to an address and closes it.
@@ -331,17 +302,6 @@
 	return nil, fmt.Errorf("%w: %w", ErrExchangeFailed, ErrResponseMismatch)
 }
 
-// readHead reads the status line and header of the next response.
-func (c *conn) readHead(req *http.Request) (*http.Response, error) {
-	c.limiter.limited, c.limiter.left = true, maxHeadBytes
-	resp, err := http.ReadResponse(c.br, req)
-	c.limiter.limited = false
-	if c.limiter.left <= 0 && err != nil {
-		err = ErrHeadTooLarge
-	}
-	return resp, err
-}
-
 // send writes a request. A body larger than maxInlineBodyBytes is written in the background, and its
 // result is sent to c.writeResult.
 func (c *conn) send(r *Request) error {
@@ -384,17 +344,52 @@
 	_, _ = w.WriteString("\r\n")
 }
 
+// Framing tells where a response's body ends.
+type Framing string
+
+// Framings of a body. One that ends with its connection has no end of its own, so that the end of the connection tells
+// nothing of whether it is whole.
+const (
+	FramingLength     Framing = "length"
+	FramingChunks     Framing = "chunks"
+	FramingConnection Framing = "connection"
+)
+
+// Framing returns the framing of the body.
+func (r *Response) Framing() Framing {
+	switch {
+	case r.ContentLength >= 0 || r.Body == http.NoBody:
+		return FramingLength
+	case len(r.TransferEncoding) > 0:
+		return FramingChunks
+	}
+	return FramingConnection
+}
+
 // Read reads the body. A body without a Content-Length or chunked encoding ends when the backend server
-// closes the connection.
+// closes the connection; whether it is whole then is for the caller to decide. Read returns an error
+// for one that ends before the request was written.
 func (r *Response) Read(b []byte) (int, error) {
 	n, err := r.Body.Read(b)
+	if err == io.EOF {
+		err = r.checkEnd()
+	}
 	if err != nil {
 		r.complete = err == io.EOF
-		r.err = err
 	}
 	return n, err
 }
 
+// checkEnd returns io.EOF if the exchange was regular up to the end of the body.
+func (r *Response) checkEnd() error {
+	// After a reset, the operating system reports the error to the goroutine that writes the request, and the end of the
+	// data to the one that reads the response.
+	if r.Framing() == FramingConnection && !r.conn.requestWritten() {
+		return fmt.Errorf("%w: %w", ErrExchangeFailed, httpcheck.ErrRequestCut)
+	}
+	return io.EOF
+}
+
 // DiscardConnection keeps the connection from being reused. It must be called for responses that cannot be
 // told from a late second copy of themselves.
 func (r *Response) DiscardConnection() { r.singleUse = true }
@@ -423,16 +418,21 @@
 
 // requestWritten reports whether the whole request was written. The response may be complete shortly
 // before the goroutine that writes the body reports its result, so requestWritten waits for that result
-// for up to bodyWriteWait.
+// for up to httpcheck.RequestWriteWait.
 func (c *conn) requestWritten() bool {
 	if c.writeResult == nil {
 		return true
 	}
-	t := time.NewTimer(bodyWriteWait)
+	t := time.NewTimer(httpcheck.RequestWriteWait)
 	defer t.Stop()
 	select {
 	case err := <-c.writeResult:
-		return err == nil
+		if err != nil {
+			c.writeResult <- err
+			return false
+		}
+		c.writeResult = nil
+		return true
 	case <-t.C:
 		return false
 	}
