Answers with a head that is none of HTTP are refused (MIXED)

Clients saw: answers with status 600 or 999, with lines of the header whose name holds a blank, with chunk sizes inside the body ("Transfer-Encoding : chunked"), with a signature that a folded line had changed. After a status below 100 the body was read as the next answer.

Cause: http.ReadResponse accepts such heads, keeps names with blanks as they are, so that no lookup finds a field that frames the body, and drops Transfer-Encoding in HTTP/1.0 without unchunking. All below 200 counted as informational.

Fix: internal/httpcheck checks each head as it was sent: version, status, names and values, no folded line; names of trailers at the end of a body. upstream does so for every answer of backend servers and the duties' API, and httpcheck.Transport, which sees what net/http has parsed, for the store and the backends of sidecar. An odd head is a broken exchange.

--- a/internal/httpcheck/transport.go
+++ b/internal/httpcheck/transport.go
@@ -1,5 +1,3 @@
-// Package httpcheck checks answers more strictly than net/http, which takes any end of a connection for the end of a body
-// that has no other.
 package httpcheck
 
 import (
@@ -18,7 +16,8 @@
 // RequestWriteWait is how long the goroutine that writes a request may take to report its result once the answer has ended.
 const RequestWriteWait = 20 * time.Millisecond
 
-// Transport refuses bodies that end with their connection before the request was written. After a reset, the operating system reports the error to the goroutine that writes the request, and
+// Transport refuses answers of HTTP/1.1 whose head is malformed, and bodies that end with their connection before the
+// request was written. After a reset, the operating system reports the error to the goroutine that writes the request, and
 // the end of the data to the one that reads the answer.
 type Transport struct {
 	Base http.RoundTripper
@@ -32,6 +31,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := Head(resp); err != nil {
+		_ = resp.Body.Close()
+		return nil, err
+	}
 	resp.Body = &checkedBody{ReadCloser: resp.Body, resp: resp, written: written}
 	return resp, nil
 }
@@ -81,6 +84,9 @@
 	if err != io.EOF {
 		return n, err
 	}
+	if err := FieldNames(b.resp.Trailer); err != nil {
+		return n, err
+	}
 	if b.resp.ContentLength < 0 && len(b.resp.TransferEncoding) == 0 && !b.written.wait() {
 		return n, ErrRequestCut
 	}
--- a/internal/httpcheck/transport_test.go
+++ b/internal/httpcheck/transport_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -91,3 +92,29 @@
 		})
 	}
 }
+
+// Guards against answers that net/http accepts although their head or trailer is none of HTTP/1.1.
+func TestOddAnswersAreRefused(t *testing.T) {
+	for name, answer := range map[string]string{
+		"status 000":                     "HTTP/1.1 000 Trouble\r\nContent-Length: 4\r\n\r\ntext",
+		"status 099":                     "HTTP/1.1 099 Trouble\r\nContent-Length: 4\r\n\r\ntext",
+		"status 600":                     "HTTP/1.1 600 Trouble\r\nContent-Length: 4\r\n\r\ntext",
+		"another protocol":               "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\ntext",
+		"version 2":                      "HTTP/2.0 200 OK\r\nContent-Length: 4\r\n\r\ntext",
+		"name with a blank":              "HTTP/1.1 200 OK\r\nBad name: x\r\nContent-Length: 4\r\n\r\ntext",
+		"length after a blank":           "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\ntext",
+		"chunks after a blank":           "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n4\r\ntext\r\n0\r\n\r\n",
+		"name with a control byte":       "HTTP/1.1 200 OK\r\nNa\x01me: x\r\nContent-Length: 4\r\n\r\ntext",
+		"name in a trailer with a blank": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ntext\r\n0\r\nBad name: x\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			url := serve(t, func(c *net.TCPConn) {
+				if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+					_, _ = fmt.Fprint(c, answer)
+				}
+			})
+			_, err := post(newClient(t), url, "")
+			require.Error(t, err)
+		})
+	}
+}
--- a/internal/httpjson/client.go
+++ b/internal/httpjson/client.go
@@ -32,7 +32,9 @@
 	// MaxResponseBytes limits a response that is read into memory.
 	MaxResponseBytes = 64 << 20
 	maxErrorBytes    = 64 << 10
-	maxIdleConns     = 64
+	// maxHeadBytes limits the head of a response; net/http allows 10 MB.
+	maxHeadBytes = 32 << 10
+	maxIdleConns = 64
 	// idleConnTimeout is short, so that the server rarely closes a connection just as it is reused.
 	idleConnTimeout = 15 * time.Second
 	dialTimeout     = 3 * time.Second
@@ -68,10 +70,11 @@
 	c.addr = s["address"]
 	c.http = &http.Client{
 		Transport: &httpcheck.Transport{Base: &http.Transport{
-			DialContext:         c.dial,
-			MaxIdleConnsPerHost: maxIdleConns,
-			IdleConnTimeout:     idleConnTimeout,
-			DisableCompression:  true,
+			DialContext:            c.dial,
+			MaxIdleConnsPerHost:    maxIdleConns,
+			IdleConnTimeout:        idleConnTimeout,
+			DisableCompression:     true,
+			MaxResponseHeaderBytes: maxHeadBytes,
 		}},
 		// Following a redirect would send the request a second time.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
--- a/standin/site/process.go
+++ b/standin/site/process.go
@@ -30,6 +30,8 @@
 	Unframed float64
 	// CutHead is the rate of answers that end within their head, by a close or a reset.
 	CutHead float64
+	// OddHead is the rate of answers, also to prefills and report requests, whose head is none of HTTP.
+	OddHead float64
 	// EarlyReset is the rate of requests with a body above earlyResetBytes that are answered with a part of a body without
 	// a length before they are read, on a connection that is then reset.
 	EarlyReset float64
@@ -144,6 +146,9 @@
 	}
 	prefill := r.Header.Get("Quetzallug-Stage") == "prefill"
 	switch {
+	case occurs(w.cfg.OddHead):
+		w.oddHead(c, r, id)
+		return "", false
 	case r.URL.Path == "/api/report":
 		return "", w.reply(c, w.head(http.StatusOK, "", ""), fmt.Sprintf(`{"stage":%q,"busy":false,"seq":0}`, w.cfg.Stage))
 	case strings.HasPrefix(r.URL.Path, "/api/"):
@@ -199,6 +204,33 @@
 	}
 }
 
+// oddHeads are heads of answers that are none of HTTP, without their last line break. "#" stands for the header of a sound
+// one.
+var oddHeads = []string{
+	"HTTP/1.1 000 Trouble\r\n#Content-Length: 3\r\n",
+	"HTTP/1.1 099 Trouble\r\n#\r\nHTTP/1.1 200 OK\r\n#Content-Length: 3\r\n",
+	"HTTP/1.1 600 Trouble\r\n#Content-Length: 3\r\n",
+	"HTTP/1.1 200 OK\r\n#Odd name: x\r\nContent-Length: 3\r\n",
+	"HTTP/1.1 200 OK\r\n#Odd : x\r\nContent-Length: 3\r\n",
+	"HTTP/1.1 200 OK\r\n#Content-Length : 3\r\n",
+	"HTTP/1.1 200 OK\r\n# Odd: x\r\nContent-Length: 3\r\n",
+	"HTTP/1.1 200 OK\r\n#Transfer-Encoding : chunked\r\n",
+	"HTTP/1.0 200 OK\r\n#Transfer-Encoding: chunked\r\n",
+	"HTTP/1.1 200 OK\r\n#O\x01dd: x\r\nContent-Length: 3\r\n",
+	"HTTP/1.1 200 OK\r\n#Content-Length\x00: 3\r\n",
+}
+
+// oddHead runs a request and writes an answer whose head is none of HTTP.
+func (w *ProcessWorker) oddHead(c net.Conn, r *http.Request, id string) {
+	if r.Header.Get("Quetzallug-Stage") != "prefill" && !strings.HasPrefix(r.URL.Path, "/api/") {
+		w.record("runs", id, r.URL.Path)
+		defer w.record("ends", id, r.URL.Path)
+	}
+	time.Sleep(w.cfg.ServiceTime)
+	header := "Quetzallug-Attempt-Id: " + id + "\r\nQuetzallug-Response-Signature: " + Signature(w.cfg.ID, id) + "\r\n"
+	_, _ = io.WriteString(c, strings.ReplaceAll(oddHeads[rand.IntN(len(oddHeads))], "#", header)+"\r\nodd")
+}
+
 const (
 	// earlyResetBytes is more than the operating system holds for a connection.
 	earlyResetBytes = 6 << 20
--- a/test/site/cuthead_test.go
+++ b/test/site/cuthead_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -15,9 +16,30 @@
 	"github.com/quetzallug/quetzallug/standin/site"
 )
 
-// serveCutHeads registers a backend server that answers each call with a part of a head, a longer one each time. It
-// returns counters of the prefills and the resumed streams among them.
-func serveCutHeads(env *testEnv, stage string) (prefills, resumed *atomic.Int64) {
+// brokenHead returns what a faulty backend server sends in answer to its nth call.
+type brokenHead func(id string, n int) string
+
+// cutHead returns a part of a head, a longer one each time.
+func cutHead(id string, n int) string {
+	head := answerHead(id) + "Content-Length: 20\r\n"
+	return head[:7*n%(len(head)+1)]
+}
+
+// oddHead returns an answer with a handle and an event, whose head is none of HTTP.
+func oddHead(id string, n int) string {
+	const body = `{"handle":"odd"}` + "\n\nid: 2\ndata: odd\n\n"
+	end := fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body)
+	heads := []string{
+		strings.Replace(answerHead(id), "200", "000", 1) + end, strings.Replace(answerHead(id), "200", "600", 1) + end,
+		answerHead(id) + "Odd name: x\r\n" + end, answerHead(id) + "Odd\x01name: x\r\n" + end,
+		answerHead(id) + strings.Replace(end, ":", " :", 1),
+	}
+	return heads[n%len(heads)]
+}
+
+// serveBrokenHeads registers a backend server that answers all calls with broken heads. It returns counters of the prefills
+// and the resumed streams among them.
+func serveBrokenHeads(env *testEnv, stage string, broken brokenHead) (prefills, resumed *atomic.Int64) {
 	prefills, resumed = &atomic.Int64{}, &atomic.Int64{}
 	var calls atomic.Int64
 	serveConns(env, site.WorkerConfig{ID: "i-cut", Service: "llm", Stage: stage}, func(c net.Conn, r *http.Request, _ *memnet.Host) {
@@ -27,18 +49,23 @@
 		case r.Header.Get("Last-Event-Id") != "":
 			resumed.Add(1)
 		}
-		head := answerHead(r.Header.Get("Quetzallug-Attempt-Id")) + "Content-Length: 20\r\n"
-		_, _ = io.WriteString(c, head[:int(calls.Add(7))%(len(head)+1)])
+		_, _ = io.WriteString(c, broken(r.Header.Get("Quetzallug-Attempt-Id"), int(calls.Add(1))))
 	})
 	return prefills, resumed
 }
 
-// Guards against cut heads of prefills and resumed streams that reach a caller as a part of its answer, or that
-// keep it from being served.
+// Guards against heads of prefills and resumed streams that are cut, or none of HTTP, and reach a caller as a part of its
+// answer, or keep it from being served.
 func TestCutHeadsOfFurtherCalls(t *testing.T) {
+	for name, broken := range map[string]brokenHead{"cut": cutHead, "odd": oddHead} {
+		t.Run(name, func(t *testing.T) { testBrokenHeads(t, broken) })
+	}
+}
+
+func testBrokenHeads(t *testing.T, broken brokenHead) {
 	runInBubble(t, func(t *testing.T, env *testEnv) {
 		env.writeConfig()
-		prefills, _ := serveCutHeads(env, "prefill")
+		prefills, _ := serveBrokenHeads(env, "prefill", broken)
 		for _, id := range []string{"i-d", "i-e"} {
 			env.addWorker(site.WorkerConfig{ID: id, Service: "llm", Stage: "decode", PrefillTimePerToken: 4 * time.Microsecond, RoleSwitch: 3 * time.Second})
 		}
@@ -59,7 +86,7 @@
 	})
 	runInBubble(t, func(t *testing.T, env *testEnv) {
 		env.writeConfig()
-		_, resumed := serveCutHeads(env, "decode")
+		_, resumed := serveBrokenHeads(env, "decode", broken)
 		env.addWorker(site.WorkerConfig{ID: "i-d", Service: "llm", Stage: "decode", PrefillTimePerToken: 4 * time.Microsecond})
 		env.workers[0].SetFault(func(r *http.Request) site.Fault {
 			if r.Header.Get("Last-Event-Id") == "" {
--- a/test/soak/load_test.go
+++ b/test/soak/load_test.go
@@ -171,6 +171,13 @@
 		if want := site.Answer(id, target); l.errorBodies && string(b) != want {
 			l.fail("MIXED: %s got a part of an error response: %.200q", target, b)
 		}
+	} else if signed && resp.StatusCode > http.StatusInternalServerError {
+		l.fail("MIXED: %s got a worker's answer with status %d", target, resp.StatusCode)
+	}
+	for name := range resp.Header {
+		if strings.Contains(name, " ") || strings.HasPrefix(name, "Odd") {
+			l.fail("MIXED: %s got a line of an odd head: %q", target, name)
+		}
 	}
 	if resp.StatusCode == http.StatusNotFound || resp.StatusCode == http.StatusBadRequest {
 		l.fail("%s %s got %d", kind, id, resp.StatusCode)
--- a/test/soak/processes_test.go
+++ b/test/soak/processes_test.go
@@ -256,6 +256,7 @@
 		"gateways killed within answers without a length": {kill: true, faults: site.ProcessConfig{Unframed: 1}},
 		"crashes within errors without a length":          {crash: true, faults: site.ProcessConfig{Unframed: 1, Error: 0.5}},
 		"heads that are cut":                              {faults: site.ProcessConfig{CutHead: 0.2, BreakOff: 0.3}},
+		"heads that are none of HTTP":                     {faults: site.ProcessConfig{OddHead: 0.2}},
 		"answers reset during uploads":                    {faults: site.ProcessConfig{EarlyReset: 0.5}, uploadBytes: 7 << 20},
 		"callers that end their own side":                 {halfClose: 0.3},
 		"errors in answer to resumed streams":             {faults: site.ProcessConfig{BreakOff: 0.3, FailResumed: 0.5}},
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -382,6 +382,9 @@
 
 // checkEnd returns io.EOF if the exchange was regular up to the end of the body.
 func (r *Response) checkEnd() error {
+	if err := httpcheck.FieldNames(r.Trailer); err != nil {
+		return fmt.Errorf("%w: %w", ErrExchangeFailed, err)
+	}
 	// After a reset, the operating system reports the error to the goroutine that writes the request, and the end of the
 	// data to the one that reads the response.
 	if r.Framing() == FramingConnection && !r.conn.requestWritten() {
