Bound the memory of answers' heads and of lists of the store (LOST)

Reported by other operators: a faulty worker sent bytes without end, and the machine that had called it ran out of memory.

Cause: a head was limited in bytes (32 KiB), not in lines; a line of three bytes takes some hundred once it is parsed, and nothing accounted for the heads of all requests together. A list was read as long as the store announced another page.

Fix: 256 lines a head; what a head takes beyond 8 KiB comes from the memory that requests and bodies share. Keys of a list must rise from page to page, and its pages together may take an eighth of the machine's memory; heads of the store's responses are limited to 32 KiB.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -115,7 +115,7 @@
 	codec := q.g.codec
 	resp, err := q.g.pool.Do(q.ctx, a.server.Address, &upstream.Request{
 		Method: q.r.Method, Target: q.r.RequestURI, Host: q.r.Host,
-		Header: codec.Header(q.r.Header, a.forwarded), Body: q.body.bytes, Sends: &q.connections, NewConnection: q.metadata.ID == "", Check: q.checkSend(a.server, true),
+		Header: codec.Header(q.r.Header, a.forwarded), Body: q.body.bytes, Sends: &q.connections, NewConnection: q.metadata.ID == "", Memory: q.g.memory, Check: q.checkSend(a.server, true),
 	}, q.isResponseToRequest)
 	now := time.Now()
 	if err != nil && !errors.Is(err, upstream.ErrNotSent) && !isHeld(err) && !q.route.Stream {
--- a/gateway/memory.go
+++ b/gateway/memory.go
@@ -124,6 +124,12 @@
 	}
 }
 
+// TryReserve implements upstream.Memory.
+func (b *memoryBudget) TryReserve(size int64) bool { return b.tryReserve(size) }
+
+// Release implements upstream.Memory.
+func (b *memoryBudget) Release(size int64) { b.release(size) }
+
 // release gives size bytes back.
 func (b *memoryBudget) release(size int64) {
 	b.mu.Lock()
--- a/gateway/prefill.go
+++ b/gateway/prefill.go
@@ -30,7 +30,7 @@
 	forwarded.Remaining, forwarded.Prefill = time.Until(q.deadline), true
 	resp, err := q.g.pool.Do(q.ctx, server.Address, &upstream.Request{
 		Method: q.r.Method, Target: q.r.RequestURI, Host: q.r.Host,
-		Header: q.g.codec.Header(q.r.Header, forwarded), Body: q.body.bytes, Sends: &q.connections, NewConnection: q.metadata.ID == "", Check: q.checkSend(server, false),
+		Header: q.g.codec.Header(q.r.Header, forwarded), Body: q.body.bytes, Sends: &q.connections, NewConnection: q.metadata.ID == "", Memory: q.g.memory, Check: q.checkSend(server, false),
 	}, q.isResponseToRequest)
 	if err != nil {
 		return "", q.handlePrefillError(server, err), false
--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -5,6 +5,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -83,7 +84,9 @@
 		// A confirmation is as old as its watch when it comes, and the next one takes as long again.
 		wait = min(wait, limit/confirmationsPerBound)
 	}
-	a, err := loadModule[Adapter](lc, s.Adapter, kernel.Settings{"address": s.AdapterAddress, "watch-wait": wait.String()})
+	a, err := loadModule[Adapter](lc, s.Adapter, kernel.Settings{
+		"address": s.AdapterAddress, "watch-wait": wait.String(), "max-list-bytes": strconv.FormatInt(s.StoreListMemory(), 10),
+	})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/httpcheck/head.go
+++ b/internal/httpcheck/head.go
@@ -29,27 +29,27 @@
 	return FieldNames(resp.Header)
 }
 
-// RawHead checks the head of an answer by its bytes, with which raw begins. They show what net/http has corrected or left
-// out.
-func RawHead(resp *http.Response, raw []byte) error {
+// RawHead checks the head of an answer by its bytes, with which raw begins, and returns its size. The bytes show what
+// net/http has corrected or left out.
+func RawHead(resp *http.Response, raw []byte) (size int, err error) {
 	if err := checkStatusLine(resp); err != nil {
-		return err
+		return 0, err
 	}
-	first := true
 	for line := range bytes.Lines(raw) {
+		first := size == 0
+		size += len(line)
 		line = bytes.TrimRight(line, "\r\n")
 		if first {
-			first = false
 			continue
 		}
 		if len(line) == 0 {
-			return nil
+			break
 		}
 		if err := checkField(resp, line); err != nil {
-			return err
+			return size, err
 		}
 	}
-	return nil
+	return size, nil
 }
 
 func checkStatusLine(resp *http.Response) error {
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -64,6 +64,13 @@
 // RequestMemory returns the bytes that the requests in progress may take together.
 func (s *Gateway) RequestMemory() int64 { return int64(s.MachineMiB) << 20 * requestMemoryTenths / 10 }
 
+// storeListFraction is the part of the machine's memory that the entries of one list of the store may take. They are
+// decoded beside what is known already, and a page is held three times while it is decoded.
+const storeListFraction = 8
+
+// StoreListMemory returns the bytes that the entries of one list of the store may have together.
+func (s *Gateway) StoreListMemory() int64 { return int64(s.MachineMiB) << 20 / storeListFraction }
+
 // Shares returns how the process divides its file descriptors.
 func (s *Gateway) Shares() connlimit.Shares {
 	peers := 0
--- a/test/clients/gateway_test.go
+++ b/test/clients/gateway_test.go
@@ -16,6 +16,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -56,6 +57,8 @@
 type platform struct {
 	store   *site.Store
 	address string
+	// storeFault returns what the store answers instead; nil if it is sound.
+	storeFault atomic.Pointer[func(r *http.Request) endless]
 }
 
 // newPlatform starts a store and workers. The configuration has client accounts or none.
@@ -69,7 +72,19 @@
 		t.Cleanup(func() { _ = srv.Close() })
 		return l.Addr().String()
 	}
-	p.address = serve(p.store)
+	p.address = serve(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		fault := p.storeFault.Load()
+		if fault == nil {
+			p.store.ServeHTTP(w, r)
+			return
+		}
+		c, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		writeEndless(r.Context(), c, (*fault)(r), "")
+	}))
 	t.Cleanup(p.store.Close)
 	for i := range 3 {
 		id := fmt.Sprintf("i-api-%d", i)
@@ -77,17 +92,21 @@
 		w.Register(p.store)
 	}
 	type m = map[string]any
-	newRoute := func(name, kind string, public bool) m {
+	newRouteTo := func(service, name, kind string, public bool) m {
 		return m{
 			"name": name, "hostname": hostname, "path-prefix": "/" + name + "/", "type": kind, "timeout-ms": 20_000, "target-latency-ms": 1000,
-			"priority": 0, "service": "api", "max-attempts": 2, "public": public,
+			"priority": 0, "service": service, "max-attempts": 2, "public": public,
 		}
 	}
+	newRoute := func(name, kind string, public bool) m { return newRouteTo("api", name, kind, public) }
 	config := m{
 		"version": 1,
-		"routes":  []m{newRoute("read", "idempotent", false), newRoute("stream", "streaming", false), newRoute("open", "idempotent", true), newRoute("openstream", "streaming", true)},
+		"routes": []m{
+			newRoute("read", "idempotent", false), newRoute("stream", "streaming", false), newRoute("open", "idempotent", true), newRoute("openstream", "streaming", true),
+			newRouteTo("faulty", "faultyread", "idempotent", false), newRouteTo("faulty", "faultyonce", "non_idempotent", false), newRouteTo("faulty", "faultystream", "streaming", false),
+		},
 		"services": []m{
-			{"name": "api", "health-path": "/health", "max-connections": 1000},
+			{"name": "api", "health-path": "/health", "max-connections": 1000}, {"name": "faulty", "health-path": "/health", "max-connections": 1000},
 		},
 		"limits": m{"max-header-bytes": 16_384, "max-body-bytes": maxBody, "header-timeout-ms": 3000, "idle-timeout-ms": 15_000},
 	}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -85,6 +85,8 @@
 	// NewConnection makes the request the first one of its connection. It is for requests whose response has
 	// no ID: on a connection that was used, it could be a late copy of an earlier one.
 	NewConnection bool
+	// Memory, if not nil, accounts for a response's head that is larger than usual, until Response.Close.
+	Memory Memory
 	// Check, if not nil, is called once a connection is there, directly before the request is sent. If it returns
 	// an error, the request is not sent.
 	Check func() error
@@ -259,12 +261,14 @@
 		}
 	}
 	c.uses++
+	c.source.memory = r.Memory
 	r.Sends.add(c)
 	// A deadline in the past interrupts reads and writes.
 	stopCancel := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	resp, err := c.exchange(r, matches) //nolint:bodyclose // Response.Close ends the exchange
 	if err != nil {
 		stopCancel()
+		c.source.release()
 		_ = c.Close()
 		if ctx.Err() != nil {
 			err = fmt.Errorf("%w: %w", err, context.Cause(ctx))
@@ -405,6 +409,7 @@
 		return
 	}
 	r.conn = nil
+	c.source.release()
 	cancelled := !r.stopCancel()
 	// r.Response.Close is the field of http.Response. It is true if the backend server closes the connection.
 	if cancelled || r.singleUse || !r.complete || r.Response.Close || c.br.Buffered() > 0 || !c.requestWritten() {
