--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -13,12 +13,14 @@
 
 // attempt is one request sent to one backend server.
 type attempt struct {
-	q               *request
-	server          *Server
-	forwarded       *ForwardedRequest
-	uncachedTokens  float64
-	backlog         Backlog
-	sentAt          time.Time
+	q              *request
+	server         *Server
+	forwarded      *ForwardedRequest
+	uncachedTokens float64
+	backlog        Backlog
+	sentAt         time.Time
+	// limit is when the time has passed that the backend server was given.
+	limit           time.Time
 	pendingReleased bool
 	// runRecorded is true once the run was recorded for the client account.
 	runRecorded bool
@@ -110,14 +112,17 @@
 // has ended with the returned result; otherwise the result is meaningless.
 func (a *attempt) roundTrip() (*upstream.Response, ResponseMetadata, attemptResult) {
 	q := a.q
-	a.forwarded.Remaining = time.Until(q.deadline)
+	// The time is sent in whole milliseconds, so that the backend server stops before the deadline.
+	now := time.Now()
+	a.forwarded.Remaining = q.deadline.Sub(now).Truncate(time.Millisecond)
+	a.limit = now.Add(a.forwarded.Remaining)
 	q.lastStatus, q.lastNotRun = 0, false
 	codec := q.g.codec
 	resp, err := q.g.pool.Do(q.ctx, a.server.Address, &upstream.Request{
 		Method: q.r.Method, Target: q.r.RequestURI, Host: q.r.Host,
 		Header: codec.Header(q.r.Header, a.forwarded), Body: q.body.bytes, Sends: &q.connections, NewConnection: q.metadata.ID == "", Memory: q.g.memory, Check: q.checkSend(a.server, true),
 	}, q.isResponseToRequest)
-	now := time.Now()
+	now = time.Now()
 	if err != nil && !errors.Is(err, upstream.ErrNotSent) && !isHeld(err) && !q.route.Stream {
 		// The backend server has most probably run the request; only its response is missing.
 		a.recordRun(a.sentAt)
@@ -223,7 +228,8 @@
 	case err != nil:
 		return a.failUnknown("answer_not_whole")
 	}
-	if err := watch.checkEnd(a.q.ctx); err != nil {
+	end := watch.end(a.q.ctx)
+	if err := end.check(); err != nil {
 		a.q.recordBroken(a.server)
 		return a.failUnknown(err.Error())
 	}
@@ -258,7 +264,8 @@
 		a.q.cause = fmt.Sprintf("status_%d_without_guarantee", resp.StatusCode)
 		return resultUnknown
 	}
-	if err := watch.checkEnd(a.q.ctx); err != nil {
+	end := watch.end(a.q.ctx)
+	if err := end.check(); err != nil {
 		a.q.recordBroken(a.server)
 		return a.failUnknown(err.Error())
 	}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -19,12 +19,7 @@
 	streamBufferSize = 4 << 10
 )
 
-var (
-	errEventTooLarge = errors.New("event too large")
-	// errEventCut and errNoEvent mean that a body ended where no whole stream ends.
-	errEventCut = errors.New("stream ended inside an event")
-	errNoEvent  = errors.New("connection ended before the first event")
-)
+var errEventTooLarge = errors.New("event too large")
 
 // eventReader reads complete server-sent events, including the blank line that ends each.
 type eventReader struct {
@@ -32,8 +27,8 @@
 	buf []byte
 }
 
-// next returns one event and its ID. Trailing data without a blank line is returned with io.EOF; checkEnd
-// decides whether the stream may end there.
+// next returns one event and its ID. Trailing data without a blank line is returned with io.EOF; bodyEnd
+// tells whether the stream may end there.
 func (e *eventReader) next() (event []byte, id string, err error) {
 	e.buf = e.buf[:0]
 	for {
@@ -64,7 +59,6 @@
 func (a *attempt) relayStream(resp *upstream.Response) attemptResult {
 	q := a.q
 	reader := &eventReader{br: bufio.NewReaderSize(resp, streamBufferSize)}
-	q.framing = string(resp.Framing())
 	q.sequence.begin()
 	watch := a.watchBody(resp)
 	defer watch.close()
@@ -85,11 +79,9 @@
 			q.tailBytes = len(event)
 		}
 		if errors.Is(err, io.EOF) {
-			endErr := checkEnd(resp, event, !lastEventAt.IsZero())
-			if endErr == nil {
-				endErr = watch.checkEnd(q.ctx)
-			}
-			if endErr != nil {
+			end := watch.end(q.ctx)
+			end.events, end.anyEvent, end.tail = isEventStream(resp.Header), !lastEventAt.IsZero(), event
+			if endErr := end.check(); endErr != nil {
 				return a.handleInterruption(endErr)
 			}
 		}
@@ -143,21 +135,6 @@
 	}
 }
 
-// checkEnd returns an error if a stream was broken off although its body has ended without a read error: a
-// backend server that crashes may close the connection of a body that only the connection ends, and one
-// that is faulty may end any body early. tail is what follows the last whole event.
-func checkEnd(resp *upstream.Response, tail []byte, anyEvent bool) error {
-	switch {
-	case !isEventStream(resp.Header):
-		return nil
-	case holdsEvent(tail):
-		return errEventCut
-	case !anyEvent && resp.Framing() == upstream.FramingConnection:
-		return errNoEvent
-	}
-	return nil
-}
-
 // isEventStream reports whether a body holds events. A response without a type to a request for a stream is
 // taken for one.
 func isEventStream(h http.Header) bool {
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -44,7 +44,8 @@
 			if tc.contentType != "" {
 				resp.Header.Set("Content-Type", tc.contentType)
 			}
-			require.Equal(t, tc.want, checkEnd(resp, []byte(tc.tail), tc.anyEvent))
+			end := bodyEnd{framing: resp.Framing(), events: isEventStream(resp.Header), anyEvent: tc.anyEvent, tail: []byte(tc.tail), lives: true}
+			require.Equal(t, tc.want, end.check())
 		})
 	}
 }
--- a/internal/httpcheck/transport.go
+++ b/internal/httpcheck/transport.go
@@ -81,7 +81,7 @@
 // Read implements io.Reader.
 func (b *checkedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if err != io.EOF {
+	if !errors.Is(err, io.EOF) {
 		return n, err
 	}
 	if err := FieldNames(b.resp.Trailer); err != nil {
--- a/standin/site/process.go
+++ b/standin/site/process.go
@@ -28,6 +28,9 @@
 	CopyID bool
 	// Unframed is the rate of responses without a length, which end with their connection.
 	Unframed float64
+	// StopAtLimit ends streams at the time that the worker was given for them, without an end of their own if they have no
+	// length.
+	StopAtLimit bool
 	// CutHead is the rate of answers that end within their head, by a close or a reset.
 	CutHead float64
 	// OddHead is the rate of answers, also to prefills and report requests, whose head is none of HTTP.
@@ -293,8 +296,15 @@
 		return false
 	}
 	first, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	limitMS, err := strconv.Atoi(r.Header.Get("Quetzallug-Deadline-Ms"))
+	limited := w.cfg.StopAtLimit && err == nil
+	limit := time.Now().Add(time.Duration(limitMS) * time.Millisecond)
 	breakOff := occurs(w.cfg.BreakOff)
 	for i := first + 1; i <= EventCount(r); i++ {
+		if limited && time.Until(limit) < w.cfg.ServiceTime {
+			time.Sleep(time.Until(limit))
+			return false
+		}
 		time.Sleep(w.cfg.ServiceTime)
 		event := Event(id, i)
 		if withoutIDs {
@@ -307,6 +317,6 @@
 	if unframed {
 		return false
 	}
-	_, err := io.WriteString(c, "0\r\n\r\n")
+	_, err = io.WriteString(c, "0\r\n\r\n")
 	return err == nil
 }
--- a/test/site/bodyend_test.go
+++ b/test/site/bodyend_test.go
@@ -1,6 +1,7 @@
 package site
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -14,11 +15,16 @@
 )
 
 // serveUntilKilled registers a backend server that sends a half of an answer without a length. Its machine is then killed,
-// so that all its connections end at the same moment.
-func serveUntilKilled(env *testEnv, service, stage string, half func(id, target string) string) {
-	serveConns(env, site.WorkerConfig{ID: "i-killed", Service: service, Stage: stage}, func(c net.Conn, r *http.Request, host *memnet.Host) {
+// so that all its connections end at the same moment. With drain, it reports that it leaves before.
+func serveUntilKilled(env *testEnv, service, stage string, drain bool, half func(id, target string) string) {
+	var w *site.Worker
+	w = serveConns(env, site.WorkerConfig{ID: "i-killed", Service: service, Stage: stage}, func(c net.Conn, r *http.Request, host *memnet.Host) {
 		id := r.Header.Get("Quetzallug-Attempt-Id")
 		_, _ = io.WriteString(c, answerHead(id)+"Connection: close\r\n\r\n"+half(id, r.RequestURI))
+		if drain {
+			w.Drain(env.store)
+			time.Sleep(settleTime)
+		}
 		time.Sleep(200 * time.Millisecond)
 		env.net.Kill(host)
 	})
@@ -37,15 +43,17 @@
 		"stream": {"llm", "decode", event, request{path: pathStream + "x", prompt: "a:50,b:60", events: 3}},
 		"resume": {"llm", "decode", event, request{path: pathResume + "x", prompt: "a:50,b:60", events: 3}},
 	} {
-		t.Run(name, func(t *testing.T) {
-			runInBubble(t, func(t *testing.T, env *testEnv) {
-				env.writeConfig()
-				serveUntilKilled(env, tc.service, tc.stage, tc.half)
-				n := env.addGateway("edge-1")
-				time.Sleep(settleTime)
-				r := env.call(n, tc.request)
-				require.False(t, r.succeeded(), "%d %q", r.status, r.body)
+		for _, drain := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s/draining=%v", name, drain), func(t *testing.T) {
+				runInBubble(t, func(t *testing.T, env *testEnv) {
+					env.writeConfig()
+					serveUntilKilled(env, tc.service, tc.stage, drain, tc.half)
+					n := env.addGateway("edge-1")
+					time.Sleep(settleTime)
+					r := env.call(n, tc.request)
+					require.False(t, r.succeeded(), "%d %q", r.status, r.body)
+				})
 			})
-		})
+		}
 	}
 }
--- a/test/site/slow_peers_test.go
+++ b/test/site/slow_peers_test.go
@@ -17,9 +17,10 @@
 
 // serveConns registers a backend server whose answers handle writes itself. It is called with the first request of each
 // connection, whose body was read, and the connection is closed afterwards.
-func serveConns(env *testEnv, cfg site.WorkerConfig, handle func(c net.Conn, r *http.Request, host *memnet.Host)) {
+func serveConns(env *testEnv, cfg site.WorkerConfig, handle func(c net.Conn, r *http.Request, host *memnet.Host)) *site.Worker {
 	cfg.Address, cfg.Slots, cfg.Zone = "10.1.65.1:8080", 8, "z"
-	site.NewWorker(cfg).Register(env.store)
+	w := site.NewWorker(cfg)
+	w.Register(env.store)
 	host := env.newHost(cfg.Address)
 	l := env.net.Listen(host, cfg.Address)
 	env.cleanups = append(env.cleanups, func() { _ = l.Close() })
@@ -41,6 +42,7 @@
 			go serve(c)
 		}
 	}()
+	return w
 }
 
 // answerHead returns the status line of an answer to a request and the header that marks it, without the blank line.
--- a/test/soak/processes_test.go
+++ b/test/soak/processes_test.go
@@ -255,6 +255,7 @@
 		"crashes within answers without a length":         {crash: true, faults: site.ProcessConfig{Unframed: 1}},
 		"gateways killed within answers without a length": {kill: true, faults: site.ProcessConfig{Unframed: 1}},
 		"crashes within errors without a length":          {crash: true, faults: site.ProcessConfig{Unframed: 1, Error: 0.5}},
+		"answers without a length that stop at the limit": {faults: site.ProcessConfig{Unframed: 1, StopAtLimit: true, ServiceTime: 400 * time.Millisecond}},
 		"heads that are cut":                              {faults: site.ProcessConfig{CutHead: 0.2, BreakOff: 0.3}},
 		"heads that are none of HTTP":                     {faults: site.ProcessConfig{OddHead: 0.2}},
 		"answers reset during uploads":                    {faults: site.ProcessConfig{EarlyReset: 0.5}, uploadBytes: 7 << 20},
--- a/upstream/oddhead_test.go
+++ b/upstream/oddhead_test.go
@@ -35,7 +35,7 @@
 }
 
 // Guards against answers with a status or header that is none in HTTP/1.1, whose lines are passed on, or whose bodies are
-// not those of the backend server because the field that frames them is not recognized.
+// not those of the backend server because the field that frames them is not recognised.
 func TestOddHeadsAreNoAnswers(t *testing.T) {
 	const body = "\r\n1\r\nx\r\n0\r\n\r\n"
 	for name, head := range map[string]string{
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -375,11 +375,11 @@
 // for one that ends before the request was written.
 func (r *Response) Read(b []byte) (int, error) {
 	n, err := r.Body.Read(b)
-	if err == io.EOF {
+	if errors.Is(err, io.EOF) {
 		err = r.checkEnd()
 	}
 	if err != nil {
-		r.complete = err == io.EOF
+		r.complete = errors.Is(err, io.EOF)
 	}
 	return n, err
 }
--- a/upstream/witness.go
+++ b/upstream/witness.go
@@ -15,7 +15,16 @@
 
 // Witness returns a witness for the process at an address: an idle connection, or a new one.
 func (p *Pool) Witness(ctx context.Context, addr string) (*Witness, error) {
-	c, err := p.getConn(ctx, addr, &Request{})
+	return p.openWitness(ctx, addr, &Request{})
+}
+
+// NewWitness returns a new connection to whatever listens at an address.
+func (p *Pool) NewWitness(ctx context.Context, addr string) (*Witness, error) {
+	return p.openWitness(ctx, addr, &Request{NewConnection: true})
+}
+
+func (p *Pool) openWitness(ctx context.Context, addr string, r *Request) (*Witness, error) {
+	c, err := p.getConn(ctx, addr, r)
 	if err != nil {
 		return nil, err
 	}
