Registrations: an older entry that is removed is not applied later (late heartbeat)

Cause: an older entry is held back for 5 s. Its removal reached it only if the worker was registered at that moment, and a list without it not at all, so that it was applied at the end of its time although the store no longer had it.

Fix: a removal, and a list without the ID, always withdraw what is held back.

--- a/gateway/lifetimes.go
+++ b/gateway/lifetimes.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -88,9 +89,17 @@
 // state returns the state of the last run of a backend server that was observed.
 func (ls *lifetimes) state(id string) *serverState { return ls.byID[id].state }
 
+// withdraw forgets an older registration that is no longer in the store.
+func (ls *lifetimes) withdraw(id string) { delete(ls.heldBack, id) }
+
+// withdrawUnlisted forgets the older registrations that are not in a list of the store.
+func (ls *lifetimes) withdrawUnlisted(listed map[string]bool) {
+	maps.DeleteFunc(ls.heldBack, func(id string, _ heldEntry) bool { return !listed[id] })
+}
+
 // end records that the registration of a backend server was removed.
 func (ls *lifetimes) end(id string, now time.Time) {
-	delete(ls.heldBack, id)
+	ls.withdraw(id)
 	if l := ls.byID[id]; l != nil {
 		l.endedAt = now
 	}
--- a/gateway/lifetimes_test.go
+++ b/gateway/lifetimes_test.go
@@ -72,6 +72,41 @@
 	require.Len(t, r.Servers("s"), 1)
 }
 
+// Guards against requests to a backend server without an entry: an older entry that was held back and is removed, while or
+// after the store fails or not, is not applied later.
+func TestOlderEntriesThatAreRemovedAreNotApplied(t *testing.T) {
+	for name, tc := range map[string]struct{ byList, listed, storeFails bool }{
+		"event":                         {},
+		"list":                          {byList: true},
+		"event, the newer one is there": {listed: true},
+		"list, the newer one lapses":    {byList: true, listed: true, storeFails: true},
+		"event, the newer one lapses":   {listed: true, storeFails: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := NewRoster()
+			apply := func(reg Registration, at time.Time) { r.Apply([]Change{{ID: "i", Registration: &reg}}, at) }
+			apply(registration(9, 5, false), start)
+			if !tc.listed {
+				r.Apply([]Change{{ID: "i"}}, start)
+			}
+			apply(registration(9, 4, false), start.Add(time.Second))
+			if tc.storeFails {
+				r.StoreFailed(start.Add(time.Second))
+			}
+			if tc.byList {
+				r.Replace(nil, start.Add(2*time.Second))
+			} else {
+				r.Apply([]Change{{ID: "i"}}, start.Add(2*time.Second))
+			}
+			require.Zero(t, r.HeldBack())
+			for at := start; at.Before(start.Add(3 * olderEntryHold)); at = at.Add(expiryInterval) {
+				r.Expire(at)
+			}
+			require.Empty(t, r.Servers("s"))
+		})
+	}
+}
+
 // Guards against memory that grows with the backend servers that came and went.
 func TestEndedRunsAreForgotten(t *testing.T) {
 	r := NewRoster()
--- a/gateway/roster.go
+++ b/gateway/roster.go
@@ -162,8 +162,10 @@
 	return true
 }
 
-// remove removes a registration or marks it as lapsed. It reports whether it was removed.
+// remove removes a registration or marks it as lapsed. It reports whether it was removed. An older one that was held back
+// for the ID is removed in any case: it is no longer in the store.
 func (r *Roster) remove(id string, now time.Time) bool {
+	r.lifetimes.withdraw(id)
 	s := r.servers[id]
 	if s == nil {
 		return false
@@ -201,6 +203,7 @@
 			r.remove(id, now)
 		}
 	}
+	r.lifetimes.withdrawUnlisted(listed)
 	r.publish()
 }
 
