--- a/gateway/feed.go
+++ b/gateway/feed.go
@@ -317,7 +317,7 @@
 	for pause.For(ctx, expiryInterval) {
 		if now := f.roster.HeldBack(); now != held {
 			held = now
-			f.log.WithField("entries", held).Warn("entries of backend servers are held back because newer ones were seen")
+			f.log.WithField("entries", held).Warn("entries of backend servers are held back because newer ones were seen, or because they name another service than their run has")
 		}
 		for _, id := range f.roster.Expire(time.Now()) {
 			f.log.WithField("server", id).Info("lapsed registration did not return")
--- a/gateway/lifetimes.go
+++ b/gateway/lifetimes.go
@@ -29,18 +29,26 @@
 	endedAt time.Time
 }
 
-// isOlder reports whether a registration was written before the last known one. Registrations without a start or
-// number can't be ordered and count as newer.
+// isOlder reports whether a registration was written before the last known one. One without a start is not from a backend
+// server that has told its start. Otherwise, registrations without a start or number can't be ordered and count as newer.
 func (l *lifetime) isOlder(reg *Registration) bool {
 	switch {
-	case l.Born == 0 || reg.Born == 0:
+	case l.Born == 0:
 		return false
+	case reg.Born == 0:
+		return true
 	case l.Born != reg.Born:
 		return reg.Born < l.Born
 	}
 	return reg.Seq >= 0 && reg.Seq < l.Seq
 }
 
+// isForeign reports whether a registration names another service than the run had before. A backend server keeps its service,
+// so another program has written it.
+func (l *lifetime) isForeign(reg *Registration) bool {
+	return reg.Born != 0 && reg.Born == l.Born && reg.Service != l.Service
+}
+
 // isRun reports whether a registration is of the same run. Without a start, a run ends when it is said to be ready
 // after it was leaving.
 func (l *lifetime) isRun(reg *Registration) bool {
@@ -54,7 +62,7 @@
 // and orders the registrations. It has no lock of its own.
 type lifetimes struct {
 	byID map[string]*lifetime
-	// heldBack holds older registrations and since when each is known. The run that each is older than is in byID: it is
+	// heldBack holds older and foreign registrations and since when each is known. The run that each is older than is in byID: it is
 	// not forgotten meanwhile.
 	heldBack map[string]heldEntry
 }
@@ -62,6 +70,8 @@
 type heldEntry struct {
 	reg   Registration
 	since time.Time
+	// foreign is true if the registration is not from the backend server, so that it is never applied.
+	foreign bool
 }
 
 func newLifetimes() lifetimes {
@@ -71,9 +81,9 @@
 // observe records a registration and reports whether it is to be applied.
 func (ls *lifetimes) observe(reg *Registration, now time.Time) bool {
 	l := ls.byID[reg.ID]
-	if l != nil && l.isOlder(reg) {
+	if foreign := l != nil && l.isForeign(reg); foreign || l != nil && l.isOlder(reg) {
 		if held, ok := ls.heldBack[reg.ID]; !ok || held.reg != *reg {
-			ls.heldBack[reg.ID] = heldEntry{*reg, now}
+			ls.heldBack[reg.ID] = heldEntry{reg: *reg, since: now, foreign: foreign}
 		}
 		return false
 	}
@@ -109,7 +119,7 @@
 // are newer than any other now.
 func (ls *lifetimes) expire(now time.Time) (due []Registration) {
 	for id, held := range ls.heldBack {
-		if now.Sub(held.since) >= olderEntryHold {
+		if !held.foreign && now.Sub(held.since) >= olderEntryHold {
 			delete(ls.heldBack, id)
 			if l := ls.byID[id]; l.Born == held.reg.Born {
 				l.Seq = held.reg.Seq
--- a/gateway/lifetimes_test.go
+++ b/gateway/lifetimes_test.go
@@ -55,6 +55,37 @@
 	}
 }
 
+// Guards against an entry of another program under the ID of a run: one that names another service than the run has is never
+// applied, and one without a start only if it stays.
+func TestEntriesThatAreNotOfTheRun(t *testing.T) {
+	r := NewRoster()
+	apply := func(reg Registration, at time.Time) { r.Apply([]Change{{ID: "i", Registration: &reg}}, at) }
+	expire := func(until time.Time) {
+		for at := start; at.Before(until); at = at.Add(expiryInterval) {
+			r.Expire(at)
+		}
+	}
+	apply(registration(9, 5, false), start)
+	other := registration(9, 6, false)
+	other.Service = "other"
+	apply(other, start)
+	require.Equal(t, 1, r.HeldBack())
+	expire(start.Add(3 * olderEntryHold))
+	require.Empty(t, r.Servers("other"))
+	require.Len(t, r.Servers("s"), 1)
+	apply(registration(9, 6, false), start.Add(3*olderEntryHold))
+	require.Zero(t, r.HeldBack())
+	other.Born = 10
+	apply(other, start.Add(3*olderEntryHold))
+	require.Len(t, r.Servers("other"), 1, "a new run may have another service")
+
+	without := registration(0, 9, false)
+	apply(without, start.Add(4*olderEntryHold))
+	require.Empty(t, r.Servers("s"))
+	expire(start.Add(6 * olderEntryHold))
+	require.Len(t, r.Servers("s"), 1)
+}
+
 // Guards against an older entry that ends the process because its run is forgotten while the entry is held back. One that
 // stays is applied, as its run may be newer on a clock that was set back.
 func TestRunsOfOlderEntriesAreRemembered(t *testing.T) {
--- a/gateway/roster.go
+++ b/gateway/roster.go
@@ -85,7 +85,8 @@
 	return false
 }
 
-// HeldBack returns the number of registrations that are held back because newer ones were seen.
+// HeldBack returns the number of registrations that are held back because newer ones were seen, or because they name another
+// service than their run has.
 func (r *Roster) HeldBack() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/test/site/gateway_test.go
+++ b/test/site/gateway_test.go
@@ -245,12 +245,22 @@
 func TestForgedRegistrations(t *testing.T) {
 	runInBubble(t, func(t *testing.T, env *testEnv) {
 		n := startDefaultDeployment(env)
+		entry := func(changes jsonMap) jsonMap {
+			e := jsonMap{
+				"service": "api", "address": "10.1.64.1:8080", "zone": "z", "version": "v1", "slots": 1, "state": "ready", "cold-remaining-ms": 0,
+				"seq": 1, "born": 1,
+			}
+			for k, v := range changes {
+				if e[k] = v; v == nil {
+					delete(e, k)
+				}
+			}
+			return e
+		}
 		for key, value := range map[string]any{
-			"servers/x1": []byte("\xff\x00 not json"), "servers/x2": jsonMap{"service": "api"},
-			"servers/x3": jsonMap{"service": "api", "address": 5, "zone": "z", "slots": 1, "state": "ready"},
-			"servers/x4": jsonMap{"service": "api", "address": "10.1.64.1:8080", "zone": "z", "slots": 1, "state": "resting"},
-			"servers/x5": jsonMap{"service": "api", "address": "nowhere", "zone": "z", "slots": 1, "state": "ready"},
-			"servers/x6": jsonMap{"service": "api", "address": "10.1.64.1:8080", "zone": "z", "slots": 1, "state": "ready", "born": 1.5},
+			"servers/x1": []byte("\xff\x00 not json"), "servers/x2": jsonMap{"service": "api"}, "servers/x3": entry(jsonMap{"address": 5}),
+			"servers/x4": entry(jsonMap{"state": "resting"}), "servers/x5": entry(jsonMap{"address": "nowhere"}), "servers/x6": entry(jsonMap{"born": 1.5}),
+			"servers/x7": entry(jsonMap{"version": nil}), "servers/x8": entry(jsonMap{"cold-remaining-ms": nil}), "servers/x9": entry(jsonMap{"seq": nil}),
 		} {
 			env.store.Put(key, value)
 		}
@@ -259,6 +269,39 @@
 	})
 }
 
+// Guards against orders that run at a model worker because another program has written an entry under its ID that names
+// another service, with fields missing or whole. The worker is used again with its next entry.
+func TestEntriesOfOtherProgramsUnderAWorkersID(t *testing.T) {
+	for name, missing := range map[string][]string{
+		"fields missing": {"version", "cold-remaining-ms", "seq", "born", "stage"}, "start missing": {"born"}, "whole": nil,
+	} {
+		t.Run(name, func(t *testing.T) {
+			runInBubble(t, func(t *testing.T, env *testEnv) {
+				env.writeConfig()
+				env.addWorker(site.WorkerConfig{ID: "i-model", Service: "llm"})
+				env.addWorker(site.WorkerConfig{ID: "i-api", Service: "api"})
+				n := env.addGateway("edge-1")
+				time.Sleep(settleTime)
+				entry := env.workers[0].Entry()
+				entry["service"], entry["seq"] = "api", 7
+				for _, field := range missing {
+					delete(entry, field)
+				}
+				env.store.Put("servers/i-model", entry)
+				time.Sleep(settleTime)
+				require.Len(t, n.roster.Servers("api"), 1)
+				for range 20 {
+					env.checkResponse(env.call(n, request{path: pathOnce + "x"}), pathOnce+"x", 0)
+				}
+				require.Empty(t, env.workers[0].Runs())
+				env.workers[0].Register(env.store)
+				time.Sleep(settleTime)
+				require.Len(t, n.roster.Servers("llm"), 1)
+			})
+		})
+	}
+}
+
 // Guards against requests that run on a worker of another service because it reuses the address of a
 // worker whose registration still exists.
 func TestReusedAddress(t *testing.T) {
@@ -266,7 +309,9 @@
 		env.writeConfig()
 		env.addWorker(site.WorkerConfig{ID: "i-new", Service: "api2", Address: "10.1.64.9:8080"})
 		env.addWorker(site.WorkerConfig{ID: "i-b", Service: "api"})
-		env.store.Put("servers/i-old", jsonMap{"service": "api", "address": "10.1.64.9:8080", "zone": "z", "slots": 6, "state": "ready"})
+		env.store.Put("servers/i-old", jsonMap{
+			"service": "api", "address": "10.1.64.9:8080", "zone": "z", "version": "v1", "slots": 6, "state": "ready", "cold-remaining-ms": 0, "seq": 1, "born": 1,
+		})
 		n := env.addGateway("edge-1")
 		time.Sleep(settleTime)
 		for range 10 {
--- a/test/soak/processes_test.go
+++ b/test/soak/processes_test.go
@@ -187,7 +187,7 @@
 // oddEntries returns entries that name no worker. "#" stands for the address of a sound one.
 func oddEntries() map[string]string {
 	entry := func(fields string) string {
-		return `{"service":"api","address":"#","zone":"z","slots":16,"state":"ready","seq":1,"born":1,` + fields + "}"
+		return `{"service":"api","address":"#","zone":"z","version":"v1","slots":16,"state":"ready","cold-remaining-ms":0,"seq":1,"born":1,` + fields + "}"
 	}
 	return map[string]string{
 		"servers/odd-nested":                  strings.Repeat("[", 200_000),
