--- a/gateway/roster.go
+++ b/gateway/roster.go
@@ -11,17 +11,19 @@
 // Roster holds the registered backend servers by service. It is safe for concurrent use.
 //
 // A registration that disappears during a store failure, or shortly afterwards, may have expired
-// although its backend server is running. It is kept until the grace period after the last failure
-// has passed. At other times a registration that disappears is removed immediately.
+// although its backend server is running. It is kept until the grace period after that failure
+// has passed; later failures do not extend it, because the store has served the news that it is missing.
+// At other times a registration that disappears is removed immediately.
 //
 // A registration that is older than one already seen changes nothing while the newer one may come back; see
 // lifetimes.
 type Roster struct {
 	grace time.Duration
 
-	mu            sync.Mutex
-	servers       map[string]*Server
-	lapsed        map[string]bool
+	mu      sync.Mutex
+	servers map[string]*Server
+	// lapsed holds when the registrations that are kept although they have disappeared are removed.
+	lapsed        map[string]time.Time
 	lifetimes     lifetimes
 	storeFailedAt time.Time
 	confirmedAt   time.Time
@@ -44,7 +46,7 @@
 
 // NewRoster returns an empty Roster.
 func NewRoster() *Roster {
-	r := &Roster{grace: lapseGrace, servers: make(map[string]*Server), lapsed: make(map[string]bool), lifetimes: newLifetimes()}
+	r := &Roster{grace: lapseGrace, servers: make(map[string]*Server), lapsed: make(map[string]time.Time), lifetimes: newLifetimes()}
 	r.services.Store(&map[string][]*Server{})
 	return r
 }
@@ -171,8 +173,12 @@
 	if s == nil {
 		return false
 	}
-	if !s.Draining && now.Sub(r.storeFailedAt) < r.grace {
-		r.lapsed[id] = true
+	keptUntil, lapsed := r.lapsed[id]
+	if !lapsed && !s.Draining {
+		keptUntil = r.storeFailedAt.Add(r.grace)
+	}
+	if now.Before(keptUntil) {
+		r.lapsed[id] = keptUntil
 		return false
 	}
 	r.drop(id, now)
@@ -225,15 +231,14 @@
 }
 
 func (r *Roster) dropLapsed(now time.Time) []string {
-	if len(r.lapsed) == 0 || now.Sub(r.storeFailedAt) < r.grace {
-		return nil
-	}
 	var gone []string
-	for id := range r.lapsed {
-		gone = append(gone, id)
-		r.drop(id, now)
+	for id, keptUntil := range r.lapsed {
+		if !now.Before(keptUntil) {
+			gone = append(gone, id)
+			r.drop(id, now)
+			delete(r.lapsed, id)
+		}
 	}
-	clear(r.lapsed)
 	return gone
 }
 
--- a/gateway/status.go
+++ b/gateway/status.go
@@ -160,7 +160,7 @@
 			st.State = stateLeaving
 		case v.restsFor > 0:
 			st.State = stateResting
-		case r.lapsed[id]:
+		case !r.lapsed[id].IsZero():
 			st.State = stateLapsed
 		}
 		servers = append(servers, st)
