--- a/test/site/world_test.go
+++ b/test/site/world_test.go
@@ -14,6 +14,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -62,6 +63,9 @@
 	duties      *site.Duties
 	autoscaling map[string]jsonMap
 
+	// silences counts how often the open connections to the store fell silent.
+	silences atomic.Int32
+
 	mu       sync.Mutex
 	workers  []*site.Worker
 	gateways []*gatewayNode
@@ -136,6 +140,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if addr == storeAddress {
+			c = &silenceableConn{Conn: c, silences: &env.silences, openedAt: env.silences.Load()}
+		}
 		return &recordedConn{Conn: c, seen: &env.seen}, nil
 	}
 	adapter := &platform.Adapter{}
