Quarantine: earlier reports are no evidence alone, and answers rewrite them (restart after crashes)

Cause: a report of a crash stays in the store for 3 minutes. An answer acquits a part in the memory of the instance that gave it only, and the report was written again with the next crash. Instances that start read the reports, know of no answers, and counted three crashes under the first part of all prompts.

Evidence: TestRestartAfterCrashesThatWereAnswered, 503 prompt_part_quarantined on.

Fix: crashes that are in the store when a process begins to read it count only together with a later one, so that a part that still crashes servers is quarantined at the same number as before; and an instance writes its report again when an answer acquits a part that it accuses. Decided quarantines are records of their own and survive as before.

--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -50,6 +50,8 @@
 	// used by Run only.
 	reportVersion uint64
 	failing       bool
+	// listed is true once all records of the store were read; it is used by the store watch only.
+	listed bool
 }
 
 // NewQuarantine returns a Quarantine that shares its state through kv.
@@ -122,7 +124,7 @@
 
 // writeReport writes this instance's report if it has changed.
 func (q *Quarantine) writeReport(ctx context.Context) error {
-	r, sequence, changed := q.tracker.Report(time.Now())
+	r, reportVersion, changed := q.tracker.Report(time.Now())
 	if !changed {
 		return nil
 	}
@@ -144,7 +146,7 @@
 		return err
 	}
 	q.reportVersion = version
-	q.tracker.ReportWritten(sequence)
+	q.tracker.ReportWritten(reportVersion)
 	return nil
 }
 
@@ -234,7 +236,7 @@
 		}
 		var r quarantine.Report
 		if err = decodeRecord(e.Value, &r); err == nil {
-			q.tracker.MergeReport(reporter, &r, now)
+			q.tracker.MergeReport(reporter, &r, !q.listed, now)
 		}
 	case strings.HasPrefix(e.Key, partsPrefix):
 		var id uint64
@@ -279,6 +281,7 @@
 		q.apply(external.KVEvent{KVEntry: e})
 	}
 	q.tracker.KeepEntries(listed, time.Now())
+	q.listed = true
 }
 
 // recordCrashes records the requests that were on backend servers as these crashed together.
--- a/quarantine/fleet_test.go
+++ b/quarantine/fleet_test.go
@@ -71,7 +71,7 @@
 	for i, t := range f.instances {
 		if r, sequence, changed := t.Report(now); changed {
 			t.ReportWritten(sequence)
-			f.shared = append(f.shared, delivery{now.Add(shareDelay), func(t *Tracker, now time.Time) { t.MergeReport(fmt.Sprint("n", i), &r, now) }})
+			f.shared = append(f.shared, delivery{now.Add(shareDelay), func(t *Tracker, now time.Time) { t.MergeReport(fmt.Sprint("n", i), &r, false, now) }})
 		}
 		due, _ := t.Writes(now)
 		for _, w := range due {
--- a/quarantine/shared.go
+++ b/quarantine/shared.go
@@ -5,32 +5,27 @@
 	"time"
 )
 
-// Report returns the crashes that this instance has seen and that still count, the number of all crashes it
-// has seen, and whether there was one since the last ReportWritten.
-func (t *Tracker) Report(now time.Time) (r Report, sequence uint64, changed bool) {
+// Report returns the crashes that this instance has seen and that still count, without the parts that were answered since,
+// the version of the report, and whether it has changed since the last ReportWritten.
+func (t *Tracker) Report(now time.Time) (r Report, version uint64, changed bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r.Session = t.session
 	for _, c := range t.report {
-		parts := slices.DeleteFunc(slices.Clone(c.Parts), func(p Part) bool {
-			at, ok := t.lastAnswer(p.ID)
-			return ok && at.After(c.at)
-		})
+		parts := slices.DeleteFunc(slices.Clone(c.Parts), func(p Part) bool { return t.answeredSince(p.ID, c.at) })
 		if len(parts) > 0 && now.Sub(c.at) <= evidenceLifetime {
 			c.Parts = parts
 			r.Crashes = append(r.Crashes, c.Crash)
 		}
 	}
-	return r, t.sequence, t.reportChanged
+	return r, t.reportVersion, t.reportVersion != t.reportWritten
 }
 
-// ReportWritten records that the report with a number of crashes was written to the store.
-func (t *Tracker) ReportWritten(sequence uint64) {
+// ReportWritten records that a version of the report was written to the store.
+func (t *Tracker) ReportWritten(version uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if sequence == t.sequence {
-		t.reportChanged = false
-	}
+	t.reportWritten = max(t.reportWritten, version)
 }
 
 // Active reports whether there is anything that expires.
@@ -40,8 +35,9 @@
 	return len(t.suspects) > 0 || len(t.entries) > 0
 }
 
-// MergeReport adds the crashes of another instance's report that were not merged before.
-func (t *Tracker) MergeReport(reporter string, r *Report, now time.Time) {
+// MergeReport adds the crashes of another instance's report that were not merged before. earlier is true for a report that
+// was in the store when this process began to read it.
+func (t *Tracker) MergeReport(reporter string, r *Report, earlier bool, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if reporter == t.instance && r.Session == t.session {
@@ -63,7 +59,7 @@
 		t.moments.join(c.Server, c.Beside, now)
 		for i, p := range c.Parts {
 			if !t.answeredLately(p.ID, now) {
-				t.addEvidence(p, c.Server, observation{request: c.Request, at: now, position: i}, now)
+				t.addEvidence(p, c.Server, observation{request: c.Request, at: now, earlier: earlier, position: i}, now)
 			}
 		}
 	}
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -3,7 +3,8 @@
 // and entries between instances.
 //
 // A part is quarantined after several backend servers have crashed while they processed requests with it,
-// and no request with it has been answered since. The quarantine ends when a request with it is answered
+// and no request with it has been answered since. At least one of the crashes must have been reported while the
+// process ran: it does not know what was answered before. The quarantine ends when a request with it is answered
 // anywhere. After each term one request of the whole installation is let through as a probe.
 package quarantine
 
@@ -50,9 +51,12 @@
 
 // observation is one crash as evidence against a part.
 type observation struct {
-	request  string
-	at       time.Time
-	own      bool
+	request string
+	at      time.Time
+	own     bool
+	// earlier is true if the crash was in the store when the process began to read it. Answers may have acquitted the part
+	// since.
+	earlier  bool
 	position int
 }
 
@@ -80,6 +84,16 @@
 	return weight, len(seen)
 }
 
+// onlyEarlier reports whether all crashes were in the store when the process began to read it.
+func (s *suspect) onlyEarlier() bool {
+	for _, o := range s.crashes {
+		if !o.earlier {
+			return false
+		}
+	}
+	return true
+}
+
 func (s *suspect) hasOwn() bool {
 	for _, o := range s.crashes {
 		if o.own {
@@ -118,11 +132,13 @@
 	// answered holds when a request with a part was last answered here, in two generations: parts that are
 	// not answered while a generation is filled are dropped.
 	answered, answeredBefore map[uint64]time.Time
-	// report holds the crashes seen here, with their times.
-	report        []ownCrash
-	session       uint64
-	sequence      uint64
-	reportChanged bool
+	// report holds the crashes seen here, with their times, and reported the parts of these that were not answered since.
+	report   []ownCrash
+	reported map[uint64]bool
+	session  uint64
+	sequence uint64
+	// reportVersion counts the changes of the report, and reportWritten is the last one that was written to the store.
+	reportVersion, reportWritten uint64
 	// merged holds the last crash taken from each reporter.
 	merged map[string]mergedReport
 	events []Event
@@ -154,7 +170,7 @@
 func New(instance string, session uint64) *Tracker {
 	return &Tracker{
 		instance: instance, changed: make(chan struct{}, 1), suspects: make(map[uint64]*suspect), entries: make(map[uint64]*held),
-		answered: make(map[uint64]time.Time), session: session, merged: make(map[string]mergedReport),
+		answered: make(map[uint64]time.Time), reported: make(map[uint64]bool), session: session, merged: make(map[string]mergedReport),
 	}
 }
 
@@ -217,6 +233,11 @@
 	for _, id := range parts {
 		t.answered[id] = now
 		delete(t.suspects, id)
+		if t.reported[id] {
+			// The report in the store must not accuse the part any longer, as instances that start read it.
+			delete(t.reported, id)
+			t.changeReport()
+		}
 		if h := t.entries[id]; h != nil && !h.Lifted {
 			t.lift(h, now)
 		}
@@ -231,6 +252,12 @@
 	return at, ok
 }
 
+// answeredSince reports whether a request with a part was answered here after a time.
+func (t *Tracker) answeredSince(id uint64, at time.Time) bool {
+	last, ok := t.lastAnswer(id)
+	return ok && last.After(at)
+}
+
 func (t *Tracker) answeredLately(id uint64, now time.Time) bool {
 	at, ok := t.lastAnswer(id)
 	return ok && now.Sub(at) < answeredMemory
@@ -253,12 +280,17 @@
 			t.recordCrash(c, now)
 		}
 	}
-	if t.reportChanged {
+	if t.reportVersion != t.reportWritten {
 		t.evaluate(now)
-		t.signal()
 	}
 }
 
+// changeReport has the report written.
+func (t *Tracker) changeReport() {
+	t.reportVersion++
+	t.signal()
+}
+
 func (t *Tracker) recordCrash(c Crash, now time.Time) {
 	t.moments.join(c.Server, c.Beside, now)
 	c.Request = c.Request[:min(len(c.Request), maxIDBytes)]
@@ -280,7 +312,7 @@
 	c.Sequence = t.sequence
 	t.report = append(t.report, ownCrash{c, now})
 	t.trimReport()
-	t.reportChanged = true
+	t.changeReport()
 }
 
 // trimReport keeps the newest crashes of the report.
@@ -293,6 +325,14 @@
 		first--
 	}
 	t.report = slices.Delete(t.report, 0, first)
+	clear(t.reported)
+	for _, c := range t.report {
+		for _, p := range c.Parts {
+			if !t.answeredSince(p.ID, c.at) {
+				t.reported[p.ID] = true
+			}
+		}
+	}
 }
 
 // addEvidence records a crash under a part.
@@ -385,7 +425,7 @@
 				need = minCrashesIfAnswered
 			}
 			n, requests := s.unexplained(explained, &t.moments, sizes)
-			if n < max(need*crashWeight, weight) || requests < minRequests {
+			if n < max(need*crashWeight, weight) || requests < minRequests || s.onlyEarlier() {
 				continue
 			}
 			if n > weight {
--- a/quarantine/tracker_test.go
+++ b/quarantine/tracker_test.go
@@ -150,9 +150,9 @@
 			}
 			c := crash(1, "other", rare)
 			c.Beside = []string{"i-2/1"}
-			tr.MergeReport("b", &Report{Session: 2, Crashes: []Crash{c}}, second(1))
+			tr.MergeReport("b", &Report{Session: 2, Crashes: []Crash{c}}, false, second(1))
 			c.Sequence, c.Beside = 1, []string{"i-2/1"}
-			tr.MergeReport("b", &Report{Session: 2, Crashes: []Crash{c}}, second(1))
+			tr.MergeReport("b", &Report{Session: 2, Crashes: []Crash{c}}, false, second(1))
 			record(tr, crash(9, "r9", bad), second(2))
 		}, false, false},
 		"only requests with both parts": {func(tr *Tracker) {
@@ -320,11 +320,11 @@
 	}
 	tr := New("z", 1)
 	for range 4 {
-		tr.MergeReport("n0", &reports[0], start)
-		tr.MergeReport("n1", &reports[1], start)
+		tr.MergeReport("n0", &reports[0], false, start)
+		tr.MergeReport("n1", &reports[1], false, start)
 	}
 	require.False(t, blocked(tr, bad, start))
-	tr.MergeReport("n2", &reports[2], start)
+	tr.MergeReport("n2", &reports[2], false, start)
 	require.True(t, blocked(tr, bad, start))
 	due, next := tr.Writes(start)
 	require.Empty(t, due, "those that saw the crashes write the entry")
@@ -332,16 +332,16 @@
 	require.Len(t, due, 1)
 
 	tr = New("y", 1)
-	tr.MergeReport("n0", &reports[0], start)
+	tr.MergeReport("n0", &reports[0], false, start)
 	tr.Answered(ids(bad), start.Add(time.Second))
-	tr.MergeReport("n0", &reports[0], start.Add(time.Minute))
+	tr.MergeReport("n0", &reports[0], false, start.Add(time.Minute))
 	require.Empty(t, tr.suspects, "a crash before the answer")
 
 	other := New("n0", 2)
-	other.MergeReport("n0", &reports[0], start)
+	other.MergeReport("n0", &reports[0], false, start)
 	require.Len(t, other.suspects, 1, "the report of the last run counts")
 	tr = New("n0", 1)
-	tr.MergeReport("n0", &reports[0], start)
+	tr.MergeReport("n0", &reports[0], false, start)
 	require.Empty(t, tr.suspects, "its own report")
 
 	tr = New("n0", 1)
@@ -359,7 +359,7 @@
 	for i := range 5000 {
 		p := Part{uint64(100 + i), strings.Repeat("n", 500)}
 		record(tr, crash(i, "r", p), start)
-		tr.MergeReport(fmt.Sprint("n", i), &Report{Session: 1, Crashes: []Crash{{Sequence: 1, Server: "s", Request: "r", Parts: []Part{p}}}}, start)
+		tr.MergeReport(fmt.Sprint("n", i), &Report{Session: 1, Crashes: []Crash{{Sequence: 1, Server: "s", Request: "r", Parts: []Part{p}}}}, false, start)
 		tr.Answered([]uint64{uint64(1 << 40 * (i + 1))}, start)
 	}
 	for i := range 200 {
@@ -420,3 +420,59 @@
 		require.ErrorIs(t, e.Validate(), ErrInvalid, name)
 	}
 }
+
+// Guards against an instance that starts and quarantines a part by reports from before, of crashes that answers have long
+// acquitted elsewhere. They count together with a crash that comes later.
+func TestEarlierReportsAreNoEvidenceAlone(t *testing.T) {
+	reports := make([]Report, 4)
+	for i := range reports {
+		reports[i] = Report{Session: 1, Crashes: []Crash{{Sequence: 1, Server: fmt.Sprintf("i-%d/1", i), Request: fmt.Sprint("r", i), Parts: []Part{common, bad}}}}
+	}
+	started := func() *Tracker {
+		tr := New("z", 1)
+		for i := range reports {
+			tr.MergeReport(fmt.Sprint("n", i), &reports[i], true, start)
+		}
+		return tr
+	}
+	tr := started()
+	require.False(t, blocked(tr, common, start))
+	require.False(t, blocked(tr, bad, start))
+	tr.Answered(ids(common), start.Add(time.Second))
+	later := Report{Session: 1, Crashes: []Crash{{Sequence: 1, Server: "i-9/1", Request: "r9", Parts: []Part{common, bad}}}}
+	tr.MergeReport("n9", &later, false, start.Add(2*time.Second))
+	require.True(t, blocked(tr, bad, start.Add(2*time.Second)), "with a crash that came later")
+	require.False(t, blocked(tr, common, start.Add(2*time.Second)))
+
+	tr = started()
+	record(tr, crash(9, "r9", bad), start.Add(time.Second))
+	require.True(t, blocked(tr, bad, start.Add(time.Second)), "with a crash seen here")
+
+	tr = started()
+	tr.Answered(ids(common, bad), start.Add(time.Second))
+	record(tr, crash(9, "r9", bad), start.Add(time.Minute))
+	require.False(t, blocked(tr, bad, start.Add(time.Minute)), "answered meanwhile")
+}
+
+// Guards against a report that goes on accusing a part that was answered, and against a change that is lost because the
+// report was being written.
+func TestAnsweredPartsLeaveTheReport(t *testing.T) {
+	tr := New("n0", 1)
+	record(tr, crash(1, "r", bad, rare), start)
+	r, first, changed := tr.Report(start)
+	require.True(t, changed)
+	require.Len(t, r.Crashes[0].Parts, 2)
+	tr.Answered(ids(rare, common), start.Add(time.Second))
+	tr.ReportWritten(first)
+	r, second, changed := tr.Report(start.Add(time.Second))
+	require.True(t, changed)
+	require.Equal(t, []Part{bad}, r.Crashes[0].Parts)
+	tr.ReportWritten(second)
+	tr.Answered(ids(rare, common), start.Add(2*time.Second))
+	_, _, changed = tr.Report(start.Add(2 * time.Second))
+	require.False(t, changed, "it is written once")
+	tr.Answered(ids(bad), start.Add(3*time.Second))
+	r, _, changed = tr.Report(start.Add(3 * time.Second))
+	require.True(t, changed)
+	require.Empty(t, r.Crashes)
+}
--- a/test/site/quarantine_test.go
+++ b/test/site/quarantine_test.go
@@ -190,3 +190,68 @@
 		require.True(t, env.call(n, request{path: "/new/x"}).succeeded(), "the watch goes on")
 	})
 }
+
+// Guards against instances that start together and refuse what was served before, because of reports of crashes that answers
+// had acquitted before the instances ended.
+func TestRestartAfterCrashesThatWereAnswered(t *testing.T) {
+	runInBubble(t, func(t *testing.T, env *testEnv) {
+		env.writeConfig()
+		f := newFragileFleet(env, 6, nil)
+		names := []string{"edge-1", "edge-2", "edge-3"}
+		start := func() (nodes []*gatewayNode) {
+			for _, name := range names {
+				nodes = append(nodes, env.addGateway(name))
+			}
+			return nodes
+		}
+		nodes := start()
+		f.settleRoles()
+		call := func(n *gatewayNode, i, events int) *response {
+			f.refresh()
+			return env.call(n, request{path: pathStream + "x", prompt: fmt.Sprintf("f0:50,u%d:100", i), events: events})
+		}
+		for i, n := range nodes {
+			time.Sleep(12 * time.Second) // longer than an answer acquits a part of later crashes
+			var wait sync.WaitGroup
+			wait.Go(func() { call(n, i, 100) })
+			time.Sleep(200 * time.Millisecond)
+			f.crashBusy()
+			wait.Wait()
+		}
+		require.Len(t, f.crashes, len(nodes))
+		for i, n := range nodes {
+			require.True(t, call(n, 100+i, 2).succeeded())
+		}
+		time.Sleep(settleTime)
+		for _, n := range nodes {
+			n.kill()
+		}
+		time.Sleep(time.Second)
+		nodes = start()
+		time.Sleep(settleTime)
+		for i := range 12 {
+			r := call(nodes[i%len(nodes)], 200+i, 2)
+			require.True(t, r.succeeded(), "%d %s", r.status, r.body)
+			time.Sleep(time.Second)
+		}
+		f.stop()
+	})
+}
+
+// crashBusy crashes the workers that run a request.
+func (f *fragileFleet) crashBusy() {
+	f.mu.Lock()
+	var busy []*site.Worker
+	for wk := range f.living {
+		for _, r := range wk.Runs() {
+			if !r.Prefill && r.Ended.IsZero() {
+				busy = append(busy, wk)
+				break
+			}
+		}
+	}
+	f.mu.Unlock()
+	for _, wk := range busy {
+		f.crashNow(wk)
+	}
+}
