Tests: wait for what is due in two tests that failed by chance

TestUsageWindowsOfTheRealProgram asked for windows before they were due: reports may come 10 s after the end of a window, and the check came 2 to 3 s after it, or 12 s after a kill for windows that end 8 s after it. It now waits until the windows are reported or overdue. A window that comes later than the bound is missed as before.

--- a/test/site/leaving_test.go
+++ b/test/site/leaving_test.go
@@ -107,6 +107,11 @@
 		}
 		resting := env.workers[0]
 		resting.SetFault(func(*http.Request) site.Fault { return site.FaultRefuse })
+		// One of two idle workers is chosen by chance.
+		for i := 0; len(resting.Arrivals()) == 0; i++ {
+			require.Less(t, i, 64)
+			require.True(t, env.call(n, request{path: pathOnce + "x"}).succeeded())
+		}
 		for range 6 {
 			require.True(t, env.call(n, request{path: pathOnce + "x"}).succeeded())
 		}
--- a/test/soak/usage_test.go
+++ b/test/soak/usage_test.go
@@ -88,6 +88,24 @@
 	return missed, wrong
 }
 
+// waitForWindows waits until windows are reported, or the last one is overdue.
+func (d *deployment) waitForWindows(first, last int64) {
+	due := time.Unix(0, (last+1)*int64(usageWindow)).Add(usageLate)
+	for ; time.Now().Before(due); time.Sleep(50 * time.Millisecond) {
+		reported := map[int64]bool{}
+		for _, r := range d.usage.Reports() {
+			reported[r.Window] = true
+		}
+		missing := false
+		for w := first; w <= last; w++ {
+			missing = missing || !reported[w]
+		}
+		if !missing {
+			return
+		}
+	}
+}
+
 func currentWindow() int64 { return time.Now().UnixNano() / int64(usageWindow) }
 
 // Guards against usage windows that the real program does not report, or reports with wrong counts, and against windows
@@ -104,6 +122,7 @@
 	first := currentWindow()
 	time.Sleep(8 * usageWindow)
 	last := currentWindow() - 3
+	d.waitForWindows(first, last)
 	missed, wrong := d.checkWindows(first, last)
 	require.Empty(t, missed, "missed windows")
 	require.Empty(t, wrong, "wrong windows")
@@ -122,8 +141,10 @@
 	time.Sleep(usageLate + 2*usageWindow)
 	load.stop(d.runs)
 	// The counts since the last messages of the killed instance are lost, so the windows about the kill may be wrong.
+	d.waitForWindows(last+1, killed)
 	missed, _ = d.checkWindows(last+1, killed)
 	require.Empty(t, missed, "windows missed after the holder was killed")
+	d.waitForWindows(killed+2, killed+7)
 	missed, wrong = d.checkWindows(killed+2, killed+7)
 	require.Empty(t, missed, "windows missed under the next holder")
 	require.Empty(t, wrong, "wrong windows under the next holder")
