Store epochs: a store that comes back from an older copy

platform puts the epoch into revisions, versions and lease IDs, so that a number of an earlier epoch equals none of a later one: watches, writes and leases of an earlier epoch end, a list begins again, answers without or of an earlier epoch are unusable. An authority ends with the first answer of a later epoch, and fences begin above all earlier ones. Registrations that are lost count as lapsed, those of workers that had left are not believed; quarantined parts and reports are written again; the last usage report that was seen counts.

--- a/external/external.go
+++ b/external/external.go
@@ -23,13 +23,40 @@
 	// ErrCompacted means that events after the requested revision have been discarded, so a watch cannot
 	// continue from it.
 	ErrCompacted = errors.New("history compacted")
+	// ErrNewEpoch means that a watch cannot continue because its revision is of an earlier epoch.
+	ErrNewEpoch = errors.New("revision of an earlier epoch")
 	// ErrLeaseExpired means that the lease has expired or was revoked.
 	ErrLeaseExpired = errors.New("lease expired")
 )
 
-// LeaseID identifies a lease of the key-value service. Zero means no lease.
+// LeaseID identifies a lease of the key-value service. Zero means no lease. It contains an epoch like a revision.
 type LeaseID uint64
 
+// epochBits is the number of bits of a revision that count within an epoch: 2^40 changes are 7 years at 5,000 a second.
+const epochBits = 40
+
+// Revisions, versions and IDs of leases contain the epoch of the service, in which it gives each number once. A service that
+// comes back from an older copy begins a new epoch and gives out numbers of before again. Numbers of a later epoch are
+// larger, so that revisions can be compared across epochs; a version or lease of an earlier epoch no longer holds. A
+// service that never goes back has the epoch 0, in which the numbers are its own.
+
+// InEpoch returns the revision, version or lease ID for a number of an epoch. The number 0 stands for none in every epoch.
+func InEpoch(epoch, number uint64) uint64 {
+	if number == 0 {
+		return 0
+	}
+	return epoch<<epochBits | number&(1<<epochBits-1)
+}
+
+// EpochOf returns the epoch of a revision, version or lease ID.
+func EpochOf(revision uint64) uint64 { return revision >> epochBits }
+
+// NumberOf returns the number of a revision, version or lease ID within its epoch.
+func NumberOf(revision uint64) uint64 { return revision & (1<<epochBits - 1) }
+
+// MaxEpoch is the largest epoch that a revision can contain.
+const MaxEpoch = 1<<(64-epochBits) - 1
+
 // KVEntry is a key with its value and versions.
 type KVEntry struct {
 	Key string
@@ -61,7 +88,8 @@
 	Delete(ctx context.Context, key string, expected uint64) error
 	// Watch blocks until a key that starts with prefix changes after the given store revision, or
 	// until the service's own time limit for watches. It returns the events, and the revision to pass
-	// to the next call. It returns ErrCompacted if events after the given revision have been discarded.
+	// to the next call. It returns ErrCompacted if events after the given revision have been discarded, and ErrNewEpoch if
+	// the revision is of an earlier epoch.
 	Watch(ctx context.Context, prefix string, after uint64) ([]KVEvent, uint64, error)
 	// GrantLease creates a lease.
 	GrantLease(ctx context.Context, ttl time.Duration) (LeaseID, error)
--- a/gateway/feed.go
+++ b/gateway/feed.go
@@ -21,6 +21,13 @@
 type Source interface {
 	external.KV
 	Decoder
+	Epochs
+}
+
+// Epochs tells the epoch of the store.
+type Epochs interface {
+	// Epoch returns the latest epoch that a response had; 0 if the store tells none.
+	Epoch() uint64
 }
 
 // Decoder decodes the configuration and the registrations in the store.
@@ -61,7 +68,11 @@
 	subscribers []Subscriber
 	// guard contains the panics of the loops and of the handling of single entries.
 	guard *contain.Guard
-	log   logrus.FieldLogger
+	// revision is that of the last list or watch; 0 before the first list.
+	revision uint64
+	// watchEndedAt is when a watch last ended by a failure, or without its history.
+	watchEndedAt time.Time
+	log          logrus.FieldLogger
 }
 
 // Subscriber gets the entries of the store whose keys have a prefix. It shares the watch of the StoreWatcher, because
@@ -130,6 +141,12 @@
 	if err != nil {
 		return 0, err
 	}
+	newEpoch := f.revision != 0 && external.EpochOf(revision) != external.EpochOf(f.revision)
+	if newEpoch {
+		f.beginEpoch(revision)
+	}
+	f.revision = revision
+	f.roster.NoteEpoch(external.EpochOf(revision))
 	var servers, records []external.KVEntry
 	for _, e := range entries {
 		switch {
@@ -142,13 +159,23 @@
 		}
 	}
 	f.replaceServers(servers)
-	f.contain(func() { f.quarantine.replace(records) })
+	f.contain(func() { f.quarantine.replace(records, newEpoch) })
 	for _, s := range f.subscribers {
 		f.contain(func() { f.replaceSubscribed(s, entries) })
 	}
 	return revision, nil
 }
 
+// beginEpoch prepares for a list of a store that has come back from an older copy: what it lacks may only be lost with the
+// store, and what it has again may be gone.
+func (f *StoreWatcher) beginEpoch(revision uint64) {
+	ended := f.roster.BeginEpoch(f.watchEndedAt)
+	f.log.WithFields(logrus.Fields{
+		"epoch": external.EpochOf(revision), "epoch_before": external.EpochOf(f.revision), "revision": external.NumberOf(revision),
+		"revision_before": external.NumberOf(f.revision), "ended_servers": ended,
+	}).Warn("the store has come back from an older copy; what is known stays until it is written again")
+}
+
 // replaceSubscribed passes the entries of a list to a subscriber.
 func (f *StoreWatcher) replaceSubscribed(s Subscriber, entries []external.KVEntry) {
 	s.Replace(slices.DeleteFunc(slices.Clone(entries), func(e external.KVEntry) bool { return !strings.HasPrefix(e.Key, s.Prefix()) }))
@@ -162,10 +189,15 @@
 	for ctx.Err() == nil {
 		events, next, err := f.source.Watch(ctx, allKeys, revision)
 		switch {
+		case errors.Is(err, external.ErrNewEpoch):
+			// The store has answered, so it may have come back at any time since the last answer.
+			return
 		case errors.Is(err, external.ErrCompacted):
+			f.watchEndedAt = time.Now()
 			f.log.WithField("revision", revision).Info("history compacted; listing again")
 			return
 		case err != nil:
+			f.watchEndedAt = time.Now()
 			if ctx.Err() == nil {
 				f.log.WithError(err).Info("watch ended, listing again")
 			}
@@ -173,7 +205,7 @@
 		}
 		f.roster.StoreConfirmed(time.Now())
 		f.applyEvents(events)
-		revision = next
+		revision, f.revision = next, next
 		if len(events) > 0 {
 			pause.For(ctx, watchBatchDelay)
 		}
--- a/gateway/feed_test.go
+++ b/gateway/feed_test.go
@@ -48,6 +48,7 @@
 	return entries
 }
 
+func (*poisonSource) Epoch() uint64                      { return 0 }
 func (*poisonSource) ConfigKey() string                  { return "config" }
 func (*poisonSource) ServersPrefix() string              { return "servers/" }
 func (*poisonSource) RegistrationID(key string) string   { return strings.TrimPrefix(key, "servers/") }
--- a/gateway/lifetimes.go
+++ b/gateway/lifetimes.go
@@ -27,6 +27,8 @@
 	state *serverState
 	// endedAt is when its registration was removed; zero while it is registered.
 	endedAt time.Time
+	// restored is true if the store has come back from an older copy since then, which may have the registration again.
+	restored bool
 }
 
 // isOlder reports whether a registration was written before the last known one. One without a start is not from a backend
@@ -40,7 +42,7 @@
 	case l.Born != reg.Born:
 		return reg.Born < l.Born
 	}
-	return reg.Seq >= 0 && reg.Seq < l.Seq
+	return reg.Seq >= 0 && (reg.Seq < l.Seq || l.restored && reg.Seq == l.Seq)
 }
 
 // isForeign reports whether a registration names another service than the run had before. A backend server keeps its service,
@@ -89,7 +91,7 @@
 	}
 	delete(ls.heldBack, reg.ID)
 	if l != nil && l.isRun(reg) {
-		l.Registration, l.endedAt = *reg, time.Time{}
+		l.Registration, l.endedAt, l.restored = *reg, time.Time{}, false
 		return true
 	}
 	ls.byID[reg.ID] = &lifetime{Registration: *reg, state: &serverState{}}
@@ -99,6 +101,19 @@
 // state returns the state of the last run of a backend server that was observed.
 func (ls *lifetimes) state(id string) *serverState { return ls.byID[id].state }
 
+// beginEpoch records that the store has come back from an older copy, and returns the number of runs that have ended. What
+// was held back is held back anew if the list that follows has it.
+func (ls *lifetimes) beginEpoch() (ended int) {
+	clear(ls.heldBack)
+	for _, l := range ls.byID {
+		if !l.endedAt.IsZero() {
+			l.restored = true
+			ended++
+		}
+	}
+	return ended
+}
+
 // withdraw forgets an older registration that is no longer in the store.
 func (ls *lifetimes) withdraw(id string) { delete(ls.heldBack, id) }
 
@@ -122,7 +137,7 @@
 		if !held.foreign && now.Sub(held.since) >= olderEntryHold {
 			delete(ls.heldBack, id)
 			if l := ls.byID[id]; l.Born == held.reg.Born {
-				l.Seq = held.reg.Seq
+				l.Seq, l.restored = held.reg.Seq, false
 			} else {
 				l.Born = 0
 			}
--- a/gateway/lifetimes_test.go
+++ b/gateway/lifetimes_test.go
@@ -219,3 +219,46 @@
 	r.Apply([]Change{{ID: "i"}}, start)
 	require.ErrorIs(t, s.admission(start), errGone)
 }
+
+// Guards against a backend server that is used again because the store came back from an older copy that has its entry, and
+// against one that is not used although it goes on writing its own.
+func TestRegistrationsAfterARestore(t *testing.T) {
+	for name, tc := range map[string]struct {
+		seen, restored Registration
+		removed        bool
+		// at once and after the hold time
+		serves, later bool
+	}{
+		"gone, same entry":           {seen: registration(9, 5, false), restored: registration(9, 5, false), removed: true, later: true},
+		"gone, older entry":          {seen: registration(9, 5, false), restored: registration(9, 3, false), removed: true, later: true},
+		"gone, written again":        {seen: registration(9, 5, false), restored: registration(9, 6, false), removed: true, serves: true, later: true},
+		"gone, draining":             {seen: registration(9, 5, true), restored: registration(9, 4, false), removed: true},
+		"draining, older entry":      {seen: registration(9, 5, true), restored: registration(9, 4, false)},
+		"there, older entry":         {seen: registration(9, 5, false), restored: registration(9, 4, false), serves: true, later: true},
+		"there, same entry":          {seen: registration(9, 5, false), restored: registration(9, 5, false), serves: true, later: true},
+		"there, entry of former run": {seen: registration(9, 5, false), restored: registration(8, 7, false), serves: true, later: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := NewRoster()
+			r.Replace([]Registration{tc.seen}, start)
+			if tc.removed {
+				r.Replace(nil, start)
+			}
+			r.BeginEpoch(start.Add(time.Second))
+			r.Replace([]Registration{tc.restored}, start.Add(time.Second))
+			require.Equal(t, tc.serves, len(r.Servers("s")) == 1)
+			r.Expire(start.Add(time.Second + olderEntryHold))
+			require.Equal(t, tc.later, len(r.Servers("s")) == 1)
+		})
+	}
+	// An entry that the store has lost is missed only after a time.
+	r := NewRoster()
+	r.Replace([]Registration{registration(9, 5, false)}, start)
+	r.StoreConfirmed(start)
+	r.BeginEpoch(start.Add(time.Second))
+	r.Replace(nil, start.Add(time.Second))
+	r.Expire(start.Add(time.Second + lapseGrace - time.Millisecond))
+	require.Len(t, r.Servers("s"), 1)
+	r.Expire(start.Add(time.Second + lapseGrace))
+	require.Empty(t, r.Servers("s"))
+}
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -271,8 +271,11 @@
 	return out.Validate()
 }
 
-// replace takes over a list of all records of the quarantine.
-func (q *Quarantine) replace(entries []external.KVEntry) {
+// replace takes over a list of all records of the quarantine, the first one of a new epoch of the store if newEpoch is set.
+func (q *Quarantine) replace(entries []external.KVEntry, newEpoch bool) {
+	if newEpoch {
+		q.tracker.BeginEpoch()
+	}
 	listed := make(map[uint64]bool)
 	for _, e := range entries {
 		if id, err := strconv.ParseUint(strings.TrimPrefix(e.Key, partsPrefix), 16, 64); err == nil {
--- a/gateway/roster.go
+++ b/gateway/roster.go
@@ -27,6 +27,8 @@
 	lifetimes     lifetimes
 	storeFailedAt time.Time
 	confirmedAt   time.Time
+	// epoch is that of the last list of the store.
+	epoch uint64
 	// publishCount counts the published snapshots.
 	publishCount int
 	services     atomic.Pointer[map[string][]*Server]
@@ -109,6 +111,35 @@
 	r.storeFailedAt = startedAt
 }
 
+// BeginEpoch records that the store has come back from an older copy. A registration that is missing now counts as lapsed,
+// and one of a run that has ended applies only if it is newer than the last one that was known. It returns the number of
+// those runs. watchEndedAt is when a watch last failed. The store has come back since then, since it failed, or since it
+// last answered, whichever was last: an entry that is written again comes soon after that.
+func (r *Roster) BeginEpoch(watchEndedAt time.Time) (ended int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, at := range []time.Time{r.confirmedAt, watchEndedAt} {
+		if at.After(r.storeFailedAt) {
+			r.storeFailedAt = at
+		}
+	}
+	return r.lifetimes.beginEpoch()
+}
+
+// NoteEpoch records the epoch of a list of the store.
+func (r *Roster) NoteEpoch(epoch uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.epoch = epoch
+}
+
+// Epoch returns the epoch of the last list of the store; 0 if the store tells none.
+func (r *Roster) Epoch() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.epoch
+}
+
 // StoreConfirmed records that all changes in the store up to now are known.
 func (r *Roster) StoreConfirmed(now time.Time) {
 	r.mu.Lock()
--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -90,12 +90,13 @@
 	if err != nil {
 		return nil, err
 	}
-	return &countingAdapter{KV: telemetry.CountKV(a, m.StoreCall), Decoder: a, Codec: a, Orders: a, Encoder: a, Translator: a}, nil
+	return &countingAdapter{KV: telemetry.CountKV(a, m.StoreCall), Epochs: a, Decoder: a, Codec: a, Orders: a, Encoder: a, Translator: a}, nil
 }
 
 // countingAdapter is an adapter that counts its calls to the store.
 type countingAdapter struct {
 	external.KV
+	gateway.Epochs
 	gateway.Decoder
 	gateway.Codec
 	gateway.Orders
@@ -157,7 +158,7 @@
 		address = s.PeerListen
 	}
 	return lease.NewManager(a, lease.Config{
-		Holder: s.Instance, Address: address, Pools: []string{gateway.RolesPool}, TTL: s.LeaseTTL, SafetyMargin: s.LeaseTTL / leaseMarginDivisor,
+		Holder: s.Instance, Address: address, Epoch: a.Epoch, Pools: []string{gateway.RolesPool}, TTL: s.LeaseTTL, SafetyMargin: s.LeaseTTL / leaseMarginDivisor,
 		MaxPools: 1, PollSpacing: leasePollInterval, Log: log,
 		WakeSpread: func(random float64) time.Duration { return wakeDelay(u.instances(), random) },
 		StillVacant: func() bool {
--- a/internal/app/usage.go
+++ b/internal/app/usage.go
@@ -92,6 +92,7 @@
 	}
 	holder := usage.NewHolder(cfg)
 	sw.Subscribe(usage.NewStoredCounts(holder))
+	sw.Subscribe(usage.NewRecordWatch(holder))
 	counter := &traffic.Counter{}
 	if err := observeTraffic(mm, "peer", "Usage counts between instances:", counter); err != nil {
 		return err
--- a/internal/telemetry/store.go
+++ b/internal/telemetry/store.go
@@ -26,6 +26,7 @@
 	{external.ErrNotFound, "not_found"},
 	{external.ErrConflict, "conflict"},
 	{external.ErrCompacted, "compacted"},
+	{external.ErrNewEpoch, "new_epoch"},
 	{external.ErrLeaseExpired, "lease_expired"},
 	{external.ErrOutcomeUnknown, "outcome_unknown"},
 	{external.ErrUnavailable, "unavailable"},
--- a/lease/acquire.go
+++ b/lease/acquire.go
@@ -32,6 +32,7 @@
 		return Authority{}, s, err
 	}
 	a := NewAuthority(pool, m.cfg.Holder, fence, m.validUntil(s.grantSent))
+	a.state.endsUnless(func() bool { return m.cfg.Epoch() == s.epoch() })
 	if !a.Valid() {
 		m.revoke(ctx, s)
 		return Authority{}, s, fmt.Errorf("acquire pool %q: %w", pool, ErrAuthorityEnded)
@@ -79,11 +80,14 @@
 		if err != nil {
 			return 0, err
 		}
-		r := FenceRecord{Fence: state.FenceRecord.Fence + 1, Holder: m.cfg.Holder, Session: s.id, WriteID: cas.NewID()}
-		_, err = cas.Swap(ctx, m.kv, cas.Write{
+		r := FenceRecord{Fence: max(state.FenceRecord.Fence, firstFence(s.epoch())) + 1, Holder: m.cfg.Holder, Session: s.id, WriteID: cas.NewID()}
+		version, err := cas.Swap(ctx, m.kv, cas.Write{
 			Key: FenceKey(s.pool), Expected: state.fenceVersion, Value: mustEncode(r), ID: r.WriteID,
 			Check: m.checkUnexpired(s),
 		})
+		if err == nil && external.EpochOf(version) != s.epoch() {
+			return 0, fmt.Errorf("increment fence of pool %q: %w", s.pool, ErrAuthorityEnded)
+		}
 		if err == nil {
 			return r.Fence, nil
 		}
@@ -94,10 +98,17 @@
 	return 0, fmt.Errorf("increment fence of pool %q: %w", s.pool, ErrHeld)
 }
 
+// fencesPerEpoch is more than the grants of a pool in one epoch of the key-value service.
+const fencesPerEpoch = 1 << 32
+
+// firstFence returns the number from which fences of an epoch are counted. The fence record may have been lost with grants
+// of earlier epochs, whose numbers must not come again. In the first 2^20 epochs, fences are whole numbers in JSON.
+func firstFence(epoch uint64) uint64 { return epoch * fencesPerEpoch }
+
 // checkUnexpired returns the validity check of a session that has no authority yet.
 func (m *Manager) checkUnexpired(s session) func() error {
 	return func() error {
-		if now().Before(m.validUntil(s.grantSent)) {
+		if now().Before(m.validUntil(s.grantSent)) && m.cfg.Epoch() == s.epoch() {
 			return nil
 		}
 		return ErrAuthorityEnded
--- a/lease/authority.go
+++ b/lease/authority.go
@@ -20,8 +20,13 @@
 	deadline time.Time
 	ended    bool
 	done     chan struct{}
+	// holds reports whether the key-value service still has the grant as far as is known; nil means that it does.
+	holds func() bool
 }
 
+// endsUnless makes the authority end as soon as holds returns false. It must be called before the authority is used.
+func (v *validity) endsUnless(holds func() bool) { v.holds = holds }
+
 // NewAuthority returns an authority that is valid until the given time, which must carry a
 // monotonic clock reading. Manager issues authorities; other packages use this in tests.
 func NewAuthority(pool, holder string, fence uint64, deadline time.Time) Authority {
@@ -53,10 +58,10 @@
 	return a.state.done
 }
 
-// checkDeadline ends the validity if its deadline has passed, and reports whether it is still
+// checkDeadline ends the validity if its deadline has passed or the service has lost the grant, and reports whether it is still
 // valid. The caller holds mu.
 func (v *validity) checkDeadline() bool {
-	if !v.ended && !now().Before(v.deadline) {
+	if !v.ended && (!now().Before(v.deadline) || v.holds != nil && !v.holds()) {
 		v.markEnded()
 	}
 	return !v.ended
--- a/lease/doc.go
+++ b/lease/doc.go
@@ -13,6 +13,13 @@
 // monotonic clock does not count, is added from CLOCK_BOOTTIME. A machine that is suspended between a check and the
 // action that it allows is covered by the checks that package order makes in the sidecar.
 //
+// # Restored services
+//
+// A service that comes back from an older copy begins a new epoch (package external). Leases of earlier epochs may be gone
+// or their numbers be given out again, so that an authority ends as soon as any response of a later epoch was seen; a holder
+// that sees none ends with its lease. The fence of an epoch is above all fences of earlier ones, also if the record was
+// lost. The next holder waits as after any other one.
+//
 // # Lost responses
 //
 // Every record contains a write ID. A writer whose response was lost reads the record back and
--- a/lease/manager.go
+++ b/lease/manager.go
@@ -70,6 +70,9 @@
 	WakeSpread func(random float64) time.Duration
 	// StillVacant reports after that delay whether to poll; nil means always. Another process may have got the pool.
 	StillVacant func() bool
+	// Epoch returns the epoch of the key-value service; nil means that it has one only. A grant of an earlier epoch has
+	// ended.
+	Epoch func() uint64
 	// Random returns a number in [0, 1); nil means math/rand/v2.
 	Random func() float64
 	// OnAcquire is called for each new authority. It must not block.
@@ -105,6 +108,9 @@
 	if cfg.SafetyMargin >= cfg.TTL/keepAlivesPerTTL {
 		return nil, fmt.Errorf("%w: safety margin %v must be below a third of the TTL %v", ErrConfig, cfg.SafetyMargin, cfg.TTL)
 	}
+	if cfg.Epoch == nil {
+		cfg.Epoch = func() uint64 { return 0 }
+	}
 	if cfg.Random == nil {
 		cfg.Random = rand.Float64
 	}
--- a/lease/records.go
+++ b/lease/records.go
@@ -122,3 +122,6 @@
 	lease     external.LeaseID
 	grantSent time.Time // when the request for the lease was sent
 }
+
+// epoch returns the epoch of the key-value service in which the lease was granted.
+func (s *session) epoch() uint64 { return external.EpochOf(uint64(s.lease)) }
--- a/quarantine/shared.go
+++ b/quarantine/shared.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/quetzallug/quetzallug/external"
 )
 
 // Report returns the crashes that this instance has seen and that still count, without the parts that were answered since,
@@ -74,12 +76,54 @@
 	delete(t.merged, reporter)
 }
 
+// BeginEpoch has this instance's report written again, because the store has come back from an older copy.
+func (t *Tracker) BeginEpoch() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.report) > 0 {
+		t.rewrites++
+		t.changeReport()
+	}
+}
+
+// Rewrites returns the number of records that were written again, or are to be, because the store had lost them.
+func (t *Tracker) Rewrites() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.rewrites
+}
+
+// keepsOverRestored reports whether an entry of a new epoch of the store is an older one than is known, which has come back
+// with the store. The known one is written again then.
+func (t *Tracker) keepsOverRestored(h *held, e *Entry, revision uint64, now time.Time) bool {
+	if h.revision == 0 || external.EpochOf(revision) == external.EpochOf(h.revision) {
+		return false
+	}
+	same := e.Probes == h.Probes && e.Lifted == h.Lifted
+	if !same && external.NumberOf(revision) > external.NumberOf(h.revision) {
+		return false
+	}
+	h.revision = revision
+	if !same {
+		t.rewrites++
+	}
+	switch {
+	case same:
+	case h.By == t.instance:
+		h.writeAt = now
+	default:
+		h.writeAt = now.Add(adoptDelay)
+	}
+	t.signal()
+	return true
+}
+
 // MergeEntry takes over an entry of the store. revision is that of the store's item.
 func (t *Tracker) MergeEntry(e Entry, revision uint64, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	h := t.entries[e.ID]
-	if h != nil && revision <= h.revision {
+	if h != nil && (revision <= h.revision || t.keepsOverRestored(h, &e, revision, now)) {
 		return
 	}
 	if h == nil {
@@ -128,6 +172,7 @@
 		t.forget(h)
 		return
 	}
+	t.rewrites++
 	h.revision, h.writeAt = 0, now.Add(adoptDelay)
 	t.signal()
 }
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -142,6 +142,8 @@
 	// merged holds the last crash taken from each reporter.
 	merged map[string]mergedReport
 	events []Event
+	// rewrites counts the records that are written again because the store had lost them.
+	rewrites int
 }
 
 type ownCrash struct {
--- a/standin/site/worker.go
+++ b/standin/site/worker.go
@@ -197,6 +197,14 @@
 	w.Register(s)
 }
 
+// Heartbeat writes the worker's entry again.
+func (w *Worker) Heartbeat(s *Store) {
+	w.mu.Lock()
+	w.seq++
+	w.mu.Unlock()
+	w.Register(s)
+}
+
 // Runs returns copies of the worker's runs, oldest first.
 func (w *Worker) Runs() []Run {
 	w.mu.Lock()
--- a/test/site/usagefaults_test.go
+++ b/test/site/usagefaults_test.go
@@ -17,8 +17,9 @@
 )
 
 var (
-	usageAll   = flag.Bool("usage-all", false, "inject each failure of TestUsageFaults at each offset in a window")
-	usageSeeds = flag.Int("usage-seeds", 0, "number of new random seeds of TestUsageUnderDrawnFaults; 0 runs the fixed seeds")
+	usageAll     = flag.Bool("usage-all", false, "inject each failure of TestUsageFaults at each offset in a window")
+	restoreSeeds = flag.Int("restore-seeds", 20, "number of seeds of TestDrawnRestores")
+	usageSeeds   = flag.Int("usage-seeds", 0, "number of new random seeds of TestUsageUnderDrawnFaults; 0 runs the fixed seeds")
 )
 
 // cut cuts both directions between two hosts.
@@ -132,6 +133,21 @@
 		u.setWallError(name, 0)
 	}},
 	"wall clock of the holder stays wrong": {inject: func(u *usageEnv) { u.setWallError(u.holderNode().host.Name, -3*time.Second) }},
+	"store restored":                       {inject: func(u *usageEnv) { u.env.restoreAfter(7 * time.Second) }, missed: 1},
+	"store restored without the lease": {inject: func(u *usageEnv) {
+		c := u.env.store.Copy()
+		u.kill(u.holderNode())
+		time.Sleep(10 * time.Second)
+		u.env.restore(c)
+	}, missed: 2, wrong: 1},
+	"store restored, and the holder killed": {inject: func(u *usageEnv) {
+		u.env.restoreAfter(7 * time.Second)
+		u.kill(u.holderNode())
+	}, missed: 2, wrong: 1},
+	"store restored twice": {inject: func(u *usageEnv) {
+		u.env.restoreAfter(4 * time.Second)
+		u.env.restoreAfter(4 * time.Second)
+	}, missed: 2},
 	"instance starts with a wrong clock": {inject: func(u *usageEnv) {
 		u.setWallError("edge-4", 3*time.Second)
 		u.sendLoad(u.env.addGateway("edge-4"))
--- a/test/site/usageworld_test.go
+++ b/test/site/usageworld_test.go
@@ -118,6 +118,7 @@
 	x.watch.OnVacant(leases.Wake)
 	watcher.Subscribe(x.watch)
 	watcher.Subscribe(usage.NewStoredCounts(x.holder))
+	watcher.Subscribe(usage.NewRecordWatch(x.holder))
 	mux := http.NewServeMux()
 	mux.Handle(usagerpc.NewHandler(x.holder))
 	srv := rpc.NewServer(mux)
--- a/usage/holder.go
+++ b/usage/holder.go
@@ -79,6 +79,9 @@
 	stored       map[string]*storedMessage
 	// floor is the last window that is known to be decided, also if the store has lost the record.
 	floor int64
+	// newest is the record with the last window that this process has seen in the store. A store that comes back from an
+	// older copy has an earlier one.
+	newest *Record
 	// copies holds the last copy of the counts of other instances by instance.
 	copies      map[string]*Message
 	storedBytes int
@@ -184,6 +187,30 @@
 	h.floor = max(h.floor, through)
 }
 
+// noteRecord keeps the record with the last window.
+func (h *Holder) noteRecord(rec *Record) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.newest == nil || rec.Window > h.newest.Window {
+		h.newest = rec
+	}
+}
+
+// newestRecord returns a record of the store, or a later one that the store has lost.
+func (h *Holder) newestRecord(stored *Record) *Record {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.newest == nil || stored != nil && stored.Window >= h.newest.Window {
+		return stored
+	}
+	log := h.cfg.Log.WithField("window", h.newest.Window)
+	if stored != nil {
+		log = log.WithField("stored", stored.Window)
+	}
+	log.Warn("the store has lost the record of the last usage report; the one that was seen before counts")
+	return h.newest
+}
+
 // maxCopies and maxCopiedAccounts limit the copies and the counts in each: those of one instance in the windows that are
 // still due.
 const (
@@ -267,6 +294,7 @@
 		pause.For(ctx, minRetryDelay)
 		return false
 	}
+	rec = h.newestRecord(rec)
 	h.version, h.loaded = version, a.Fence
 	h.reporter = reporter{windows: h.cfg.Windows}
 	h.mu.Lock()
@@ -331,6 +359,7 @@
 		return
 	}
 	h.version = version
+	h.noteRecord(rec)
 	h.reporter.recorded(rep)
 	h.decide(window)
 	h.call(ctx, a)
--- a/usage/watch.go
+++ b/usage/watch.go
@@ -112,6 +112,42 @@
 	}
 }
 
+// RecordWatch tells a holder which windows are decided by the records of reports. A store that comes back from an older copy
+// has an older record, and another instance may report next.
+type RecordWatch struct{ holder *Holder }
+
+// NewRecordWatch returns a RecordWatch.
+func NewRecordWatch(h *Holder) *RecordWatch { return &RecordWatch{holder: h} }
+
+// Prefix returns the prefix of the keys to watch.
+func (*RecordWatch) Prefix() string { return RecordKey }
+
+// Replace implements gateway.Subscriber.
+func (w *RecordWatch) Replace(entries []external.KVEntry) {
+	for _, e := range entries {
+		w.note(e)
+	}
+}
+
+// Apply implements gateway.Subscriber.
+func (w *RecordWatch) Apply(e external.KVEvent) {
+	if !e.Deleted {
+		w.note(e.KVEntry)
+	}
+}
+
+func (w *RecordWatch) note(e external.KVEntry) {
+	if e.Key != RecordKey {
+		return
+	}
+	var rec Record
+	if err := json.Unmarshal(e.Value, &rec); err != nil {
+		w.holder.cfg.Log.WithField("key", e.Key).Warn("record of the usage reports is unreadable")
+		return
+	}
+	w.holder.noteRecord(&rec)
+}
+
 // storedMessage is a message that an instance wrote to the store.
 type storedMessage struct {
 	Message
