--- a/gateway/memory.go
+++ b/gateway/memory.go
@@ -34,6 +34,8 @@
 	bufferStep = 16 << 10
 	// maxDeclaredBuffer limits the buffer that is reserved for a response by its declared length, which may be wrong.
 	maxDeclaredBuffer = 1 << 20
+	// garbagePart is the part of the budget, as a divisor, that dropped buffers may take in addition to it.
+	garbagePart = 2
 	// defaultMemoryBudget is the budget in bytes if the configuration of the gateway has none.
 	defaultMemoryBudget = 32 << 20
 )
@@ -45,6 +47,8 @@
 	limit int64
 	// onShortage is called when a request must wait for memory.
 	onShortage func()
+	// garbage limits what dropped buffers take besides the budget.
+	garbage garbageLimit
 
 	mu      sync.Mutex
 	used    int64
@@ -61,7 +65,7 @@
 	if limit <= 0 {
 		limit = defaultMemoryBudget
 	}
-	return &memoryBudget{limit: limit, onShortage: func() {}}
+	return &memoryBudget{limit: limit, onShortage: func() {}, garbage: garbageLimit{limit: limit / garbagePart}}
 }
 
 // fits reports whether size bytes are left for something that takes total bytes with them. The caller must hold mu.
@@ -184,6 +188,25 @@
 	return b.used
 }
 
+// grown returns a copy of buf with room for size more bytes, which must have been reserved.
+func (b *memoryBudget) grown(buf []byte, size int64) []byte {
+	b.garbage.add(int64(cap(buf)))
+	b.garbage.wait()
+	return append(make([]byte, 0, cap(buf)+int(size)), buf...)
+}
+
+// newBuffer returns an empty buffer of a size that must have been reserved.
+func (b *memoryBudget) newBuffer(size int64) []byte {
+	b.garbage.wait()
+	return make([]byte, 0, size)
+}
+
+// drop gives back what was reserved for a buffer that is no longer used.
+func (b *memoryBudget) drop(size int64) {
+	b.garbage.add(size)
+	b.release(size)
+}
+
 // readAll reads a whole response of at most limit bytes. release must be called once the bytes are no
 // longer needed.
 func (b *memoryBudget) readAll(r io.Reader, limit int) (body []byte, release func(), err error) {
@@ -194,11 +217,11 @@
 // leaves no garbage, which is otherwise as much as the response.
 func (b *memoryBudget) readSized(r io.Reader, limit int, length int64) (body []byte, release func(), err error) {
 	charged := int64(0)
-	release = func() { b.release(charged) }
+	release = func() { b.drop(charged) }
 	buf := make([]byte, 0, 512)
 	if size := min(length, maxDeclaredBuffer) + 1; size > bufferStep && b.tryReserve(size) {
 		charged = size
-		buf = make([]byte, 0, size) // with room for the end of the response to be noticed
+		buf = b.newBuffer(size) // with room for the end of the response to be noticed
 	}
 	for {
 		if len(buf) == cap(buf) {
@@ -207,7 +230,7 @@
 				return nil, release, errResponseTooLarge
 			}
 			charged += grow
-			buf = append(make([]byte, 0, cap(buf)+int(grow)), buf...)
+			buf = b.grown(buf, grow)
 		}
 		n, err := r.Read(buf[len(buf):cap(buf)])
 		buf = buf[:len(buf)+n]
@@ -244,7 +267,7 @@
 		return errNoMemory
 	}
 	h.size = length
-	h.bytes = make([]byte, length)
+	h.bytes = h.budget.newBuffer(length)[:length]
 	_, err = io.ReadFull(r, h.bytes)
 	return err
 }
@@ -259,7 +282,7 @@
 				return errNoMemory
 			}
 			h.size += grow
-			h.bytes = append(make([]byte, 0, cap(h.bytes)+int(grow)), h.bytes...)
+			h.bytes = h.budget.grown(h.bytes, grow)
 		}
 		n, err := r.Read(h.bytes[len(h.bytes):cap(h.bytes)])
 		h.bytes = h.bytes[:len(h.bytes)+n]
@@ -275,7 +298,7 @@
 // drop gives the memory back. The body must not be sent again.
 func (h *heldBody) drop() {
 	if h.size > 0 {
-		h.budget.release(h.size)
+		h.budget.drop(h.size)
 	}
 	h.bytes, h.size = nil, 0
 }
--- a/gateway/memory_test.go
+++ b/gateway/memory_test.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"io"
+	"runtime"
+	"runtime/debug"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -154,3 +156,30 @@
 		require.Zero(t, b.inUse())
 	}
 }
+
+// Guards against dropped bodies that add up to many times the budget before the runtime collects them: a collection takes
+// long on a busy machine, and the budget alone admits the next bodies meanwhile.
+func TestDroppedBodiesAreCollected(t *testing.T) {
+	const budget, size = 8 << 20, 1 << 20
+	for _, length := range []int64{size, -1} {
+		b := newMemoryBudget(budget)
+		before := heapSize()
+		runtimeGC := debug.SetGCPercent(-1)
+		for range 200 {
+			h := heldBody{budget: b}
+			require.NoError(t, h.read(t.Context(), io.LimitReader(endless{}, size), length))
+			h.drop()
+		}
+		grown := heapSize() - before
+		debug.SetGCPercent(runtimeGC)
+		require.LessOrEqual(t, grown, int64(budget), "bytes held after 200 bodies of %d bytes, length %d", size, length)
+		require.Zero(t, b.inUse())
+	}
+}
+
+// heapSize returns the bytes of the heap, with those that are no longer used and not collected yet.
+func heapSize() int64 {
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
