test/soak: TestStatusAndMetricsOfTheRealProgram waits for a report that is due

The test slept 4 windows (4 s) after its requests and then took a report for granted.

Now the test waits until the window of its requests is reported, at most until it is due, and checks that it was in time, with the right counts, and that the status lists it as reported. The bound is the stated one, and what is checked is more than before.

--- a/test/soak/status_test.go
+++ b/test/soak/status_test.go
@@ -18,6 +18,7 @@
 	"github.com/quetzallug/quetzallug/internal/cli"
 	"github.com/quetzallug/quetzallug/internal/testcluster"
 	"github.com/quetzallug/quetzallug/standin/site"
+	"github.com/quetzallug/quetzallug/usage"
 )
 
 // Guards against running gateways whose state operators cannot see: it checks the status and workers
@@ -43,6 +44,7 @@
 		w.SetFault(func(*http.Request) site.Fault { return site.FaultRefuse })
 	}
 	send("once")
+	window := currentWindow()
 	c, err := net.Dial("tcp", d.gateways[0].address)
 	require.NoError(t, err)
 	_, err = io.WriteString(c, "no request\r\n\r\n")
@@ -62,14 +64,18 @@
 		Config   uint64 `json:"config"`
 		Servers  int    `json:"servers"`
 		Usage    *struct {
-			Holder  string `json:"holder"`
-			Holding bool   `json:"holding"`
-			Fence   uint64 `json:"fence"`
-			Recent  []any  `json:"recent"`
+			Holder  string               `json:"holder"`
+			Holding bool                 `json:"holding"`
+			Fence   uint64               `json:"fence"`
+			Recent  []usage.WindowStatus `json:"recent"`
 		} `json:"usage"`
 	}
-	// A window has been reported by then.
-	time.Sleep(4 * usageWindow)
+	d.waitForWindows(window, window)
+	missed, wrong := d.checkWindows(window, window)
+	require.Empty(t, missed, "missed windows")
+	require.Empty(t, wrong, "wrong windows")
+	// The holder has the platform's answer by then.
+	time.Sleep(usageWindow)
 	require.NoError(t, json.Unmarshal([]byte(runCLI("status")), &status))
 	require.Len(t, status, 2)
 	require.Equal(t, "edge-0", status[0].Instance)
@@ -82,6 +88,7 @@
 		if s.Usage.Holding {
 			require.NotZero(t, s.Usage.Fence)
 			require.NotEmpty(t, s.Usage.Recent)
+			require.Equal(t, usage.OutcomeReported, s.Usage.Recent[0].Outcome)
 		}
 	}
 	var workers []gateway.ServerStatus
