usage: a plain run counts in the window in which it began

Seen: TestUsageOfHolderWithWrongClock fails in 4 of 180 runs, one account 3 runs too high or low in a window of about 50, which the next one makes up.

Cause: runs that are no streams were counted when the head of the answer came, later than they began by their service time.

Change: such a request counts with the time of its send once its answer shows that it ran; one that has no answer when its window is closed counts then.

Measured: TestUsageCountsPlainRunsWhereTheyBegan reported 0 of 20 runs in their window before, 20 after.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -22,8 +22,10 @@
 	// limit is when the time has passed that the backend server was given.
 	limit           time.Time
 	pendingReleased bool
-	// runRecorded is true once the run was recorded for the client account.
+	// runRecorded is true once the run of a stream was recorded for the client account.
 	runRecorded bool
+	// settleRun records whether a request that is no stream began to run.
+	settleRun func(began bool)
 	// transferFrom has prefilled the prompt, which is transferred to server; nil if there is no
 	// transfer, or after it was recorded.
 	transferFrom *Server
@@ -42,14 +44,23 @@
 	return res
 }
 
-// recordRun records for the client account that the run on the backend server began. Only the first call has an effect.
-func (a *attempt) recordRun(at time.Time) {
+// recordStreamBegan records for the client account that a stream began to run. Only the first call has an effect.
+func (a *attempt) recordStreamBegan(at time.Time) {
 	if u := a.q.g.cfg.Usage; u != nil && a.q.account != nil && !a.runRecorded {
 		a.runRecorded = true
 		u.RunBegan(a.q.account.Name, at)
 	}
 }
 
+// recordSent records for the client account that the request is sent. A stream begins to run with its first event, any
+// other request when it arrives.
+func (a *attempt) recordSent() {
+	a.settleRun = func(bool) {}
+	if u := a.q.g.cfg.Usage; u != nil && a.q.account != nil && !a.q.route.Stream {
+		a.settleRun = u.RunSent(a.q.account.Name, a.sentAt)
+	}
+}
+
 // recordTransfer records how much longer than expected the prompt transfer took, for both of its
 // backend servers. Only the first call has an effect.
 func (a *attempt) recordTransfer(now time.Time) {
@@ -79,14 +90,13 @@
 // sendAndHandle sends the request and handles the response, which it forwards unless the attempt has
 // failed.
 func (a *attempt) sendAndHandle() attemptResult {
+	a.recordSent()
 	resp, m, res := a.roundTrip()
 	if resp == nil {
 		return res
 	}
 	defer resp.Close(a.q.g.pool)
-	if !m.NotRun && !m.AddressReused && !a.q.route.Stream {
-		a.recordRun(time.Now())
-	}
+	a.settleRun(!m.NotRun && !m.AddressReused)
 	switch {
 	case m.NotRun || m.AddressReused:
 		return a.handleRefusal(resp, m)
@@ -123,9 +133,9 @@
 		Header: codec.Header(q.r.Header, a.forwarded), Body: q.body.bytes, Sends: &q.connections, NewConnection: q.metadata.ID == "", Memory: q.g.memory, Check: q.checkSend(a.server, true),
 	}, q.isResponseToRequest)
 	now = time.Now()
-	if err != nil && !errors.Is(err, upstream.ErrNotSent) && !isHeld(err) && !q.route.Stream {
-		// The backend server has most probably run the request; only its response is missing.
-		a.recordRun(a.sentAt)
+	if err != nil {
+		// If it was sent, the backend server has most probably run the request; only its response is missing.
+		a.settleRun(!errors.Is(err, upstream.ErrNotSent) && !isHeld(err))
 	}
 	switch {
 	case err == nil:
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -143,6 +143,9 @@
 type UsageRecorder interface {
 	// RunBegan is called when a run of an account has begun on a backend server.
 	RunBegan(account string, at time.Time)
+	// RunSent is called when a request of an account is sent that begins to run when it arrives, and settle when it is
+	// known whether it did.
+	RunSent(account string, at time.Time) (settle func(began bool))
 }
 
 // Gateway forwards callers' requests to backend servers. It is safe for concurrent use.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -69,7 +69,7 @@
 		now := time.Now()
 		isEvent := holdsEvent(event)
 		if isEvent {
-			a.recordRun(now)
+			a.recordStreamBegan(now)
 		}
 		if q.r.Context().Err() != nil {
 			q.finish(outcomeGone, "")
--- a/test/site/usage_test.go
+++ b/test/site/usage_test.go
@@ -68,6 +68,33 @@
 	}
 }
 
+// Guards against runs that count in the window in which they are answered instead of that in which they began.
+func TestUsageCountsPlainRunsWhereTheyBegan(t *testing.T) {
+	runInBubble(t, func(t *testing.T, env *testEnv) {
+		// The answers come after all instances have closed the window.
+		const serviceTime, untilEnd, count = 1500 * time.Millisecond, 500 * time.Millisecond, 20
+		u := newUsageEnv(env)
+		env.writeConfig()
+		env.addWorker(site.WorkerConfig{ID: "i-api-0", Service: "api", Slots: count, ServiceTime: serviceTime})
+		env.addGateway("edge-1")
+		time.Sleep(settleTime)
+		sleepIntoWindow(usageWindow - untilEnd)
+		began := window()
+		for range count {
+			u.load.Go(func() {
+				env.call(env.gateways[0], request{path: pathOnce + "x", header: http.Header{"Authorization": {"Bearer key-puhu"}}})
+			})
+		}
+		u.finish()
+		time.Sleep(usageWindow + usageLate)
+		u.check()
+		require.EqualValues(t, count, u.runs(began)["puhu"])
+		for _, r := range u.usage.Reports() {
+			require.Equal(t, u.runs(r.Window)["puhu"], r.Counts["puhu"], "window %d of %d", r.Window, began)
+		}
+	})
+}
+
 // Guards against a holder whose clock is wrong when it starts, and which therefore names windows of the future in its
 // record: none would be reported until then.
 func TestUsageOfHolderWithWrongClock(t *testing.T) {
--- a/usage/counter.go
+++ b/usage/counter.go
@@ -21,6 +21,14 @@
 	closed int64
 	// leftOut counts the runs of accounts beyond maxAccounts.
 	leftOut int64
+	// unanswered holds the runs that have most probably begun.
+	unanswered map[*unansweredRun]struct{}
+}
+
+// unansweredRun is a run of a request that was sent and has no answer yet.
+type unansweredRun struct {
+	account string
+	sentAt  time.Time
 }
 
 type ownWindow struct {
@@ -31,16 +39,45 @@
 
 // NewCounter returns a Counter. now is the window clock.
 func NewCounter(w Windows, now func() time.Time) *Counter {
-	return &Counter{windows: w, now: now, counts: make(map[int64]*ownWindow), closed: w.At(now()) - 1}
+	return &Counter{windows: w, now: now, counts: make(map[int64]*ownWindow), closed: w.At(now()) - 1, unanswered: make(map[*unansweredRun]struct{})}
 }
 
 // RunBegan counts a run of an account that began at a time, which has a monotonic reading. A run that is reported after
 // its window was closed counts in the first open window.
 func (c *Counter) RunBegan(account string, at time.Time) {
-	window := c.windows.At(c.now().Add(-time.Since(at)))
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	window = max(window, c.closed+1)
+	c.count(account, at)
+}
+
+// RunSent records that a request of an account was sent at a time, which has a monotonic reading. settle must be called
+// once it is known whether it began to run. If its window is closed before, it counts: a refusal comes within milliseconds.
+func (c *Counter) RunSent(account string, at time.Time) (settle func(began bool)) {
+	r := &unansweredRun{account, at}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unanswered[r] = struct{}{}
+	return func(began bool) { c.settle(r, began) }
+}
+
+func (c *Counter) settle(r *unansweredRun, began bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if _, ok := c.unanswered[r]; !ok {
+		return
+	}
+	delete(c.unanswered, r)
+	if began {
+		c.count(r.account, r.sentAt)
+	}
+}
+
+// windowAt returns the window of a time, which has a monotonic reading.
+func (c *Counter) windowAt(t time.Time) int64 { return c.windows.At(c.now().Add(-time.Since(t))) }
+
+// count counts a run. The caller must hold mu.
+func (c *Counter) count(account string, at time.Time) {
+	window := max(c.windowAt(at), c.closed+1)
 	w := c.counts[window]
 	if w == nil {
 		if len(c.counts) >= maxWindows {
@@ -66,6 +103,12 @@
 	if c.closed > through+1 {
 		c.reopen(through)
 	}
+	for r := range c.unanswered {
+		if c.windowAt(r.sentAt) <= through {
+			delete(c.unanswered, r)
+			c.count(r.account, r.sentAt)
+		}
+	}
 	c.closed = max(c.closed, through)
 	oldest := c.closed - int64(retention/c.windows.Length)
 	maps.DeleteFunc(c.counts, func(w int64, _ *ownWindow) bool { return w < oldest })
