usage: messages to the holder do not wait for writes to the store

Seen: a traced failure of TestUsageFaults/store_down_for_longer_at_2.5s, where the counts of one of three instances came 25 ms after the report.

Cause: while the holder is out of reach an instance also writes its counts to the store, in the loop that sends them. A store that is slow or answers late kept the instance from sending for 1 s after the holder was in reach again.

Change: a loop of its own writes to the store, one write at a time.

--- a/internal/app/usage.go
+++ b/internal/app/usage.go
@@ -114,6 +114,7 @@
 	drainDeadline := func() time.Time { return h.stoppingSince.Add(drainTime(s.Grace)) }
 	serveUntilDrainDeadline(lc, sd, log, srv, s.PeerListen, limit, drainDeadline, func(context.Context) {})
 	runInBackground(lc, guard.Loop("usage counts", u.sender.Run))
+	runInBackground(lc, guard.Loop("usage counts in the store", u.sender.RunStore))
 	runInBackground(lc, guard.Loop("usage reports", holder.Run))
 	return nil
 }
--- a/test/site/usageworld_test.go
+++ b/test/site/usageworld_test.go
@@ -128,7 +128,7 @@
 		_ = srv.Close()
 		clients.Close()
 	})
-	return []func(context.Context){x.sender.Run, x.holder.Run}
+	return []func(context.Context){x.sender.Run, x.sender.RunStore, x.holder.Run}
 }
 
 // holderOf returns the gateway that holds the lease.
--- a/usage/sender.go
+++ b/usage/sender.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -93,9 +94,12 @@
 	// final counts of.
 	session   string
 	finalSent int64
-	// storedThrough is the last window whose final counts were written to the store, and version that of the key.
+	// storedThrough is the last window whose final counts were written to the store, and version that of the key. They
+	// belong to RunStore while storing is true.
 	storedThrough int64
 	version       uint64
+	storing       atomic.Bool
+	storeJobs     chan storeJob
 	// disagreesSince is since when most instances have disagreed with the clock; zero if they agree.
 	disagreesSince time.Time
 
@@ -116,12 +120,18 @@
 	instances    int
 }
 
+// storeJob asks for the final counts of windows up to one to be written to the store.
+type storeJob struct {
+	final int64
+	now   time.Time
+}
+
 // NewSender returns a Sender.
 func NewSender(cfg SenderConfig) *Sender {
 	now := cfg.Clock.Now()
 	return &Sender{
 		cfg: cfg, run: now.UnixNano(), random: rand.Float64(),
-		finalSent: cfg.Windows.At(now) - 1,
+		finalSent: cfg.Windows.At(now) - 1, storeJobs: make(chan storeJob, 1),
 	}
 }
 
@@ -186,22 +196,44 @@
 func (s *Sender) step(ctx context.Context) {
 	now := s.cfg.Clock.Now()
 	final := s.cfg.Counter.Close(s.cfg.Windows.At(now.Add(-finalDelay/2)) - 1)
-	s.storeIfDue(ctx, final, now)
 	s.send(ctx, final)
+	s.storeIfDue(final, now)
 }
 
-// storeIfDue writes the final counts to the store if the holder has been out of reach for long enough.
-func (s *Sender) storeIfDue(ctx context.Context, final int64, now time.Time) {
+// storeIfDue has the final counts written to the store if the holder has been out of reach for long enough.
+func (s *Sender) storeIfDue(final int64, now time.Time) {
+	if s.storing.Load() {
+		return
+	}
 	failing := s.failing()
 	oldest := max(s.storedThrough, s.finalSent) + 1
 	if _, _, ok := s.target(); !ok || failing.IsZero() || oldest > final {
 		return
 	}
 	if now.Sub(failing) >= storeAfterFailure && now.Sub(s.cfg.Windows.End(oldest)) >= storeAfterWindow {
-		s.store(ctx, final, now)
+		s.storing.Store(true)
+		s.storeJobs <- storeJob{final, now}
+	}
+}
+
+// RunStore writes counts to the store until the context ends. The store may be slow, and the holder in reach again
+// meanwhile, so that Run does not wait for it.
+func (s *Sender) RunStore(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case job := <-s.storeJobs:
+			s.runStoreJob(ctx, job)
+		}
 	}
 }
 
+func (s *Sender) runStoreJob(ctx context.Context, job storeJob) {
+	defer s.storing.Store(false)
+	s.store(ctx, job.final, job.now)
+}
+
 // send sends the counts that changed, and the final ones of windows up to one.
 func (s *Sender) send(ctx context.Context, final int64) {
 	address, session, ok := s.target()
