--- a/test/site/restore_test.go
+++ b/test/site/restore_test.go
@@ -24,13 +24,12 @@
 // restore lets the store come back from a copy, after an outage. Living workers and the operator write again what they had
 // written.
 func (env *testEnv) restore(c *site.Copy) {
-	config := env.store.Value("op/config")
 	env.store.SetMode(site.StoreReset)
 	time.Sleep(restoreOutage)
 	env.store.Restore(c)
 	env.store.SetMode(site.StoreUp)
 	time.AfterFunc(rewriteDelay, func() {
-		env.store.Put("op/config", config)
+		env.store.Put("op/config", env.config)
 		env.mu.Lock()
 		defer env.mu.Unlock()
 		for _, wk := range env.workers {
--- a/test/site/world_test.go
+++ b/test/site/world_test.go
@@ -50,7 +50,9 @@
 	storeHost  *memnet.Host
 	callerHost *memnet.Host
 	version    int
-	cleanups   []func()
+	// config is the newest configuration of the operator.
+	config   jsonMap
+	cleanups []func()
 	// accounts are the client accounts of the configuration; nil leaves them out.
 	accounts []jsonMap
 	// revocationBound is that of the gateways.
@@ -275,6 +277,7 @@
 	if env.accounts != nil {
 		config["tenants"] = env.accounts
 	}
+	env.config = config
 	env.store.Put("op/config", config)
 }
 
