gateway: the log line of a restored store tells what the store lacks

The line told eras, revisions and the workers that had left; it was written before the list was applied. It comes after that now and tells as well how many workers are used though the store lacks their entries, the versions of the configuration in force and in the store, and how many records this instance has written again.

TestRestoresAreLogged failed before at the missing fields.

--- a/gateway/feed.go
+++ b/gateway/feed.go
@@ -144,8 +144,9 @@
 		return 0, err
 	}
 	newEpoch := f.revision != 0 && external.EpochOf(revision) != external.EpochOf(f.revision)
+	var restored restoredStore
 	if newEpoch {
-		f.beginEpoch(revision)
+		restored = f.beginEpoch()
 	}
 	f.revision = revision
 	f.roster.NoteEra(f.source.Era())
@@ -165,17 +166,48 @@
 	for _, s := range f.subscribers {
 		f.contain(func() { f.replaceSubscribed(s, entries) })
 	}
+	if newEpoch {
+		f.logEpoch(restored, entries)
+	}
 	return revision, nil
 }
 
+// restoredStore is what was known before the store came back from an older copy.
+type restoredStore struct {
+	era, revision uint64
+	// ended is the number of runs of backend servers that have ended, whose old entries are not believed.
+	ended int
+	// rewrites is the number of records that this instance had written again.
+	rewrites int
+}
+
 // beginEpoch prepares for a list of a store that has come back from an older copy: what it lacks may only be lost with the
 // store, and what it has again may be gone.
-func (f *StoreWatcher) beginEpoch(revision uint64) {
-	ended := f.roster.BeginEpoch(f.watchEndedAt)
-	f.log.WithFields(logrus.Fields{
-		"era": f.source.Era(), "era_before": f.roster.Era(), "revision": external.NumberOf(revision),
-		"revision_before": external.NumberOf(f.revision), "ended_servers": ended,
-	}).Warn("the store has come back from an older copy; what is known stays until it is written again")
+func (f *StoreWatcher) beginEpoch() restoredStore {
+	return restoredStore{
+		era: f.roster.Era(), revision: f.revision, ended: f.roster.BeginEpoch(f.watchEndedAt), rewrites: f.quarantine.tracker.Rewrites(),
+	}
+}
+
+// logEpoch logs what became of the state after the first list of a new epoch.
+func (f *StoreWatcher) logEpoch(before restoredStore, entries []external.KVEntry) {
+	log := f.log.WithFields(logrus.Fields{
+		"era": f.source.Era(), "era_before": before.era, "revision": external.NumberOf(f.revision),
+		"revision_before": external.NumberOf(before.revision), "ended_servers": before.ended, "missing_servers": f.roster.Lapsed(),
+		"records_written_again": f.quarantine.tracker.Rewrites() - before.rewrites,
+	})
+	if t := f.tables.Table(); t != nil {
+		log = log.WithField("config", t.Version)
+	}
+	for _, e := range entries {
+		if e.Key != f.source.ConfigKey() {
+			continue
+		}
+		if t, err := f.decodeTable(e.Value); err == nil {
+			log = log.WithField("stored_config", t.Version)
+		}
+	}
+	log.Warn("the store has come back from an older copy; what is known stays until it is written again")
 }
 
 // replaceSubscribed passes the entries of a list to a subscriber.
--- a/gateway/roster.go
+++ b/gateway/roster.go
@@ -104,6 +104,13 @@
 	return len(r.servers)
 }
 
+// Lapsed returns the number of registrations that are kept although they are missing in the store.
+func (r *Roster) Lapsed() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.lapsed)
+}
+
 // StoreFailed records that a call to the store failed that began at the given time.
 func (r *Roster) StoreFailed(startedAt time.Time) {
 	r.mu.Lock()
--- a/test/site/restore_test.go
+++ b/test/site/restore_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"regexp"
 	"testing"
 	"time"
 
@@ -102,6 +103,35 @@
 	})
 }
 
+// Guards against operators who cannot tell what a store that has come back lacks, and what instances do about it: each one
+// logs a line.
+func TestRestoresAreLogged(t *testing.T) {
+	runInBubble(t, func(t *testing.T, env *testEnv) {
+		startRestored(env)
+		older := env.version
+		c := env.store.Copy()
+		env.addWorker(site.WorkerConfig{ID: "i-lost", Service: "api"})
+		env.leave(env.workers[0])
+		env.writeConfig()
+		time.Sleep(settleTime + lapsedTime)
+		require.NotContains(t, env.seen.text(), restoredLine)
+		env.restore(c)
+		time.Sleep(settleTime)
+		lines := regexp.MustCompile(".*"+restoredLine+".*").FindAllString(env.seen.text(), -1)
+		require.Len(t, lines, 2)
+		for _, line := range lines {
+			for _, field := range []string{
+				"era=2", "era_before=1", "revision=", "revision_before=", "ended_servers=1", "missing_servers=1", "records_written_again=0",
+				fmt.Sprintf("config=%d", env.version), fmt.Sprintf("stored_config=%d", older),
+			} {
+				require.Contains(t, line, " "+field)
+			}
+		}
+	})
+}
+
+const restoredLine = "the store has come back from an older copy"
+
 // Guards against changes that are skipped because the store gives their revisions out a second time.
 func TestChangesAfterARestoreAreSeen(t *testing.T) {
 	for changes := range 12 {
