gateway: pauses between watches of the store that end at once

Found while testing restores: a store whose watches end at once, cut, with 410 or empty, while its lists succeed, was called without any pause. The platform limits and bills these calls, and all instances do the same.

Cause: the delay between calls grew with failed lists only and was reset by each list; a watch that ended was followed by a list, and an empty answer by the next watch, immediately.

Change: after a watch that ended within 400 ms the watcher waits as after a failed list, 50 to 400 ms, growing; after an empty answer within 600 ms it waits as after one with events.

--- a/gateway/feed.go
+++ b/gateway/feed.go
@@ -52,7 +52,7 @@
 	// backend servers' heartbeats into one call. It is short compared with the seconds for which a
 	// draining backend server keeps serving.
 	watchBatchDelay = 600 * time.Millisecond
-	// minRetryDelay is the initial delay between calls while the store fails. It doubles up to
+	// minRetryDelay is the initial delay between calls while the store, or each watch, fails. It doubles up to
 	// maxRetryDelay.
 	minRetryDelay = 50 * time.Millisecond
 	maxRetryDelay = 400 * time.Millisecond
@@ -109,6 +109,10 @@
 // Only a failed list counts as a store failure for the roster.
 func (f *StoreWatcher) listAndWatch(ctx context.Context) {
 	delay, storeLost := minRetryDelay, false
+	waitToRetry := func() {
+		pause.For(ctx, delay/2+rand.N(delay))
+		delay = min(2*delay, maxRetryDelay)
+	}
 	for ctx.Err() == nil {
 		started := time.Now()
 		revision, err := f.list(ctx)
@@ -120,16 +124,22 @@
 				f.log.WithError(err).Warn("store lost")
 			}
 			storeLost = true
-			pause.For(ctx, delay/2+rand.N(delay))
-			delay = min(2*delay, maxRetryDelay)
+			waitToRetry()
 			continue
 		}
 		if storeLost {
 			f.log.WithField("revision", revision).Info("store regained")
 		}
-		storeLost, delay = false, minRetryDelay
-		f.roster.StoreConfirmed(time.Now())
+		storeLost = false
+		listed := time.Now()
+		f.roster.StoreConfirmed(listed)
 		f.watch(ctx, revision)
+		if time.Since(listed) > maxRetryDelay {
+			delay = minRetryDelay
+			continue
+		}
+		// The store may cut each watch at once.
+		waitToRetry()
 	}
 }
 
@@ -221,6 +231,7 @@
 
 func (f *StoreWatcher) watch(ctx context.Context, revision uint64) {
 	for ctx.Err() == nil {
+		started := time.Now()
 		events, next, err := f.source.Watch(ctx, allKeys, revision)
 		switch {
 		case errors.Is(err, external.ErrNewEpoch):
@@ -240,7 +251,8 @@
 		f.roster.StoreConfirmed(time.Now())
 		f.applyEvents(events)
 		revision, f.revision = next, next
-		if len(events) > 0 {
+		// An answer without events comes at the end of the wait, unless the store doesn't wait.
+		if len(events) > 0 || time.Since(started) < watchBatchDelay {
 			pause.For(ctx, watchBatchDelay)
 		}
 	}
--- a/gateway/feed_test.go
+++ b/gateway/feed_test.go
@@ -118,3 +118,51 @@
 		require.Equal(t, 2, roster.Len())
 	})
 }
+
+// restlessSource is a store whose watches end at once.
+type restlessSource struct {
+	poisonSource
+	err            error
+	lists, watches int
+	// limit is the number of calls after which end is called.
+	limit int
+	end   func()
+}
+
+func (s *restlessSource) called() {
+	if s.lists+s.watches >= s.limit {
+		s.end()
+	}
+}
+
+func (s *restlessSource) List(context.Context, string) ([]external.KVEntry, uint64, error) {
+	s.lists++
+	s.called()
+	return nil, 1, nil
+}
+
+func (s *restlessSource) Watch(_ context.Context, _ string, revision uint64) ([]external.KVEvent, uint64, error) {
+	s.watches++
+	s.called()
+	return nil, revision, s.err
+}
+
+// Guards against calls of the store without a pause, which it limits and bills, while its watches end at once.
+func TestWatchesThatEndAtOnce(t *testing.T) {
+	for name, err := range map[string]error{"empty": nil, "cut": io.ErrUnexpectedEOF, "compacted": external.ErrCompacted, "new epoch": external.ErrNewEpoch} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				log := logrus.New()
+				log.SetOutput(io.Discard)
+				guard := contain.New(log, func(string) {})
+				ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+				defer cancel()
+				s := &restlessSource{err: err, limit: 10_000, end: cancel}
+				w := NewStoreWatcher(s, &route.ActiveTable{}, NewRoster(), NewQuarantine("edge-1", nil, log), guard, log)
+				w.Run(ctx)
+				require.Less(t, s.lists+s.watches, 6*60, "calls in a minute")
+				require.Greater(t, s.lists+s.watches, 60, "calls in a minute")
+			})
+		})
+	}
+}
