gateway: small bodies and answers, and requests with a connection, do not wait for collections

Cause: large answers wait for the end of a collection while they hold their connections to backend servers, so that other requests get none for 100 ms; and a small body that waits leaves its connection incomplete, which may be closed for another one.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -90,6 +90,8 @@
 // sendAndHandle sends the request and handles the response, which it forwards unless the attempt has
 // failed.
 func (a *attempt) sendAndHandle() attemptResult {
+	// Its answer may have to wait, which keeps the connection to the backend server from others.
+	a.q.g.memory.garbage.wait()
 	a.recordSent()
 	resp, m, res := a.roundTrip()
 	if resp == nil {
--- a/gateway/garbage.go
+++ b/gateway/garbage.go
@@ -47,7 +47,8 @@
 	g.begin()
 }
 
-// wait returns once a buffer may be allocated. It takes as long as a collection at most, unless others drop more meanwhile.
+// wait returns once a buffer for a large body or answer may be allocated. It takes as long as a collection at most, unless
+// others drop more meanwhile.
 func (g *garbageLimit) wait() {
 	for {
 		g.mu.Lock()
--- a/gateway/memory.go
+++ b/gateway/memory.go
@@ -191,16 +191,9 @@
 // grown returns a copy of buf with room for size more bytes, which must have been reserved.
 func (b *memoryBudget) grown(buf []byte, size int64) []byte {
 	b.garbage.add(int64(cap(buf)))
-	b.garbage.wait()
 	return append(make([]byte, 0, cap(buf)+int(size)), buf...)
 }
 
-// newBuffer returns an empty buffer of a size that must have been reserved.
-func (b *memoryBudget) newBuffer(size int64) []byte {
-	b.garbage.wait()
-	return make([]byte, 0, size)
-}
-
 // drop gives back what was reserved for a buffer that is no longer used.
 func (b *memoryBudget) drop(size int64) {
 	b.garbage.add(size)
@@ -221,7 +214,10 @@
 	buf := make([]byte, 0, 512)
 	if size := min(length, maxDeclaredBuffer) + 1; size > bufferStep && b.tryReserve(size) {
 		charged = size
-		buf = b.newBuffer(size) // with room for the end of the response to be noticed
+		if size > smallBody {
+			b.garbage.wait()
+		}
+		buf = make([]byte, 0, size) // with room for the end of the response to be noticed
 	}
 	for {
 		if len(buf) == cap(buf) {
@@ -230,6 +226,9 @@
 				return nil, release, errResponseTooLarge
 			}
 			charged += grow
+			if charged > smallBody {
+				b.garbage.wait()
+			}
 			buf = b.grown(buf, grow)
 		}
 		n, err := r.Read(buf[len(buf):cap(buf)])
@@ -267,7 +266,10 @@
 		return errNoMemory
 	}
 	h.size = length
-	h.bytes = h.budget.newBuffer(length)[:length]
+	if length > smallBody {
+		h.budget.garbage.wait()
+	}
+	h.bytes = make([]byte, length)
 	_, err = io.ReadFull(r, h.bytes)
 	return err
 }
@@ -282,6 +284,7 @@
 				return errNoMemory
 			}
 			h.size += grow
+			h.budget.garbage.wait()
 			h.bytes = h.budget.grown(h.bytes, grow)
 		}
 		n, err := r.Read(h.bytes[len(h.bytes):cap(h.bytes)])
