--- a/review/standin4/main.go
+++ b/review/standin4/main.go
@@ -27,6 +27,7 @@
 	}
 	cases := map[string]func(*world) error{
 		"reports": playReports,
+		"streams": playStreams,
 	}
 	play := cases[os.Args[1]]
 	if play == nil {
