--- a/review/standin4/main.go
+++ b/review/standin4/main.go
@@ -18,7 +18,7 @@
 var errBroken = errors.New("rule broken")
 
 // playTime limits a case.
-const playTime = 110 * time.Second
+const playTime = 100 * time.Second
 
 func main() {
 	if len(os.Args) != 3 {
--- a/review/standin4/reports.go
+++ b/review/standin4/reports.go
@@ -9,7 +9,6 @@
 	"sync"
 	"time"
 
-	"github.com/quetzallug/quetzallug/internal/testcluster"
 	"github.com/quetzallug/quetzallug/standin/site"
 )
 
@@ -24,11 +23,11 @@
 	releaseLead = 1500 * time.Millisecond
 	// drainTime is how long a worker serves after it has said that it leaves.
 	drainTime = 3500 * time.Millisecond
-	// storeAway is how long the store is away in a drill, and copyAge the age of its copy.
-	storeAway = 300 * time.Millisecond
-	copyAge   = 3 * time.Second
-	// firstDelay, delayStep and delays give the time between a report and the drill, which differs from drill to drill.
-	firstDelay, delayStep, delays = 150 * time.Millisecond, 100 * time.Millisecond, 4
+	// drillDelay is the time between a report and the drill, and copyAge the age of the store's copy.
+	drillDelay = 120 * time.Millisecond
+	copyAge    = 3 * time.Second
+	// shortestAway, awayStep and awaySteps give how long the store is away, which differs from drill to drill.
+	shortestAway, awayStep, awaySteps = 400 * time.Millisecond, 100 * time.Millisecond, 4
 	// rewriteDelay is the time after which the operator and the workers write again.
 	rewriteDelay = 200 * time.Millisecond
 )
@@ -76,12 +75,8 @@
 		return err
 	}
 	for i := range reportGateways {
-		peer, err := testcluster.FreeAddress()
-		if err != nil {
-			return err
-		}
-		err = w.startGateway(fmt.Sprintf("edge-z-%d", i+1), "z", "QUETZALLUG_DUTY_ADDRESS="+platform, `QUETZALLUG_DUTIES=["usage_report"]`, "QUETZALLUG_DUTY_RATE=50",
-			"QUETZALLUG_PEER_LISTEN="+peer, "QUETZALLUG_USAGE_WINDOW=5s", "QUETZALLUG_USAGE_LATE=10s", "QUETZALLUG_LEASE_TTL=2500ms")
+		err := w.startGateway(fmt.Sprintf("edge-z-%d", i+1), "z", "QUETZALLUG_DUTY_ADDRESS="+platform, `QUETZALLUG_DUTIES=["usage_report"]`, "QUETZALLUG_DUTY_RATE=50",
+			"QUETZALLUG_PEER_LISTEN="+freePort, "QUETZALLUG_USAGE_WINDOW=5s", "QUETZALLUG_USAGE_LATE=10s", "QUETZALLUG_LEASE_TTL=2500ms")
 		if err != nil {
 			return err
 		}
@@ -255,7 +250,7 @@
 		if !c.trouble || time.Since(ready) < usageWindow+usageWindow/2 || c.left() < 2*usageWindow {
 			continue
 		}
-		time.Sleep(firstDelay + time.Duration(n%delays)*delayStep)
+		time.Sleep(drillDelay)
 		n++
 		c.drill(n, rep)
 		ready = time.Now()
@@ -286,9 +281,10 @@
 	c.mu.Lock()
 	from := c.copies[0]
 	c.mu.Unlock()
-	c.note("drill %d: the store is away for %s, after the report of window %d, and comes back from a copy that is %.1f s old", n, storeAway, rep.window, time.Since(from.at).Seconds())
+	away := shortestAway + time.Duration(n%awaySteps)*awayStep
+	c.note("drill %d: the store is away for %s, after the report of window %d, and comes back from a copy that is %.1f s old", n, away, rep.window, time.Since(from.at).Seconds())
 	c.store.SetMode(site.StoreReset)
-	time.Sleep(storeAway)
+	time.Sleep(away)
 	c.store.Restore(from.copy)
 	c.store.SetMode(site.StoreUp)
 	time.Sleep(rewriteDelay)
--- a/review/standin4/world.go
+++ b/review/standin4/world.go
@@ -45,8 +45,13 @@
 type gatewayProcess struct {
 	*testcluster.Process
 	address, ready string
+	// restart starts the gateway at other addresses.
+	restart func() (*gatewayProcess, error)
 }
 
+// freePort in the value of an environment variable stands for a free address.
+const freePort = "(free)"
+
 func newWorld(recordPath string) (*world, error) {
 	f, err := os.Create(recordPath) //nolint:gosec // the path is an argument
 	if err != nil {
@@ -130,29 +135,43 @@
 
 // startGateway starts a gateway as the deploy file does, with further environment variables.
 func (w *world) startGateway(name, zone string, env ...string) error {
+	g, err := w.newGateway(name, zone, env)
+	if err == nil {
+		w.gateways = append(w.gateways, g)
+	}
+	return err
+}
+
+func (w *world) newGateway(name, zone string, env []string) (*gatewayProcess, error) {
 	var addresses [3]string
 	for i := range addresses {
 		a, err := testcluster.FreeAddress()
 		if err != nil {
-			return err
+			return nil, err
 		}
 		addresses[i] = a
 	}
 	args := strings.Fields(fmt.Sprintf("gateway --instance %s --data-centre %s --listen %s --ready-listen %s --metrics-listen %s --adapter-address %s %s",
 		name, zone, addresses[0], addresses[1], addresses[2], w.storeAddress, w.bounds))
+	w.note("gateway %s: quetzallugd %s; %s", name, strings.Join(args, " "), strings.Join(env, " "))
 	for _, v := range env {
 		key, value, _ := strings.Cut(v, "=")
+		if value == freePort {
+			a, err := testcluster.FreeAddress()
+			if err != nil {
+				return nil, err
+			}
+			value = a
+		}
 		if err := os.Setenv(key, value); err != nil {
-			return err
+			return nil, err
 		}
 	}
 	p, err := testcluster.NewProcess(name, filepath.Join("target", "quetzallugd"), filepath.Join(w.dir, name+".log"), args)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	w.gateways = append(w.gateways, &gatewayProcess{Process: p, address: addresses[0], ready: addresses[1]})
-	w.note("gateway %s: quetzallugd %s; %s", name, strings.Join(args, " "), strings.Join(env, " "))
-	return nil
+	return &gatewayProcess{p, addresses[0], addresses[1], func() (*gatewayProcess, error) { return w.newGateway(name, zone, env) }}, nil
 }
 
 // waitReady waits until all gateways say that they are ready.
@@ -160,7 +179,16 @@
 	client := http.Client{Timeout: time.Second}
 	for end := time.Now().Add(15 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
 		ready := 0
-		for _, g := range w.gateways {
+		for i, g := range w.gateways {
+			if g.Exited() {
+				// Another process has taken one of its ports.
+				started, err := g.restart()
+				if err != nil {
+					return err
+				}
+				w.gateways[i] = started
+				continue
+			}
 			resp, err := client.Get("http://" + g.ready + "/readyz")
 			if err != nil {
 				continue
