usage: a window is reported once although the store has lost its record

Cause: after a restore a holder went only by the record in its own watch, up to 0.6 s late, and by what the former holder had answered to it, up to 1 s late. Silence of the others was taken for "there was no report".

Change: messages of instances tell the last decided window, the window of the last record and, on request, the record. A holder that loses its authority by a restore while it is valid tells that nothing else was recorded before that era. Records bear the era of the store; without one of the present era, a window that ended before the era was seen is built only with that proof, and left out (outcome "withheld") otherwise.

--- a/internal/app/usage.go
+++ b/internal/app/usage.go
@@ -85,7 +85,7 @@
 	}
 	cfg := usage.HolderConfig{
 		Instance: s.Instance, Pool: gateway.RolesPool, Windows: u.windows, Guard: s.LeaseTTL + duty.CallTimeout,
-		Leases: noAuthority{}, Current: w.Holder, KV: a, Encoder: a, Clock: u.clock, Metrics: m, Log: log,
+		Leases: noAuthority{}, Current: w.Holder, KV: a, Era: a.Era, Encoder: a, Clock: u.clock, Metrics: m, Log: log,
 	}
 	if d.has(duty.Usage) {
 		cfg.Leases, cfg.Caller = leases, d.client
--- a/lease/acquire.go
+++ b/lease/acquire.go
@@ -32,7 +32,7 @@
 		return Authority{}, s, err
 	}
 	a := NewAuthority(pool, m.cfg.Holder, fence, m.validUntil(s.grantSent))
-	a.state.endsUnless(func() bool { return m.cfg.Epoch() == s.epoch })
+	a.EndWith(func() (uint64, bool) { return m.cfg.Era(), m.cfg.Epoch() != s.epoch })
 	if !a.Valid() {
 		m.revoke(ctx, s)
 		return Authority{}, s, fmt.Errorf("acquire pool %q: %w", pool, ErrAuthorityEnded)
--- a/lease/authority.go
+++ b/lease/authority.go
@@ -20,13 +20,13 @@
 	deadline time.Time
 	ended    bool
 	done     chan struct{}
-	// holds reports whether the key-value service still has the grant as far as is known; nil means that it does.
-	holds func() bool
+	// lostTo returns the era of the key-value service that began after the grant; ok is false if none has been seen.
+	lostTo func() (era uint64, ok bool)
+	// lost is true if the authority ended because an era began while it was valid, and lostEra is that era.
+	lost    bool
+	lostEra uint64
 }
 
-// endsUnless makes the authority end as soon as holds returns false. It must be called before the authority is used.
-func (v *validity) endsUnless(holds func() bool) { v.holds = holds }
-
 // NewAuthority returns an authority that is valid until the given time, which must carry a
 // monotonic clock reading. Manager issues authorities; other packages use this in tests.
 func NewAuthority(pool, holder string, fence uint64, deadline time.Time) Authority {
@@ -36,6 +36,10 @@
 	}
 }
 
+// EndWith makes the authority end as soon as lostTo tells of a later era of the key-value service. It must be called before
+// the authority is used.
+func (a Authority) EndWith(lostTo func() (era uint64, ok bool)) { a.state.lostTo = lostTo }
+
 // Valid reports whether the authority is valid now. Callers check it immediately before each
 // action that requires it. Once false, it stays false.
 func (a Authority) Valid() bool {
@@ -58,10 +62,35 @@
 	return a.state.done
 }
 
+// LostTo returns the era of the key-value service whose begin has ended the authority. ok is false if the authority is
+// valid or has ended otherwise. If it is true, no other process has acted under a grant of an earlier era since this one:
+// its guard time would have outlasted this authority.
+func (a Authority) LostTo() (era uint64, ok bool) {
+	if a.state == nil {
+		return 0, false
+	}
+	a.state.mu.Lock()
+	defer a.state.mu.Unlock()
+	a.state.checkDeadline()
+	return a.state.lostEra, a.state.lost
+}
+
 // checkDeadline ends the validity if its deadline has passed or the service has lost the grant, and reports whether it is still
 // valid. The caller holds mu.
 func (v *validity) checkDeadline() bool {
-	if !v.ended && (!now().Before(v.deadline) || v.holds != nil && !v.holds()) {
+	if v.ended {
+		return false
+	}
+	var era uint64
+	var lost bool
+	if v.lostTo != nil {
+		era, lost = v.lostTo()
+	}
+	// The deadline is compared last, so that a process that was suspended meanwhile does not take an expired authority for
+	// one that was lost while it was valid.
+	expired := !now().Before(v.deadline)
+	if expired || lost {
+		v.lost, v.lostEra = lost && !expired, era
 		v.markEnded()
 	}
 	return !v.ended
@@ -90,6 +119,7 @@
 func (a Authority) end() {
 	a.state.mu.Lock()
 	defer a.state.mu.Unlock()
+	a.state.checkDeadline() // records whether it was lost
 	a.state.markEnded()
 }
 
--- a/test/site/usageworld_test.go
+++ b/test/site/usageworld_test.go
@@ -107,7 +107,7 @@
 	w := usage.Windows{Length: usageWindow, Late: usageLate}
 	client := duty.NewClient(dutyAddress, 50, dial)
 	x.holder = usage.NewHolder(usage.HolderConfig{
-		Instance: n.host.Name, Pool: gateway.RolesPool, Windows: w, Guard: usageGuard, Leases: leases, Current: x.watch.Holder, KV: adapter,
+		Instance: n.host.Name, Pool: gateway.RolesPool, Windows: w, Guard: usageGuard, Leases: leases, Current: x.watch.Holder, KV: adapter, Era: adapter.Era,
 		Caller: client, Encoder: adapter, Clock: x.clock, Metrics: noopUsageMetrics{}, Log: log,
 	})
 	clients := rpc.NewClients(rpc.ClientConfig{ControlTraffic: &x.traffic, Dial: dial})
--- a/usage/holder.go
+++ b/usage/holder.go
@@ -52,7 +52,10 @@
 	// Current returns the holder of the lease as far as known; ok is false if there is none.
 	Current func() (r lease.HolderRecord, ok bool)
 	KV      external.KV
-	Caller  Caller
+	// Era returns the latest era of the store that was seen. It rises each time the store comes back from an older copy; nil
+	// means that it never does.
+	Era    func() uint64
+	Caller Caller
 	// Encoder encodes the calls.
 	Encoder Encoder
 	Clock   *Clock
@@ -69,6 +72,8 @@
 	mu sync.Mutex
 	// fence is the number of the lease under which the collector was started; 0 if there is none.
 	fence uint64
+	// authority is that of the lease with the number fence.
+	authority lease.Authority
 	// lastFence is the number of the last lease of this process, and mayCallAt the time of the first call under the
 	// present one.
 	lastFence uint64
@@ -82,6 +87,9 @@
 	// newest is the record with the last window that this process has seen in the store. A store that comes back from an
 	// older copy has an earlier one.
 	newest *Record
+	// reload makes the next step read the records again, because another instance has told of a later one.
+	reload bool
+	prior  priorReports
 	// copies holds the last copy of the counts of other instances by instance.
 	copies      map[string]*Message
 	storedBytes int
@@ -101,6 +109,9 @@
 
 // NewHolder returns a Holder.
 func NewHolder(cfg HolderConfig) *Holder {
+	if cfg.Era == nil {
+		cfg.Era = func() uint64 { return 0 }
+	}
 	return &Holder{cfg: cfg, started: time.Now(), stored: make(map[string]*storedMessage), copies: make(map[string]*Message)}
 }
 
@@ -121,6 +132,8 @@
 func (h *Holder) release() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.observeEra()
+	h.endAuthority()
 	h.fence, h.collector = 0, nil
 }
 
@@ -131,6 +144,7 @@
 	if a.Fence == h.fence {
 		return
 	}
+	h.endAuthority()
 	at := h.cfg.Clock.Now()
 	switch a.Fence {
 	case 1: // the first lease ever has no previous holder
@@ -141,11 +155,13 @@
 	default:
 		h.mayCallAt = now.Add(h.cfg.Guard)
 	}
-	h.fence, h.lastFence, h.collector = a.Fence, a.Fence, NewCollector(h.cfg.Windows, at)
+	h.fence, h.authority, h.lastFence, h.collector = a.Fence, a, a.Fence, NewCollector(h.cfg.Windows, at)
 	for _, m := range h.stored {
+		h.learn(&m.Message, at)
 		h.collector.Add(&m.Message, at)
 	}
 	for _, m := range h.copies {
+		h.learn(m, at)
 		h.collector.Add(m, at)
 	}
 	h.cfg.Log.WithFields(logrus.Fields{"fence": a.Fence, "stored": len(h.stored)}).Info("usage counts are collected here")
@@ -166,7 +182,7 @@
 // Add adds counts of an instance, if this instance holds the lease.
 func (h *Holder) Add(m *Message) Ack {
 	if c := h.current(); c != nil {
-		return c.Add(m, h.cfg.Clock.Now())
+		return h.addTo(c, m)
 	}
 	if m.Copy {
 		h.keepCopy(m)
@@ -180,6 +196,17 @@
 	return ack
 }
 
+// addTo adds counts, and what their instance knows of earlier reports, to a collector of this holder.
+func (h *Holder) addTo(c *Collector, m *Message) Ack {
+	now := h.cfg.Clock.Now()
+	h.mu.Lock()
+	h.learn(m, now)
+	h.mu.Unlock()
+	ack := c.Add(m, now)
+	ack.WantRecord = h.wantsRecord(m.RecordWindow, now)
+	return ack
+}
+
 // noteDecided records that the windows up to one are decided.
 func (h *Holder) noteDecided(through int64) {
 	h.mu.Lock()
@@ -258,12 +285,20 @@
 
 // step does the next step under an authority.
 func (h *Holder) step(ctx context.Context, a lease.Authority) {
+	h.mu.Lock()
+	reload := h.reload
+	h.reload = false
+	h.mu.Unlock()
+	if reload {
+		h.loaded = 0
+	}
 	if h.loaded != a.Fence && !h.load(ctx, a) {
 		return
 	}
 	h.mu.Lock()
-	collector, mayCallAt := h.collector, h.mayCallAt
+	collector, mayCallAt, floor := h.collector, h.mayCallAt, h.floor
 	h.mu.Unlock()
+	h.reporter.skipTo(floor + 1)
 	if collector == nil {
 		return
 	}
@@ -271,13 +306,17 @@
 		return
 	}
 	now := h.cfg.Clock.Now()
-	next, window, missed := h.reporter.next(now, collector.Gathered(), func(w int64) bool { return collector.Complete(w, now) })
+	next, window, missed := h.reporter.next(now, collector.Gathered(), func(w int64) bool { return !h.mayBeReported(w) && collector.Complete(w, now) })
 	h.finishMissed(missed, a, now)
 	if time.Now().Before(mayCallAt) || collector.ClockError(now) != 0 {
 		return
 	}
 	switch next {
 	case stepRecord:
+		if h.mayBeReported(window) {
+			h.withhold(window, now)
+			return
+		}
 		h.record(ctx, a, collector, window)
 	case stepCall:
 		h.call(ctx, a)
@@ -294,6 +333,10 @@
 		pause.For(ctx, minRetryDelay)
 		return false
 	}
+	h.recordsRead(rec, a.Fence)
+	if rec != nil {
+		h.noteRecord(rec)
+	}
 	rec = h.newestRecord(rec)
 	h.version, h.loaded = version, a.Fence
 	h.reporter = reporter{windows: h.cfg.Windows}
@@ -329,9 +372,14 @@
 
 // decide ends the collection of counts for the windows up to one, which a record names.
 func (h *Holder) decide(through int64) {
-	h.noteDecided(through)
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.raiseFloor(through)
+}
+
+// raiseFloor is decide for callers that hold mu.
+func (h *Holder) raiseFloor(through int64) {
+	h.floor = max(h.floor, through)
 	if h.collector != nil {
 		h.collector.Decide(through)
 	}
@@ -340,7 +388,7 @@
 // record builds the report of a window and writes its record.
 func (h *Holder) record(ctx context.Context, a lease.Authority, c *Collector, window int64) {
 	rep := c.Report(window)
-	rec, value := newRecord(rep, h.cfg.Instance, a.Fence)
+	rec, value := newRecord(rep, h.cfg.Instance, a.Fence, h.era())
 	h.built, h.builtID = rep, rec.WriteID
 	version, err := cas.Swap(ctx, h.cfg.KV, cas.Write{
 		Key: RecordKey, Expected: h.version, Value: value, ID: rec.WriteID, CallTimeout: recordTimeout,
--- a/usage/record.go
+++ b/usage/record.go
@@ -30,11 +30,13 @@
 const maxRecordedBytes = 4 << 10
 
 // Record is the record of a report. It is written before the report is sent, and windows only increase, so that no
-// holder ever builds a second report for a window.
+// holder builds a second report for a window while the store keeps it.
 type Record struct {
 	Window int64  `json:"window"`
 	Holder string `json:"holder"`
 	Fence  uint64 `json:"fence"`
+	// Era is the era of the store in which the record was written. In a later era, later records may have been lost.
+	Era uint64 `json:"era,omitempty"`
 	// Counts is the whole report; nil if it is too large, so that only the holder that built it can send it.
 	Counts  map[string]int64 `json:"counts,omitempty"`
 	Empty   bool             `json:"empty,omitempty"` // the report has no counts
@@ -51,6 +53,21 @@
 	return rep, (r.Empty || len(r.Counts) > 0) && digest(rep) == r.Digest
 }
 
+// Encode returns the encoding of a record.
+func (r *Record) Encode() []byte { return mustEncode(r) }
+
+// DecodeRecord decodes a record that another instance has sent. Its counts must be whole.
+func DecodeRecord(b []byte) (*Record, error) {
+	rec := &Record{}
+	if err := json.Unmarshal(b, rec); err != nil {
+		return nil, fmt.Errorf("record of a usage report: %w", err)
+	}
+	if _, ok := rec.report(); !ok {
+		return nil, fmt.Errorf("record of the usage report of window %d: the counts are not whole", rec.Window)
+	}
+	return rec, nil
+}
+
 // digest returns a hash of a report, which tells whether the counts in a record are whole.
 func digest(r Report) string {
 	h := xxhash.New()
@@ -67,8 +84,8 @@
 }
 
 // newRecord returns the record of a report and its encoding.
-func newRecord(r Report, holder string, fence uint64) (*Record, []byte) {
-	rec := &Record{Window: r.Window, Holder: holder, Fence: fence, Counts: r.Counts, Empty: len(r.Counts) == 0, Digest: digest(r), WriteID: cas.NewID()}
+func newRecord(r Report, holder string, fence, era uint64) (*Record, []byte) {
+	rec := &Record{Window: r.Window, Holder: holder, Fence: fence, Era: era, Counts: r.Counts, Empty: len(r.Counts) == 0, Digest: digest(r), WriteID: cas.NewID()}
 	b := mustEncode(rec)
 	if len(b) > maxRecordedBytes {
 		rec.Counts = nil
--- a/usage/sender.go
+++ b/usage/sender.go
@@ -263,6 +263,9 @@
 			return
 		}
 		s.recordAck(ack, final)
+		if ack.WantRecord {
+			s.sendRecord(ctx, address)
+		}
 		if !more {
 			s.finalSent = final
 			if address == "" {
@@ -273,8 +276,19 @@
 	}
 }
 
+// sendRecord sends the last record of a report that was seen. If it fails, the holder asks for it again.
+func (s *Sender) sendRecord(ctx context.Context, address string) {
+	m := s.message()
+	m.FinalThrough, m.Record = s.finalSent, s.cfg.Local.lastRecord()
+	if _, err := s.deliver(ctx, address, m); err != nil {
+		s.cfg.Log.WithError(err).WithField("address", address).Warn("record of a usage report not sent to the holder")
+	}
+}
+
 func (s *Sender) message() *Message {
-	return &Message{Instance: s.cfg.Instance, Run: s.run, Clock: s.cfg.Clock.Now(), Address: s.cfg.Address}
+	m := &Message{Instance: s.cfg.Instance, Run: s.run, Clock: s.cfg.Clock.Now(), Address: s.cfg.Address}
+	s.cfg.Local.tell(m)
+	return m
 }
 
 var (
@@ -440,10 +454,11 @@
 func (s *Sender) store(ctx context.Context, final int64, now time.Time) {
 	log := s.cfg.Log.WithField("window", final)
 	oldest := s.cfg.Windows.At(now.Add(-s.cfg.Windows.Late)) - 1
-	m := Message{Instance: s.cfg.Instance, Run: s.run, FinalThrough: final, Windows: s.cfg.Counter.Since(oldest)}
+	m := s.message()
+	m.FinalThrough, m.Windows = final, s.cfg.Counter.Since(oldest)
 	id := cas.NewID()
 	value := mustEncode(struct {
-		Message
+		*Message
 		WriteID string `json:"write_id"`
 	}{m, id})
 	if len(value) > maxStoredValue {
--- a/usage/usage.go
+++ b/usage/usage.go
@@ -51,6 +51,15 @@
 	// FinalThrough is the last window in which the instance counts no more runs.
 	FinalThrough int64          `json:"final_through"`
 	Windows      []WindowCounts `json:"windows"`
+	// DecidedThrough is the last window that the instance knows to be decided.
+	DecidedThrough int64 `json:"decided_through,omitempty"`
+	// CompleteEra is the era of the store before which no window above DecidedThrough was recorded; 0 if the instance knows
+	// of none.
+	CompleteEra uint64 `json:"complete_era,omitempty"`
+	// RecordWindow is the window of the last record that the instance has seen, if its report may still be sent; else 0.
+	RecordWindow int64 `json:"-"`
+	// Record is that record, for a holder that wants it; else nil.
+	Record *Record `json:"-"`
 	// Clock is the time of the instance's window clock.
 	Clock time.Time `json:"-"`
 	// Address is where the instance takes messages.
@@ -70,6 +79,8 @@
 	Clock time.Time
 	// Peers holds the addresses of some other instances.
 	Peers []string
+	// WantRecord asks for the record that the message names.
+	WantRecord bool
 	// NotHolder is true if the called instance is not the holder and has not taken the message. HolderAddress and
 	// HolderSession are those of the holder, as far as known there.
 	NotHolder                    bool
--- a/usage/usage_test.go
+++ b/usage/usage_test.go
@@ -147,7 +147,7 @@
 // Guards against a report that is sent although its record does not contain it whole, or was damaged.
 func TestRecordsOfReports(t *testing.T) {
 	for name, counts := range map[string]map[string]int64{"empty": {}, "small": {"huka": 3, "puhu": 4}} {
-		rec, _ := newRecord(Report{Window: 7, Counts: counts}, "edge-1", 2)
+		rec, _ := newRecord(Report{Window: 7, Counts: counts}, "edge-1", 2, 0)
 		rep, ok := rec.report()
 		require.True(t, ok, name)
 		require.Equal(t, Report{Window: 7, Counts: counts}, rep)
@@ -156,11 +156,11 @@
 	for i := range 1000 {
 		large[fmt.Sprint("account", i)] = 1
 	}
-	rec, value := newRecord(Report{Window: 7, Counts: large}, "edge-1", 2)
+	rec, value := newRecord(Report{Window: 7, Counts: large}, "edge-1", 2, 0)
 	require.LessOrEqual(t, len(value), maxRecordedBytes)
 	_, ok := rec.report()
 	require.False(t, ok, "a report without its counts was repeated")
-	rec, _ = newRecord(Report{Window: 7, Counts: map[string]int64{"huka": 3}}, "edge-1", 2)
+	rec, _ = newRecord(Report{Window: 7, Counts: map[string]int64{"huka": 3}}, "edge-1", 2, 0)
 	rec.Counts = map[string]int64{"huka": 4}
 	_, ok = rec.report()
 	require.False(t, ok, "a damaged report was repeated")
--- a/usage/usagerpc/usagerpc.go
+++ b/usage/usagerpc/usagerpc.go
@@ -23,7 +23,13 @@
 
 // Send implements usage.Peers.
 func (p *Peers) Send(ctx context.Context, address string, m *usage.Message) (usage.Ack, error) {
-	req := &quetzallugv1.SendCountsRequest{Instance: m.Instance, Run: m.Run, FinalThrough: m.FinalThrough, ClockUnixMs: m.Clock.UnixMilli(), Address: m.Address, Copy: m.Copy}
+	req := &quetzallugv1.SendCountsRequest{
+		Instance: m.Instance, Run: m.Run, FinalThrough: m.FinalThrough, ClockUnixMs: m.Clock.UnixMilli(), Address: m.Address, Copy: m.Copy,
+		DecidedThrough: m.DecidedThrough, CompleteEra: m.CompleteEra, RecordWindow: m.RecordWindow,
+	}
+	if m.Record != nil {
+		req.Record = m.Record.Encode()
+	}
 	for _, w := range m.Windows {
 		req.Windows = append(req.Windows, &quetzallugv1.WindowCounts{Window: w.Window, Counts: w.Counts})
 	}
@@ -33,7 +39,7 @@
 	}
 	return usage.Ack{
 		DecidedThrough: resp.Msg.GetDecidedThrough(), Instances: int(resp.Msg.GetInstances()), Clock: time.UnixMilli(resp.Msg.GetClockUnixMs()),
-		Peers: resp.Msg.GetPeers(), NotHolder: resp.Msg.GetNotHolder(), HolderAddress: resp.Msg.GetHolderAddress(), HolderSession: resp.Msg.GetHolderSession(),
+		WantRecord: resp.Msg.GetWantRecord(), Peers: resp.Msg.GetPeers(), NotHolder: resp.Msg.GetNotHolder(), HolderAddress: resp.Msg.GetHolderAddress(), HolderSession: resp.Msg.GetHolderSession(),
 	}, nil
 }
 
@@ -60,16 +66,24 @@
 	m := &usage.Message{
 		Instance: req.Msg.GetInstance(), Run: req.Msg.GetRun(), FinalThrough: req.Msg.GetFinalThrough(), Clock: time.UnixMilli(req.Msg.GetClockUnixMs()),
 		Address: req.Msg.GetAddress(), Copy: req.Msg.GetCopy(),
+		DecidedThrough: req.Msg.GetDecidedThrough(), CompleteEra: req.Msg.GetCompleteEra(), RecordWindow: req.Msg.GetRecordWindow(),
 	}
 	if m.Instance == "" {
 		return nil, connect.NewError(connect.CodeInvalidArgument, errors.New("instance is empty"))
 	}
+	if b := req.Msg.GetRecord(); len(b) > 0 {
+		rec, err := usage.DecodeRecord(b)
+		if err != nil {
+			return nil, connect.NewError(connect.CodeInvalidArgument, err)
+		}
+		m.Record = rec
+	}
 	for _, w := range req.Msg.GetWindows() {
 		m.Windows = append(m.Windows, usage.WindowCounts{Window: w.GetWindow(), Counts: w.GetCounts()})
 	}
 	ack := h.collector.Add(m)
 	return connect.NewResponse(&quetzallugv1.SendCountsResponse{
 		DecidedThrough: ack.DecidedThrough, Instances: uint32(ack.Instances), ClockUnixMs: ack.Clock.UnixMilli(), //nolint:gosec // at most maxInstances
-		Peers: ack.Peers, NotHolder: ack.NotHolder, HolderAddress: ack.HolderAddress, HolderSession: ack.HolderSession,
+		WantRecord: ack.WantRecord, Peers: ack.Peers, NotHolder: ack.NotHolder, HolderAddress: ack.HolderAddress, HolderSession: ack.HolderSession,
 	}), nil
 }
--- a/usage/watch.go
+++ b/usage/watch.go
@@ -177,6 +177,6 @@
 	}
 	h.mu.Unlock()
 	if c := h.current(); c != nil {
-		c.Add(&m.Message, h.cfg.Clock.Now())
+		h.addTo(c, &m.Message)
 	}
 }
