gateway: whole answers without a length outlast the idle timeouts of their server

Cause: the proof that the process goes on after such an answer is a connection that rests meanwhile. The worker closed it as idle; it was replaced with the next event only, and never for an answer that is no stream.

Change: a goroutine for each such answer keeps two resting connections with their idle times apart and replaces one as soon as it is closed. A replacement counts only once it is shown to reach the process that sends the answer: before, one that was opened while the rest of an answer was unread could reach a process started in the place of a killed one.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -227,7 +227,7 @@
 
 // forwardWhole forwards a response after receiving all of it.
 func (a *attempt) forwardWhole(resp *upstream.Response) attemptResult {
-	watch := a.watchBody(resp)
+	watch := a.watchBody(a.q.ctx, resp)
 	defer watch.close()
 	body, release, err := a.q.g.memory.readSized(resp, maxResponseBody, resp.ContentLength)
 	defer release()
@@ -258,7 +258,7 @@
 const serverErrorWeight = 0.5
 
 func (a *attempt) handleErrorStatus(resp *upstream.Response, m ResponseMetadata) attemptResult {
-	watch := a.watchBody(resp)
+	watch := a.watchBody(a.q.ctx, resp)
 	defer watch.close()
 	body, release, err := a.q.g.memory.readAll(resp, maxErrorBody)
 	// The body may be forwarded later, if no other attempt succeeds; it is small.
--- a/gateway/bodyend.go
+++ b/gateway/bodyend.go
@@ -1,11 +1,9 @@
 package gateway
 
 import (
-	"context"
 	"errors"
 	"time"
 
-	"github.com/quetzallug/quetzallug/internal/pause"
 	"github.com/quetzallug/quetzallug/upstream"
 )
 
@@ -57,74 +55,3 @@
 // socketCloseTime is how long the operating system takes to close all sockets of a process that was killed. They
 // are closed one after the other, within a few milliseconds on a busy machine.
 const socketCloseTime = 20 * time.Millisecond
-
-// witnessRetryTime is how long no other witness is opened after one could not be, because events wait meanwhile for
-// probeTimeout at most.
-const witnessRetryTime = time.Second
-
-// bodyWatch watches the process that sends a body which ends with its connection. It does nothing for other bodies.
-type bodyWatch struct {
-	a       *attempt
-	framing upstream.Framing
-	// witness is a connection that rests meanwhile; nil if there is none.
-	witness *upstream.Witness
-	// retryAt is when another witness may be opened after one could not be.
-	retryAt time.Time
-}
-
-// watchBody begins to watch the process that sends a body.
-func (a *attempt) watchBody(resp *upstream.Response) *bodyWatch {
-	w := &bodyWatch{a: a, framing: resp.Framing()}
-	a.q.framing = string(w.framing)
-	w.refresh(a.q.ctx)
-	return w
-}
-
-// refresh replaces a witness that was closed before the body ended, such as an idle connection that the backend
-// server gave up.
-func (w *bodyWatch) refresh(ctx context.Context) {
-	if w.framing != upstream.FramingConnection || time.Now().Before(w.retryAt) || w.witness != nil && !w.witness.Lost() {
-		return
-	}
-	w.close()
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
-	witness, err := w.a.q.g.pool.Witness(ctx, w.a.server.Address)
-	if err != nil {
-		w.retryAt = time.Now().Add(witnessRetryTime)
-		return
-	}
-	w.witness = witness
-}
-
-// end returns what is known of the body, of which no more comes.
-func (w *bodyWatch) end(ctx context.Context) bodyEnd {
-	e := bodyEnd{framing: w.framing}
-	if w.framing == upstream.FramingConnection {
-		e.pastLimit = !time.Now().Before(w.a.limit)
-		e.lives = !e.pastLimit && w.lives(ctx)
-	}
-	return e
-}
-
-// lives reports whether the process was seen to go on after the end of the body.
-func (w *bodyWatch) lives(ctx context.Context) bool {
-	if w.witness == nil || w.witness.Lost() {
-		return false
-	}
-	dialCtx, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
-	later, err := w.a.q.g.pool.NewWitness(dialCtx, w.a.server.Address)
-	if err != nil {
-		return false
-	}
-	defer later.Close()
-	return pause.For(ctx, socketCloseTime) && !w.witness.Lost() && !later.Lost()
-}
-
-func (w *bodyWatch) close() {
-	if w.witness != nil {
-		w.witness.Close()
-		w.witness = nil
-	}
-}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -60,7 +60,7 @@
 	q := a.q
 	reader := &eventReader{br: bufio.NewReaderSize(resp, streamBufferSize)}
 	q.sequence.begin()
-	watch := a.watchBody(resp)
+	watch := a.watchBody(a.q.ctx, resp)
 	defer watch.close()
 	flush := http.NewResponseController(q.reply.w)
 	var lastEventAt time.Time
@@ -131,7 +131,6 @@
 			_ = flush.Flush()
 		}
 		a.server.recordActivity(nil, now)
-		watch.refresh(q.ctx)
 	}
 }
 
--- a/upstream/idle.go
+++ b/upstream/idle.go
@@ -86,7 +86,13 @@
 // putIdle returns a connection to the pool for idleTime. If the pool has maxIdlePerAddress idle
 // connections to the address, the connection is closed instead.
 func (p *Pool) putIdle(c *conn, idleTime time.Duration) {
-	c.idleUntil = time.Now().Add(idleTime)
+	c.restsSince = time.Now()
+	c.idleUntil = c.restsSince.Add(idleTime)
+	p.restore(c)
+}
+
+// restore is putIdle for a connection that has been idle meanwhile.
+func (p *Pool) restore(c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(p.idle[c.addr]) >= maxIdlePerAddress {
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -103,6 +103,8 @@
 	singleUse bool
 	// complete is true once the whole body has been read.
 	complete bool
+	// waitsSince is the time at which the present Read of the body began; nil if there is none.
+	waitsSince atomic.Pointer[time.Time]
 }
 
 // Pool is a pool of connections to backend servers. It is safe for concurrent use.
@@ -135,6 +137,8 @@
 	source *headSource
 	// number identifies the connection in the logs of this process.
 	number uint64
+	// openedAt is when the connection was established, and restsSince when it last became idle; zero if it never was.
+	openedAt, restsSince time.Time
 	// uses is the number of requests that the connection has carried.
 	uses int
 	// idleUntil is the time after which the idle connection is no longer used.
@@ -222,7 +226,7 @@
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
 	source := &headSource{Conn: nc}
-	return &conn{Conn: nc, pool: p, addr: addr, number: p.recordOpened(addr), source: source, br: bufio.NewReaderSize(source, readBufferSize), bw: bufio.NewWriterSize(nc, writeBufferSize)}, nil
+	return &conn{Conn: nc, pool: p, addr: addr, number: p.recordOpened(addr), openedAt: time.Now(), source: source, br: bufio.NewReaderSize(source, readBufferSize), bw: bufio.NewWriterSize(nc, writeBufferSize)}, nil
 }
 
 // Probe opens a connection to an address and closes it.
@@ -374,6 +378,11 @@
 // closes the connection; whether it is whole then is for the caller to decide. Read returns an error
 // for one that ends before the request was written.
 func (r *Response) Read(b []byte) (int, error) {
+	if r.Framing() == FramingConnection {
+		now := time.Now()
+		r.waitsSince.Store(&now)
+		defer r.waitsSince.Store(nil)
+	}
 	n, err := r.Body.Read(b)
 	if errors.Is(err, io.EOF) {
 		err = r.checkEnd()
@@ -384,6 +393,16 @@
 	return n, err
 }
 
+// QuietSince returns since when a Read of a body that ends with its connection has waited although the connection is open and
+// all that was received of it has been read. ok is false if none waits so.
+func (r *Response) QuietSince() (since time.Time, ok bool) {
+	at := r.waitsSince.Load()
+	if at == nil || r.conn == nil || !isOpenAndIdle(r.conn.Conn) || PeerClosed(r.conn.Conn) {
+		return time.Time{}, false
+	}
+	return *at, true
+}
+
 // checkEnd returns io.EOF if the exchange was regular up to the end of the body.
 func (r *Response) checkEnd() error {
 	if err := httpcheck.FieldNames(r.Trailer); err != nil {
--- a/usage/restore_test.go
+++ b/usage/restore_test.go
@@ -127,12 +127,12 @@
 }
 
 // receive gives an instance the counts of another one, which has not discarded them.
-func (i *reportingInstance) receive(from string, windows ...int64) Ack {
+func (i *reportingInstance) receive(from string, windows ...int64) {
 	m := &Message{Instance: from, Run: 1, Clock: i.cfg.Clock.Now(), FinalThrough: windows[len(windows)-1]}
 	for _, w := range windows {
 		m.Windows = append(m.Windows, WindowCounts{Window: w, Counts: map[string]int64{"huka": int64(len(from))}})
 	}
-	return i.Add(m)
+	i.Add(m)
 }
 
 // hear gives an instance a message of another one without counts, and the record if it asks for it.
