gateway: the end of an answer is proved in every order of events

TestEndsOfAnswersInEveryOrder plays pieces, the end, closed, reset and forgotten idle connections, and processes that are killed and started again, around the real watch of an answer without a length. It found whole answers broken off where the gateway has not read them yet, behind a slow caller, while the server closes idle connections ("close idle"): the proof of a replaced witness waited for a read that was blocked.

Change: the kernel tells whether the answer's connection is open, quiet and takes more, also with bytes unread.

--- a/gateway/bodywatch.go
+++ b/gateway/bodywatch.go
@@ -136,15 +136,11 @@
 	}
 }
 
-// prove records whether a witness is known to be a connection to the process that sends the body: the body's connection was
-// open, and nothing on the way on it, for longer after the witness was opened than the operating system takes to close the
+// prove records whether a witness is known to be a connection to the process that sends the body: the body's connection is
+// open, with nothing on the way on it, longer after the witness was opened than the operating system takes to close the
 // connections of a process that ended. The caller must hold mu.
 func (w *bodyWatch) prove(o *witness, now time.Time) bool {
-	since, quiet := w.resp.QuietSince()
-	if opened := o.OpenedAt(); opened.After(since) {
-		since = opened
-	}
-	o.proven = quiet && now.Sub(since) >= socketCloseTime
+	o.proven = now.Sub(o.OpenedAt()) >= socketCloseTime && w.resp.Quiet(socketCloseTime)
 	return o.proven
 }
 
--- a/internal/memnet/memnet.go
+++ b/internal/memnet/memnet.go
@@ -98,6 +98,18 @@
 	}
 }
 
+// Forget drops the connections that a host has accepted, but for one, without notice to their dialers, as a proxy does that
+// loses its state. They stay open for these even when the host is killed.
+func (n *Network) Forget(h *Host, but net.Conn) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for l := range n.links {
+		if c, ok := but.(*conn); l.acceptor == h && (!ok || c.link != l) {
+			delete(n.links, l)
+		}
+	}
+}
+
 // Heal removes all cuts and resumes all frozen hosts.
 func (n *Network) Heal() {
 	n.update(func() { n.frozen, n.cuts = map[*Host]bool{}, map[[2]string]bool{} })
--- a/upstream/socket.go
+++ b/upstream/socket.go
@@ -89,6 +89,38 @@
 	return n > 0 && fds[0].Revents&(unix.POLLERR|unix.POLLHUP) != 0
 }
 
+// maxUnread is how much received data may be unread without closing the window of a connection, which is 64 KiB at least. With
+// a closed window, the end of the connection waits at the peer.
+const maxUnread = 16 << 10
+
+// isQuiet reports whether a connection is open, has received nothing for d and takes more data. If c is not a socket, only the
+// first is known.
+func isQuiet(c net.Conn, d time.Duration) bool {
+	sc, isSocket := c.(syscall.Conn)
+	if !isSocket {
+		return !PeerClosed(c)
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	_ = raw.Control(func(fd uintptr) {
+		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}} //nolint:gosec // descriptors are small
+		n, err := unix.Poll(fds, 0)
+		if err != nil || n != 0 {
+			return
+		}
+		unread, err := unix.IoctlGetInt(int(fd), unix.SIOCINQ)
+		if err != nil || unread > maxUnread {
+			return
+		}
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		quiet = err == nil && time.Duration(info.Last_data_recv)*time.Millisecond >= d
+	})
+	return quiet
+}
+
 // parseKeepAliveTimeout returns the timeout parameter of a Keep-Alive header in seconds, and whether it
 // is present and valid.
 func parseKeepAliveTimeout(value string) (int, bool) {
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -103,8 +103,6 @@
 	singleUse bool
 	// complete is true once the whole body has been read.
 	complete bool
-	// waitsSince is the time at which the present Read of the body began; nil if there is none.
-	waitsSince atomic.Pointer[time.Time]
 }
 
 // Pool is a pool of connections to backend servers. It is safe for concurrent use.
@@ -378,11 +376,6 @@
 // closes the connection; whether it is whole then is for the caller to decide. Read returns an error
 // for one that ends before the request was written.
 func (r *Response) Read(b []byte) (int, error) {
-	if r.Framing() == FramingConnection {
-		now := time.Now()
-		r.waitsSince.Store(&now)
-		defer r.waitsSince.Store(nil)
-	}
 	n, err := r.Body.Read(b)
 	if errors.Is(err, io.EOF) {
 		err = r.checkEnd()
@@ -393,15 +386,10 @@
 	return n, err
 }
 
-// QuietSince returns since when a Read of a body that ends with its connection has waited although the connection is open and
-// all that was received of it has been read. ok is false if none waits so.
-func (r *Response) QuietSince() (since time.Time, ok bool) {
-	at := r.waitsSince.Load()
-	if at == nil || r.conn == nil || !isOpenAndIdle(r.conn.Conn) || PeerClosed(r.conn.Conn) {
-		return time.Time{}, false
-	}
-	return *at, true
-}
+// Quiet reports whether the connection of the response is open, nothing has come on it for a time, and nothing that the
+// backend server has sent can be on the way, also if not all that was received has been read. Had the process at the other
+// end ended before that time, the end of the connection would have arrived.
+func (r *Response) Quiet(d time.Duration) bool { return r.conn != nil && isQuiet(r.conn.Conn, d) }
 
 // checkEnd returns io.EOF if the exchange was regular up to the end of the body.
 func (r *Response) checkEnd() error {
