usage: a holder that gets the lease again keeps the rest of its guard

The explorer of hand-overs, at 6 events: "end lease; acquire edge-2; end lease; watch edge-2; acquire edge-2; pass 1s". The platform gets a call with fence 1 after one with fence 3 (rule ONE).

Cause: a process that was the previous holder does not wait, because its own calls have ended. Here its earlier lease was ended within its guard, so that the holder before it, whose lease was ended without notice, was still calling.

Change: the guard of the earlier lease is kept. TestHandOversThatFailed has the history, which failed before.

internal/explore ends with an error if a world ends the goroutine that plays it; it hung before.

--- a/internal/explore/explore.go
+++ b/internal/explore/explore.go
@@ -4,6 +4,7 @@
 package explore
 
 import (
+	"errors"
 	"fmt"
 	"hash/maphash"
 	"runtime"
@@ -95,6 +96,9 @@
 	return fmt.Sprintf("%d states, %d histories, up to %d events, all: %v, %.1f s", r.States, r.Histories, r.Depth, !r.Cut, r.Elapsed.Seconds())
 }
 
+// errEnded means that the world has ended the goroutine that played it, for example by a failed assertion.
+var errEnded = errors.New("the world ended the test")
+
 // All plays all histories of up to depth events, the shorter ones first, for at most the time limit. It ends with the first
 // length at which a promise is broken.
 func All(play Player, depth int, limit time.Duration) (r Result) {
@@ -110,10 +114,24 @@
 		var next [][]string
 		var mu sync.Mutex
 		work := make(chan []string)
+		died := make(chan struct{})
+		var dies sync.Once
 		var workers sync.WaitGroup
 		for range runtime.GOMAXPROCS(0) {
 			workers.Go(func() {
+				var current []string
+				finished := false
+				defer func() {
+					// A failed assertion in a world ends the goroutine that plays it.
+					if !finished {
+						mu.Lock()
+						r.Failure = &Failure{current, errEnded}
+						mu.Unlock()
+						dies.Do(func() { close(died) })
+					}
+				}()
 				for history := range work {
+					current = history
 					for _, longer := range continuations(play, history) {
 						state, err := playOut(play, longer)
 						h := maphash.String(seed, state)
@@ -129,6 +147,7 @@
 						mu.Unlock()
 					}
 				}
+				finished = true
 			})
 		}
 		for _, history := range frontier {
@@ -139,7 +158,10 @@
 				r.Cut = !stop
 				break
 			}
-			work <- history
+			select {
+			case work <- history:
+			case <-died:
+			}
 		}
 		close(work)
 		workers.Wait()
--- a/usage/explore_test.go
+++ b/usage/explore_test.go
@@ -251,15 +251,16 @@
 
 // failedHandOvers are the histories that broke a promise once, with the cause.
 var failedHandOvers = map[string]string{
-	"restore; stop edge-2":                                                  "a holder that lost its lease discarded counts of instances that had stopped",
-	"stop edge-1; acquire edge-2; stop edge-2":                              "a new holder forgot the instances that the former one had named",
-	"end lease; watch edge-2; stop edge-2":                                  "a copy that reached a holder whose lease had been ended was not passed on",
-	"stop edge-1; start edge-1; acquire edge-1; stop edge-2; stop edge-3":   "counts for the session of an earlier process were taken by the next one at the address",
-	"restore; end lease; acquire edge-3; pass 1s; restore; stop edge-1":     "an older copy of a run replaced a newer one",
-	"pass 1s; restore; stop edge-1":                                         "the next holder built a window anew whose record the store had lost (review/11)",
-	"stop edge-2; stop edge-1":                                              "a holder that was stopped handed over only its own counts",
-	"end lease; kill edge-2; acquire edge-3; pass 1s; restore; kill edge-1": "a holder in its guard took the records that it had read for all, while the former one still recorded",
-	"pass 4s; pass 4s; pass 1s; end lease":                                  "a former holder reported by the counts that it had while all others followed the new one",
+	"restore; stop edge-2":                                                        "a holder that lost its lease discarded counts of instances that had stopped",
+	"stop edge-1; acquire edge-2; stop edge-2":                                    "a new holder forgot the instances that the former one had named",
+	"end lease; watch edge-2; stop edge-2":                                        "a copy that reached a holder whose lease had been ended was not passed on",
+	"stop edge-1; start edge-1; acquire edge-1; stop edge-2; stop edge-3":         "counts for the session of an earlier process were taken by the next one at the address",
+	"restore; end lease; acquire edge-3; pass 1s; restore; stop edge-1":           "an older copy of a run replaced a newer one",
+	"pass 1s; restore; stop edge-1":                                               "the next holder built a window anew whose record the store had lost (review/11)",
+	"stop edge-2; stop edge-1":                                                    "a holder that was stopped handed over only its own counts",
+	"end lease; kill edge-2; acquire edge-3; pass 1s; restore; kill edge-1":       "a holder in its guard took the records that it had read for all, while the former one still recorded",
+	"end lease; acquire edge-2; end lease; watch edge-2; acquire edge-2; pass 1s": "a holder that got the lease again left out the rest of its guard",
+	"pass 4s; pass 4s; pass 1s; end lease":                                        "a former holder reported by the counts that it had while all others followed the new one",
 }
 
 // Guards against the orders of events that broke a promise once.
--- a/usage/holder.go
+++ b/usage/holder.go
@@ -165,8 +165,11 @@
 	case 1: // the first lease ever has no previous holder
 		h.mayCallAt = now
 	case h.lastFence + 1:
-		// This process was the previous holder, and its calls have ended unless the last one got no answer.
-		h.mayCallAt = h.unknownUntil
+		// This process was the previous holder, and its calls have ended unless the last one got no answer. Those of the
+		// holder before it have ended only after the guard of its last lease.
+		if h.unknownUntil.After(h.mayCallAt) {
+			h.mayCallAt = h.unknownUntil
+		}
 	default:
 		h.mayCallAt = now.Add(h.cfg.Guard)
 	}
