usage: a holder that gets the lease again takes its former counts over as they were

They came as copies before, so that runs of living instances counted as ended, and the next hand-over would have passed on all of them, of which 64 are kept.

--- a/usage/collector.go
+++ b/usage/collector.go
@@ -98,11 +98,39 @@
 	return out
 }
 
-// counts returns the counts of the windows that are not decided by run: of all runs, or of those that will not send them
-// again as far as is known, because their instances have stopped, started again or fallen silent.
-func (c *Collector) counts(now time.Time, onlyEnded bool) []*Message {
+// ended returns the counts of the windows that are not decided by run, for the runs that will not send them again as far as is
+// known, because their instances have stopped, started again or fallen silent.
+func (c *Collector) ended(now time.Time) []*Message {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	return c.countsOf(func(from source) bool {
+		if _, copied := c.copied[from]; copied {
+			return true
+		}
+		m := c.members[from.instance]
+		return m == nil || m.run != from.run || m.leaves() || !c.expected(m, c.windows.At(now))
+	})
+}
+
+// takeOver adds the counts of an earlier collector of the same process.
+func (c *Collector) takeOver(former *Collector, now time.Time) {
+	former.mu.Lock()
+	all := former.countsOf(func(source) bool { return true })
+	copied := former.copied
+	former.mu.Unlock()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, m := range all {
+		for _, w := range m.Windows {
+			c.addWindow(source{m.Instance, m.Run}, w, c.windows.At(now))
+		}
+	}
+	maps.Copy(c.copied, copied)
+}
+
+// countsOf returns the counts of the windows that are not decided, by run, for the runs that are selected. The caller must hold
+// mu.
+func (c *Collector) countsOf(selected func(from source) bool) []*Message {
 	byRun := map[source]*Message{}
 	for window, t := range c.totals {
 		names := make(map[int32]string, len(t.number))
@@ -110,8 +138,7 @@
 			names[i] = account
 		}
 		for from, counts := range t.bySource {
-			_, copied := c.copied[from]
-			if m := c.members[from.instance]; onlyEnded && !copied && m != nil && m.run == from.run && !m.leaves() && c.expected(m, c.windows.At(now)) {
+			if !selected(from) {
 				continue
 			}
 			m := byRun[from]
--- a/usage/copies.go
+++ b/usage/copies.go
@@ -147,7 +147,7 @@
 		out = append(out, c.message)
 	}
 	if h.collector != nil {
-		out = append(out, h.collector.counts(now, true)...)
+		out = append(out, h.collector.ended(now)...)
 	}
 	return out
 }
--- a/usage/holder.go
+++ b/usage/holder.go
@@ -129,7 +129,7 @@
 	}
 }
 
-// release discards the collected counts after the lease has ended.
+// release ends the collection of counts after the lease has ended.
 func (h *Holder) release() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -145,7 +145,7 @@
 	if h.collector == nil {
 		return
 	}
-	for _, m := range h.collector.counts(h.cfg.Clock.Now(), true) {
+	for _, m := range h.collector.ended(h.cfg.Clock.Now()) {
 		h.addCopy(&copied{message: m})
 	}
 	h.former, h.collector = h.collector, nil
@@ -176,9 +176,7 @@
 	h.fence, h.authority, h.lastFence, h.collector = a.Fence, a, a.Fence, NewCollector(h.cfg.Windows, at)
 	h.collector.Decide(h.floor)
 	if h.former != nil {
-		for _, m := range h.former.counts(at, false) {
-			h.collector.Add(m, at)
-		}
+		h.collector.takeOver(h.former, at)
 		h.former = nil
 	}
 	for _, m := range h.stored {
