--- a/usage/explore_test.go
+++ b/usage/explore_test.go
@@ -37,6 +37,9 @@
 	large bool
 }
 
+// slowLatency is longer than clockDisagreement and shorter than sendTimeout.
+const slowLatency = 650 * time.Millisecond
+
 var handOverNames = []string{"edge-1", "edge-2", "edge-3"}
 
 func newHandOverWorld(t *testing.T, large bool) *handOverWorld {
@@ -91,7 +94,7 @@
 		}
 	}
 	if w.large {
-		out = append(out, "platform answers lost")
+		out = append(out, "platform answers lost", "slow messages")
 	}
 	return out
 }
@@ -141,6 +144,8 @@
 		p.renewing = false
 	case "platform":
 		w.answersLost = !w.answersLost
+	case "slow":
+		w.latency = slowLatency - w.latency
 	default:
 		require.Fail(w.t, "unknown event", event)
 	}
@@ -156,7 +161,7 @@
 		}
 		fmt.Fprint(&b, " ", s.era, s.held, s.holder.Holder, s.fence, s.endsAt.UnixMilli(), ";")
 	}
-	fmt.Fprint(&b, time.Now().UnixMilli(), w.killed, w.restored, w.cut, w.answersLost, ";")
+	fmt.Fprint(&b, time.Now().UnixMilli(), w.killed, w.restored, w.cut, w.answersLost, w.latency, ";")
 	store(&w.store)
 	store(&w.copy)
 	for _, c := range w.calls {
@@ -214,7 +219,7 @@
 
 // Check implements explore.World. It lets all processes that are left go on undisturbed until both windows are due.
 func (w *handOverWorld) Check() error {
-	w.answersLost = false
+	w.answersLost, w.latency = false, 0
 	for time.Now().Before(testWindows.Due(w.window + 1)) {
 		for _, name := range handOverNames {
 			if p := w.byAddress[name]; p != nil {
@@ -225,6 +230,11 @@
 		w.pass(500 * time.Millisecond)
 		w.tell()
 	}
+	for _, p := range w.byAddress {
+		if d := p.holder.cfg.Clock.Now().Sub(time.Now().Round(0)); d != 0 {
+			return fmt.Errorf("the window clock of %s is wrong by %s", p.name, d)
+		}
+	}
 	switch {
 	case w.violation != nil:
 		return w.violation
--- a/usage/holder.go
+++ b/usage/holder.go
@@ -225,46 +225,6 @@
 	return ack
 }
 
-// superseded ends the authority of this process, if it has one, because another process holds a later lease.
-func (h *Holder) superseded(m *Message) Ack {
-	h.mu.Lock()
-	a := h.authority
-	h.mu.Unlock()
-	_, ended := a.EndedAt()
-	a.Supersede(m.NewFence)
-	ack := Ack{NotHolder: true}
-	at, ok := a.EndedAt()
-	if !ok {
-		return ack
-	}
-	if !ended {
-		h.cfg.Log.WithFields(logrus.Fields{"instance": m.Instance, "fence": m.NewFence, "own_fence": a.Fence}).Warn("another instance holds the lease for duties; the own authority has ended")
-		h.release()
-	}
-	ago := time.Since(at)
-	ack.EndedAgo = &ago
-	return ack
-}
-
-// guarded returns the number of the present lease while its guard lasts, and 0 otherwise.
-func (h *Holder) guarded() uint64 {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if time.Now().Before(h.mayCallAt) {
-		return h.fence
-	}
-	return 0
-}
-
-// formerEnded counts the guard of a lease from the end of the former holder's authority if that is later than the grant.
-func (h *Holder) formerEnded(fence uint64, at time.Time) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if may := at.Add(h.cfg.Guard); fence == h.fence && may.After(h.mayCallAt) {
-		h.mayCallAt = may
-	}
-}
-
 // forSession reports whether a message is for the session in which this instance holds the lease, and the answer if not.
 func (h *Holder) forSession(m *Message) (Ack, bool) {
 	h.mu.Lock()
@@ -284,7 +244,9 @@
 	session := h.authority.Session()
 	h.mu.Unlock()
 	ack := c.Add(m, now)
-	ack.HolderSession = session
+	if m.HolderTag == 0 { // the sender does not know the session yet
+		ack.HolderSession = session
+	}
 	ack.WantRecord = h.wantsRecord(m.RecordWindow, now)
 	return ack
 }
--- a/usage/usage.go
+++ b/usage/usage.go
@@ -95,7 +95,7 @@
 	WantRecord bool
 	// NotHolder is true if the called instance has not taken the message: it is not the holder, or holds the lease in another
 	// session than the message is for. HolderAddress and HolderSession are those of the holder, as far as known there; a
-	// session without an address is that of the called instance. HolderSession is also set if the message was taken.
+	// session without an address is that of the called instance. HolderSession is also set if a message without HolderTag was taken.
 	NotHolder                    bool
 	HolderAddress, HolderSession string
 }
