--- a/test/site/explore_test.go
+++ b/test/site/explore_test.go
@@ -32,6 +32,9 @@
 	recoveryTime = 12 * time.Second
 	// callerPatience is how long a caller waits for its answer. A gateway may be frozen.
 	callerPatience = 3 * time.Second
+	// longService is how long a request of "run long" takes. It may begin in one window and be answered in the next one.
+	longService = time.Second
+	pathLong    = "/long/"
 	// slowLink is the delay of data from and to an instance with slow links.
 	slowLink = 350 * time.Millisecond
 )
@@ -58,12 +61,15 @@
 	history   []string
 	violation error
 	first     int64
+	// long holds the requests of which run does not await the answers.
+	long sync.WaitGroup
 }
 
 func newDeploymentWorld(env *testEnv) *deploymentWorld {
 	w := &deploymentWorld{env: env, u: newUsageEnv(env), nodes: map[string]*gatewayNode{}, broken: map[string]bool{}, versions: map[*gatewayNode]uint64{}}
-	env.writeConfig()
+	w.configure()
 	env.addWorker(site.WorkerConfig{ID: "i-api-0", Service: "api", Slots: 64})
+	env.addWorker(site.WorkerConfig{ID: "i-long-0", Service: "api2", Slots: 64, ServiceTime: longService})
 	for _, name := range deploymentNames {
 		w.nodes[name] = env.addGateway(name)
 	}
@@ -79,17 +85,30 @@
 // run sends one request to each gateway. A gateway that is frozen may have it in flight when it returns.
 func (w *deploymentWorld) run() {
 	var calls sync.WaitGroup
+	w.call(&calls, pathRead)
+	calls.Wait()
+}
+
+// call sends one request to each gateway.
+func (w *deploymentWorld) call(calls *sync.WaitGroup, path string) {
 	for _, n := range w.nodes {
 		calls.Go(func() {
-			w.env.call(n, request{path: pathRead + "x", method: http.MethodGet, header: http.Header{"Authorization": {"Bearer key-huka"}}, disconnectAfter: callerPatience})
+			w.env.call(n, request{path: path + "x", method: http.MethodGet, header: http.Header{"Authorization": {"Bearer key-huka"}}, disconnectAfter: callerPatience})
 		})
 	}
-	calls.Wait()
+}
+
+// configure writes the next configuration.
+func (w *deploymentWorld) configure() {
+	w.env.writeConfig(
+		routeConfig("read", pathRead, "idempotent", "api", nil),
+		routeConfig("long", pathLong, "non_idempotent", "api2", jsonMap{"timeout-ms": 5000}),
+	)
 }
 
 // Events implements explore.World.
 func (w *deploymentWorld) Events() []string {
-	out := []string{"pass 1s", "pass 3s", "run", "copy", "restore", "end lease", "configure", "store away", "store back", "platform away", "platform back", "answers lost"}
+	out := []string{"pass 1s", "pass 3s", "run", "run long", "copy", "restore", "end lease", "configure", "store away", "store back", "platform away", "platform back", "answers lost"}
 	for i, name := range deploymentNames {
 		n := w.nodes[name]
 		if n == nil {
@@ -126,6 +145,10 @@
 		require.NoError(w.env.t, err)
 		time.Sleep(d)
 	case "run":
+		if name == "long" {
+			w.call(&w.long, pathLong)
+			break
+		}
 		w.run()
 	case "copy":
 		w.copy = w.env.store.Copy()
@@ -135,7 +158,7 @@
 	case "end":
 		w.env.store.EndLeases()
 	case "configure":
-		w.env.writeConfig()
+		w.configure()
 	case "store":
 		w.lossy = true
 		w.env.store.SetMode(map[string]site.StoreMode{"away": site.StoreSilent, "back": site.StoreUp}[name])
@@ -234,6 +257,7 @@
 	for _, name := range deploymentNames {
 		w.u.setWallError(name, 0)
 	}
+	w.long.Wait()
 	last := window()
 	for range int(recoveryTime / time.Second) {
 		time.Sleep(time.Second)
