--- a/test/site/explore_test.go
+++ b/test/site/explore_test.go
@@ -291,7 +291,7 @@
 		}
 	}
 	for name, n := range w.nodes {
-		if d := n.usage.clock.Now().Sub(time.Now()); d != 0 {
+		if d := time.Until(n.usage.clock.Now()); d != 0 {
 			return fmt.Errorf("the window clock of %s is wrong by %s", name, d)
 		}
 	}
--- a/test/site/usageworld_test.go
+++ b/test/site/usageworld_test.go
@@ -269,7 +269,7 @@
 	u.env.t.Helper()
 	for _, n := range u.env.gateways {
 		if !u.isStopped(n) {
-			require.Zero(u.env.t, n.usage.clock.Now().Sub(time.Now()), "window clock of %s", n.host.Name)
+			require.Zero(u.env.t, time.Until(n.usage.clock.Now()), "window clock of %s", n.host.Name)
 		}
 	}
 }
