mutants: clocks, guards and witnesses of far servers

Six mutants, each run by itself and detected. TestClocksIgnoreTheTimeOfMessages has slow answers, too: without them the mutant of the sender survived.

--- a/usage/world_test.go
+++ b/usage/world_test.go
@@ -39,9 +39,9 @@
 	late map[int64]bool
 	// answersLost is true while the answers of the platform are lost.
 	answersLost bool
-	// latency is how long a message to another process takes.
-	latency   time.Duration
-	violation error
+	// latency is how long a message to another process takes, and answerLatency its answer.
+	latency, answerLatency time.Duration
+	violation              error
 }
 
 // worldStore is what the store holds.
@@ -235,6 +235,7 @@
 		return Ack{}, errWorld
 	}
 	ack := to.holder.Add(m)
+	time.Sleep(p.w.answerLatency)
 	if to.answerLost {
 		return Ack{}, errWorld
 	}
