--- a/usage/usage.go
+++ b/usage/usage.go
@@ -65,7 +65,7 @@
 	RecordWindow int64 `json:"-"`
 	// Record is that record, for a holder that wants it; else nil.
 	Record *Record `json:"-"`
-	// Clock is the time of the instance's window clock.
+	// Clock is the time of the instance's window clock at which the message was made.
 	Clock time.Time `json:"-"`
 	// ClockAhead is by how much the instance's window clock is ahead of the holder's, as measured with an earlier message
 	// whose answer came soon; nil if there was none.
